Add the design page, the workspace and the core types

Cause: the repository was empty; every later part needs shared names, types and a page to check against. Change: docs/design.md and docs/glossary.md, seven packages, identifiers, units, bundle reading with all errors at once, problem documents, messages of the replicated log, the one place that builds a runtime. Measured: formatter, linter and an empty test run pass; there is no behaviour to measure yet. Conclusion: the parts can be built side by side against these types.

--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command line of masticstair for operators and users.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of masticstair.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/bundle/public_key.rs
@@ -0,0 +1,47 @@
+use ed25519_dalek::{Signature, VerifyingKey};
+use std::fmt;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// An Ed25519 public key, written as 64 hexadecimal digits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PublicKey(VerifyingKey);
+
+/// The reason for which a public key is refused.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum PublicKeyError {
+    /// The text has another form.
+    #[error("an Ed25519 public key has 64 hexadecimal digits")]
+    Syntax,
+    /// The bytes are no point on the curve.
+    #[error("the 32 bytes are not a valid Ed25519 public key")]
+    Invalid,
+}
+
+impl PublicKey {
+    /// Wraps a verifying key.
+    pub const fn new(key: VerifyingKey) -> Self {
+        Self(key)
+    }
+
+    /// Checks a signature with the strict rules, which leave no second valid form of a signature.
+    pub fn verifies(&self, message: &[u8], signature: &[u8; 64]) -> bool {
+        self.0.verify_strict(message, &Signature::from_bytes(signature)).is_ok()
+    }
+}
+
+impl fmt::Display for PublicKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0.as_bytes()))
+    }
+}
+
+impl FromStr for PublicKey {
+    type Err = PublicKeyError;
+
+    fn from_str(s: &str) -> Result<Self, PublicKeyError> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(s, &mut bytes).map_err(|_| PublicKeyError::Syntax)?;
+        VerifyingKey::from_bytes(&bytes).map(Self).map_err(|_| PublicKeyError::Invalid)
+    }
+}
--- /dev/null
+++ b/crates/core/src/bundle/right.rs
@@ -0,0 +1,42 @@
+use std::fmt;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// What a signer may do.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Right {
+    /// Store a new version.
+    Submit,
+    /// Approve a version.
+    SignOff,
+    /// Put an approved version in force.
+    Roll,
+}
+
+/// The text is not a right.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("submit, sign-off or roll")]
+pub struct ParseRightError;
+
+impl fmt::Display for Right {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Submit => "submit",
+            Self::SignOff => "sign-off",
+            Self::Roll => "roll",
+        })
+    }
+}
+
+impl FromStr for Right {
+    type Err = ParseRightError;
+
+    fn from_str(s: &str) -> Result<Self, ParseRightError> {
+        match s {
+            "submit" => Ok(Self::Submit),
+            "sign-off" => Ok(Self::SignOff),
+            "roll" => Ok(Self::Roll),
+            _ => Err(ParseRightError),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/bundle/stage_kind.rs
@@ -0,0 +1,56 @@
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// What a stage does.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum StageKind {
+    /// Turns text into vectors.
+    Encode,
+    /// Finds documents.
+    Retrieve,
+    /// Orders documents.
+    Rerank,
+    /// Generates text with a model engine.
+    Generate,
+    /// Calls a plain service.
+    Service,
+}
+
+/// The text is not a kind of stage.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("encode, retrieve, rerank, generate or service")]
+pub struct ParseStageKindError;
+
+impl StageKind {
+    /// Every kind.
+    pub const ALL: [Self; 5] =
+        [Self::Encode, Self::Retrieve, Self::Rerank, Self::Generate, Self::Service];
+
+    /// Returns the name in bundles and messages.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Encode => "encode",
+            Self::Retrieve => "retrieve",
+            Self::Rerank => "rerank",
+            Self::Generate => "generate",
+            Self::Service => "service",
+        }
+    }
+}
+
+impl fmt::Display for StageKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for StageKind {
+    type Err = ParseStageKindError;
+
+    fn from_str(s: &str) -> Result<Self, ParseStageKindError> {
+        Self::ALL.into_iter().find(|k| k.as_str() == s).ok_or(ParseStageKindError)
+    }
+}
--- /dev/null
+++ b/crates/core/src/id/account_id.rs
@@ -0,0 +1,4 @@
+name_newtype! {
+    /// A client account of the bundle.
+    AccountId
+}
--- /dev/null
+++ b/crates/core/src/id/data_centre_id.rs
@@ -0,0 +1,4 @@
+name_newtype! {
+    /// A data centre: a failure domain with its own hosts and endpoints.
+    DataCentreId
+}
--- /dev/null
+++ b/crates/core/src/id/mod.rs
@@ -0,0 +1,48 @@
+//! Identifiers.
+
+mod account_id;
+mod attempt_id;
+mod command_id;
+mod data_centre_id;
+mod endpoint_id;
+mod fencing_number;
+mod host_id;
+mod idempotency_key;
+mod incarnation;
+mod log_index;
+mod model_name;
+mod name_error;
+mod pipeline_name;
+mod pool_name;
+mod region_id;
+mod replica_id;
+mod request_id;
+mod revision;
+mod signer_name;
+mod stage_name;
+mod term;
+mod trace_id;
+
+pub use account_id::AccountId;
+pub use attempt_id::AttemptId;
+pub use command_id::CommandId;
+pub use data_centre_id::DataCentreId;
+pub use endpoint_id::EndpointId;
+pub use fencing_number::FencingNumber;
+pub use host_id::HostId;
+pub use idempotency_key::{IdempotencyKey, KeyError};
+pub use incarnation::Incarnation;
+pub use log_index::LogIndex;
+pub use model_name::{ModelName, ModelVersion};
+pub use name_error::NameError;
+pub(crate) use name_error::check_name;
+pub use pipeline_name::PipelineName;
+pub use pool_name::PoolName;
+pub use region_id::RegionId;
+pub use replica_id::ReplicaId;
+pub use request_id::RequestId;
+pub use revision::Revision;
+pub use signer_name::SignerName;
+pub use stage_name::StageName;
+pub use term::Term;
+pub use trace_id::{SpanId, TraceId, TraceParent, TraceParentError};
--- /dev/null
+++ b/crates/core/src/id/pipeline_name.rs
@@ -0,0 +1,4 @@
+name_newtype! {
+    /// A pipeline of the bundle.
+    PipelineName
+}
--- /dev/null
+++ b/crates/core/src/id/pool_name.rs
@@ -0,0 +1,4 @@
+name_newtype! {
+    /// A pool of endpoints that serve the same stages.
+    PoolName
+}
--- /dev/null
+++ b/crates/core/src/id/region_id.rs
@@ -0,0 +1,4 @@
+name_newtype! {
+    /// A region: a group of data centres.
+    RegionId
+}
--- /dev/null
+++ b/crates/core/src/id/signer_name.rs
@@ -0,0 +1,4 @@
+name_newtype! {
+    /// An operator whose key may sign bundle commands.
+    SignerName
+}
--- /dev/null
+++ b/crates/core/src/id/stage_name.rs
@@ -0,0 +1,4 @@
+name_newtype! {
+    /// A stage of a pipeline.
+    StageName
+}
--- /dev/null
+++ b/crates/core/src/id/term.rs
@@ -0,0 +1,4 @@
+number_newtype! {
+    /// The election term of the replicated log.
+    Term(u64)
+}
--- /dev/null
+++ b/crates/core/src/message/append.rs
@@ -0,0 +1,34 @@
+use super::LogEntry;
+use crate::id::{LogIndex, ReplicaId, Term};
+
+/// Entries, or a heartbeat when there are none, from the leader to a replica.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AppendRequest {
+    /// The term of the leader.
+    pub term: Term,
+    /// The leader.
+    pub leader: ReplicaId,
+    /// The entry before the first of `entries`; 0 when there is none.
+    pub prev_index: LogIndex,
+    /// The term of that entry.
+    pub prev_term: Term,
+    /// Consecutive entries that follow `prev_index`.
+    pub entries: Vec<LogEntry>,
+    /// The highest index that the leader knows to be committed.
+    pub commit: LogIndex,
+    /// Number of the heartbeat round; a read is answered after a round that began after it.
+    pub round: u64,
+}
+
+/// The answer to an `AppendRequest`, given after the entries were synced.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AppendReply {
+    /// The term of the replica.
+    pub term: Term,
+    /// Whether the replica's log now matches the leader's up to the last entry sent.
+    pub success: bool,
+    /// On success the last matching index; otherwise the index from which to try again.
+    pub match_index: LogIndex,
+    /// The round of the request.
+    pub round: u64,
+}
--- /dev/null
+++ b/crates/core/src/message/voter_set.rs
@@ -0,0 +1,41 @@
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::id::{DataCentreId, HostId, ReplicaId};
+
+/// A replica of the log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Replica {
+    /// The identity of its data folder.
+    pub id: ReplicaId,
+    /// The host that holds the folder.
+    pub host: HostId,
+    /// The data centre of the host.
+    pub data_centre: DataCentreId,
+}
+
+/// The replicas of the log.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VoterSet {
+    /// At most 7 replicas that count towards a quorum; ids are unique over both lists.
+    pub voters: SmallVec<[Replica; 7]>,
+    /// Replicas that receive the log without a vote.
+    pub learners: SmallVec<[Replica; 2]>,
+}
+
+impl VoterSet {
+    /// Returns how many voters make a quorum: a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Tells whether a replica counts towards a quorum.
+    pub fn is_voter(&self, id: ReplicaId) -> bool {
+        self.voters.iter().any(|r| r.id == id)
+    }
+
+    /// Returns every replica, voters first.
+    pub fn all(&self) -> impl Iterator<Item = &Replica> {
+        self.voters.iter().chain(&self.learners)
+    }
+}
--- /dev/null
+++ b/crates/core/src/prelude.rs
@@ -0,0 +1,11 @@
+//! The types that nearly every module uses.
+
+pub use crate::id::{
+    AccountId, AttemptId, DataCentreId, EndpointId, HostId, IdempotencyKey, Incarnation,
+    PipelineName, PoolName, RequestId, Revision, StageName,
+};
+pub use crate::outcome::{Problem, RefusalOutcome};
+pub use crate::unit::{
+    ByteCount, Draw, EngineTime, Millis, RatePerSecond, Sha256Digest, Slots, Timestamp, TokenCount,
+    WallTime, Weight,
+};
--- /dev/null
+++ b/crates/core/src/unit/byte_count.rs
@@ -0,0 +1,4 @@
+number_newtype! {
+    /// A size in bytes.
+    ByteCount(u64)
+}
--- /dev/null
+++ b/crates/core/src/unit/engine_time.rs
@@ -0,0 +1,4 @@
+number_newtype! {
+    /// Time that an endpoint spent on a call, in microseconds.
+    EngineTime(u64)
+}
--- /dev/null
+++ b/crates/core/src/unit/mod.rs
@@ -0,0 +1,25 @@
+//! Physical quantities.
+
+mod byte_count;
+mod draw;
+mod engine_time;
+mod millis;
+mod rate_per_second;
+mod sha256_digest;
+mod slots;
+mod timestamp;
+mod token_count;
+mod wall_time;
+mod weight;
+
+pub use byte_count::ByteCount;
+pub use draw::Draw;
+pub use engine_time::EngineTime;
+pub use millis::Millis;
+pub use rate_per_second::{RateError, RatePerSecond};
+pub use sha256_digest::{DigestError, Sha256Digest};
+pub use slots::Slots;
+pub use timestamp::Timestamp;
+pub use token_count::TokenCount;
+pub use wall_time::WallTime;
+pub use weight::Weight;
--- /dev/null
+++ b/crates/core/src/unit/sha256_digest.rs
@@ -0,0 +1,62 @@
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// A SHA-256 digest.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "Box<str>", into = "Box<str>")]
+pub struct Sha256Digest([u8; 32]);
+
+/// The text is not a digest.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("a SHA-256 digest has 64 hexadecimal digits")]
+pub struct DigestError;
+
+impl Sha256Digest {
+    /// Computes the digest of some bytes.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+
+    /// Wraps the bytes of a digest.
+    pub const fn from_bytes(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the bytes of the digest.
+    pub const fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for Sha256Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl FromStr for Sha256Digest {
+    type Err = DigestError;
+
+    fn from_str(s: &str) -> Result<Self, DigestError> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(s, &mut bytes).map_err(|_| DigestError)?;
+        Ok(Self(bytes))
+    }
+}
+
+impl TryFrom<Box<str>> for Sha256Digest {
+    type Error = DigestError;
+
+    fn try_from(s: Box<str>) -> Result<Self, DigestError> {
+        s.parse()
+    }
+}
+
+impl From<Sha256Digest> for Box<str> {
+    fn from(digest: Sha256Digest) -> Self {
+        digest.to_string().into()
+    }
+}
--- /dev/null
+++ b/crates/core/src/unit/token_count.rs
@@ -0,0 +1,4 @@
+number_newtype! {
+    /// A number of tokens.
+    TokenCount(u64)
+}
--- /dev/null
+++ b/crates/core/src/unit/wall_time.rs
@@ -0,0 +1,4 @@
+number_newtype! {
+    /// Milliseconds since the Unix epoch. Never compared between hosts for safety.
+    WallTime(u64)
+}
--- /dev/null
+++ b/crates/core/src/unit/weight.rs
@@ -0,0 +1,4 @@
+number_newtype! {
+    /// The relative share of an account in fair queueing.
+    Weight(u32)
+}
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,3 @@
+//! The daemon that runs on every entry host of masticstair.
+
+pub mod membership;
--- /dev/null
+++ b/crates/host/src/main.rs
@@ -0,0 +1,3 @@
+//! Daemon of masticstair.
+
+fn main() {}
--- /dev/null
+++ b/crates/host/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Membership tasks: gossip, endpoint news and the spread of bundles.
--- /dev/null
+++ b/crates/net/src/http/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP server and client with bounds.
--- /dev/null
+++ b/crates/net/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! Messages between hosts over Cap'n Proto RPC.
--- /dev/null
+++ b/crates/policy/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Admission: whether a request can still meet its deadline.
--- /dev/null
+++ b/crates/policy/src/breaker/mod.rs
@@ -0,0 +1,1 @@
+//! Circuit breaker of an endpoint.
--- /dev/null
+++ b/crates/policy/src/bundle_history/mod.rs
@@ -0,0 +1,1 @@
+//! The replicated table of bundles.
--- /dev/null
+++ b/crates/policy/src/endpoint_table/mod.rs
@@ -0,0 +1,1 @@
+//! The endpoints with their incarnations and leases.
--- /dev/null
+++ b/crates/policy/src/estimate/mod.rs
@@ -0,0 +1,1 @@
+//! Latency estimates from a host's own calls.
--- /dev/null
+++ b/crates/policy/src/fair_queue/mod.rs
@@ -0,0 +1,1 @@
+//! Weighted fair queueing over client accounts.
--- /dev/null
+++ b/crates/policy/src/issuer/mod.rs
@@ -0,0 +1,1 @@
+//! The replicated lease and fencing number of the order issuer.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decision functions of masticstair: no input or output, no clock reads, no encoding.
+
+pub mod admission;
+pub mod breaker;
+pub mod bundle_history;
+pub mod endpoint_table;
+pub mod estimate;
+pub mod fair_queue;
+pub mod issuer;
+pub mod limits;
+pub mod membership;
+pub mod retry;
+pub mod routing;
+pub mod run_once;
--- /dev/null
+++ b/crates/policy/src/limits/mod.rs
@@ -0,0 +1,1 @@
+//! Account limits that hold over all hosts together.
--- /dev/null
+++ b/crates/policy/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Membership: live hosts, suspicion and merging of news.
--- /dev/null
+++ b/crates/policy/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retries and hedges under a shared budget.
--- /dev/null
+++ b/crates/policy/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of the endpoint for an attempt.
--- /dev/null
+++ b/crates/policy/src/run_once/mod.rs
@@ -0,0 +1,1 @@
+//! The replicated table of calls that must not be repeated.
--- /dev/null
+++ b/crates/store/src/consensus/mod.rs
@@ -0,0 +1,1 @@
+//! The replicated log: elections, replication, membership changes and reads.
