--- a/crates/core/src/message/log_entry.rs
+++ b/crates/core/src/message/log_entry.rs
@@ -22,5 +22,5 @@
     /// An encoded command for the replicated state.
     Command(Box<[u8]>),
     /// A change of the voters; in force from the moment it is in the log.
-    Voters(VoterSet),
+    Voters(Box<VoterSet>),
 }
