--- /dev/null
+++ b/crates/core/src/endpoint_api/run_response.rs
@@ -0,0 +1,19 @@
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::Usage;
+use crate::id::{AttemptId, RequestId};
+
+/// The whole answer to `POST /v1/run`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RunResponse {
+    /// Echo of the request.
+    pub request_id: RequestId,
+    /// Echo of the attempt.
+    pub attempt_id: AttemptId,
+    /// What the stage made.
+    pub output: Value,
+    /// What the call cost.
+    #[serde(default)]
+    pub usage: Usage,
+}
--- /dev/null
+++ b/crates/net/src/http/client/body.rs
@@ -0,0 +1,79 @@
+use bytes::{Bytes, BytesMut};
+use monoio_http::h1::BorrowFramedRead;
+use std::rc::Rc;
+
+use super::ClientError;
+use super::body_decoder::BodyDecoder;
+use super::connection::Connection;
+use super::pool::PoolInner;
+
+/// The body of a response. Dropping it before its end closes the connection.
+pub struct ClientBody {
+    pool: Rc<PoolInner>,
+    /// `None` once the connection went back to the pool or was closed.
+    connection: Option<Connection>,
+    decoder: BodyDecoder,
+    /// Whether the endpoint keeps the connection open after the response.
+    keep: bool,
+}
+
+impl ClientBody {
+    pub(super) fn new(
+        pool: Rc<PoolInner>,
+        connection: Connection,
+        decoder: BodyDecoder,
+        keep: bool,
+    ) -> Self {
+        let mut body = Self { pool, connection: Some(connection), decoder, keep };
+        body.release_at_end();
+        body
+    }
+
+    /// Reads the next piece; `None` at the end.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Broken` when the connection ends before the body does or a piece is larger than the
+    /// limit of the pool.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, ClientError> {
+        let Some(connection) = &mut self.connection else { return Ok(None) };
+        let addr = connection.addr;
+        let piece = match connection.codec.framed_mut().next_with(&mut self.decoder).await {
+            Some(Ok(piece)) => piece,
+            Some(Err(e)) => return Err(ClientError::Broken(addr, e.to_string().into())),
+            None => return Err(ClientError::Broken(addr, "closed within the body".into())),
+        };
+        self.release_at_end();
+        Ok(piece)
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// As `next`; `TooLarge` when the body is larger than the limit of the pool.
+    pub async fn read_all(mut self) -> Result<Bytes, ClientError> {
+        let limit = self.pool.limits.body;
+        let Some(first) = self.next().await? else { return Ok(Bytes::new()) };
+        if self.decoder.has_ended() {
+            return Ok(first);
+        }
+        let mut buf = BytesMut::from(first);
+        while let Some(piece) = self.next().await? {
+            buf.extend_from_slice(&piece);
+            if buf.len() as u64 > limit.get() {
+                return Err(ClientError::TooLarge(limit));
+            }
+        }
+        Ok(buf.freeze())
+    }
+
+    fn release_at_end(&mut self) {
+        if !self.decoder.has_ended() {
+            return;
+        }
+        if let Some(connection) = self.connection.take().filter(|_| self.keep) {
+            self.pool.put_idle(connection);
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/http/client/body_decoder.rs
@@ -0,0 +1,56 @@
+use bytes::{Bytes, BytesMut};
+use masticstair_core::prelude::*;
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::h1::codec::decoder::{
+    ChunkedBodyDecoder, DecodeError, FixedBodyDecoder, PayloadDecoder,
+};
+
+/// Decodes a body piece by piece and refuses to buffer more than a limit.
+///
+/// The decoders of the library buffer whatever length the endpoint announces.
+pub(super) struct BodyDecoder {
+    inner: PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>,
+    limit: ByteCount,
+    /// Whether the last piece was decoded.
+    ended: bool,
+}
+
+impl BodyDecoder {
+    pub(super) fn new(
+        inner: PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>,
+        limit: ByteCount,
+    ) -> Self {
+        let ended = matches!(inner, PayloadDecoder::None);
+        Self { inner, limit, ended }
+    }
+
+    pub(super) fn has_ended(&self) -> bool {
+        self.ended
+    }
+}
+
+impl Decoder for BodyDecoder {
+    /// `None` marks the end of the body.
+    type Item = Option<Bytes>;
+    type Error = DecodeError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Option<Bytes>>, DecodeError> {
+        let decoded = match &mut self.inner {
+            PayloadDecoder::None => Decoded::Some(None),
+            PayloadDecoder::Fixed(decoder) => match decoder.decode(src)? {
+                Decoded::Some(bytes) => {
+                    self.ended = true;
+                    Decoded::Some(Some(bytes))
+                }
+                _ => Decoded::Insufficient,
+            },
+            PayloadDecoder::Streamed(decoder) => decoder.decode(src)?,
+        };
+        match &decoded {
+            Decoded::Some(piece) => self.ended |= piece.is_none(),
+            _ if src.len() as u64 > self.limit.get() => return Err(DecodeError::Chunked),
+            _ => {}
+        }
+        Ok(decoded)
+    }
+}
--- /dev/null
+++ b/crates/net/src/http/client/connection.rs
@@ -0,0 +1,76 @@
+use bytes::Bytes;
+use http::Request;
+use monoio::io::sink::SinkExt;
+use monoio::io::stream::Stream;
+use monoio::net::TcpStream;
+use monoio::time::{Instant, timeout_at};
+use monoio_http::common::error::HttpError;
+use monoio_http::common::response::Response;
+use monoio_http::h1::codec::ClientCodec;
+use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, FixedBodyDecoder, PayloadDecoder};
+use monoio_http::h1::payload::{FixedPayload, Payload};
+use std::net::SocketAddr;
+
+use super::ClientError;
+
+/// How the body of a response is decoded.
+pub(super) type ResponseDecoder = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
+
+/// One open connection to an endpoint.
+pub(super) struct Connection {
+    pub(super) addr: SocketAddr,
+    pub(super) codec: ClientCodec<TcpStream>,
+    /// When the endpoint last completed a response on this connection.
+    pub(super) last_answer: Instant,
+}
+
+impl Connection {
+    /// Connects before `deadline`.
+    pub(super) async fn open(addr: SocketAddr, deadline: Instant) -> Result<Self, ClientError> {
+        let started = Instant::now();
+        match timeout_at(deadline, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => {
+                // Requests are written whole; waiting for more data would only delay them.
+                let _ = stream.set_nodelay(true);
+                Ok(Self { addr, codec: ClientCodec::new(stream), last_answer: Instant::now() })
+            }
+            Ok(Err(source)) => Err(ClientError::Connect { addr, source }),
+            Err(_) => {
+                let waited = started.elapsed().as_millis() as u64;
+                Err(ClientError::ConnectTimeout(addr, waited.into()))
+            }
+        }
+    }
+
+    /// Sends a request and reads the head of the response.
+    pub(super) async fn exchange(
+        &mut self,
+        req: Request<Bytes>,
+        deadline: Instant,
+    ) -> Result<Response<ResponseDecoder>, ClientError> {
+        let started = Instant::now();
+        let req = req.map(|body| {
+            if body.is_empty() {
+                Payload::<Bytes, HttpError>::None
+            } else {
+                Payload::Fixed(FixedPayload::new(body))
+            }
+        });
+        let exchange = async {
+            self.codec.send_and_flush(req).await.map_err(|e| e.to_string())?;
+            match self.codec.next().await {
+                Some(Ok(response)) => Ok(response),
+                Some(Err(e)) => Err(e.to_string()),
+                None => Err("closed before the response".to_owned()),
+            }
+        };
+        match timeout_at(deadline, exchange).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(message)) => Err(ClientError::Broken(self.addr, message.into())),
+            Err(_) => {
+                let waited = started.elapsed().as_millis() as u64;
+                Err(ClientError::Timeout(self.addr, waited.into()))
+            }
+        }
+    }
+}
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -1,1 +1,6 @@
-//! HTTP server and client with bounds.
+//! HTTP/1.1: the server side that callers, endpoints and operators reach, and the client side that
+//! reaches endpoints.
+
+pub mod client;
+pub mod server;
+pub mod sse;
--- /dev/null
+++ b/crates/net/src/http/server/body_stream.rs
@@ -0,0 +1,47 @@
+use bytes::Bytes;
+use futures_channel::mpsc;
+use futures_util::{SinkExt, Stream};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use thiserror::Error;
+
+/// Pieces that wait for the caller; the sender waits when there are more.
+const PIECES_BUFFERED: usize = 16;
+
+/// The receiving side of a streamed body. Dropping it closes the sender.
+#[derive(Debug)]
+pub struct BodyStream(mpsc::Receiver<Bytes>);
+
+/// The sending side of a streamed body. Dropping it ends the body.
+#[derive(Debug)]
+pub struct BodySender(mpsc::Sender<Bytes>);
+
+/// The caller closed the connection before the body ended.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("the caller closed the connection before the body ended")]
+pub struct BodyClosed;
+
+/// Makes a streamed body.
+pub fn body_stream() -> (BodySender, BodyStream) {
+    let (tx, rx) = mpsc::channel(PIECES_BUFFERED);
+    (BodySender(tx), BodyStream(rx))
+}
+
+impl BodySender {
+    /// Sends one piece; waits while the caller reads too slowly.
+    ///
+    /// # Errors
+    ///
+    /// Returns `BodyClosed` when the caller closed the connection.
+    pub async fn send(&mut self, piece: Bytes) -> Result<(), BodyClosed> {
+        self.0.send(piece).await.map_err(|_| BodyClosed)
+    }
+}
+
+impl Stream for BodyStream {
+    type Item = Bytes;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
+        Pin::new(&mut self.0).poll_next(cx)
+    }
+}
--- /dev/null
+++ b/crates/net/src/http/server/connection.rs
@@ -0,0 +1,95 @@
+use futures_util::FutureExt;
+use http::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use masticstair_core::prelude::*;
+use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, IntoPollIo};
+use monoio::net::TcpStream;
+use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
+
+use super::read_body::read_body;
+use super::response_body::ResponseBody;
+use super::{Handler, Request, Response, ResponseContent, ServerLimits};
+
+/// Serves one connection to its end.
+pub(super) async fn serve_connection(
+    stream: TcpStream,
+    limits: Rc<ServerLimits>,
+    handler: Handler,
+) {
+    let Ok(stream) = stream.into_poll_io() else { return };
+    let served = Rc::new(Cell::new(0));
+    let service = service_fn(|req| serve_request(req, &limits, &handler, &served));
+    let mut connection = http1::Builder::new()
+        .timer(MonoioTimer)
+        .header_read_timeout(limits.head_timeout.duration())
+        .max_header_size(usize::try_from(limits.head.get()).unwrap_or(usize::MAX))
+        .serve_connection(MonoioIo::new(stream), service);
+    let ended = AssertUnwindSafe(&mut connection).catch_unwind().await;
+    let Ok(Err(error)) = ended else { return };
+    if error.is_timeout() {
+        let stream = connection.into_parts().io.inner();
+        let detail = format!("the head took longer than {} ms", limits.head_timeout);
+        let problem = Problem::not_run(408, "head-timeout", detail);
+        if let Ok(stream) = monoio::io::IntoCompIo::into_comp_io(stream) {
+            send_and_close(stream, &problem).await;
+        }
+    }
+}
+
+/// Answers a connection that is not served with a problem document and closes it.
+pub(super) async fn send_and_close(mut stream: TcpStream, problem: &Problem) {
+    let body = serde_json::to_vec(problem).unwrap_or_default();
+    let status = StatusCode::from_u16(problem.status).unwrap_or(StatusCode::BAD_REQUEST);
+    let head = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/problem+json\r\ncontent-length: {}\r\n\
+         connection: close\r\n\r\n",
+        body.len()
+    );
+    let mut message = head.into_bytes();
+    message.extend_from_slice(&body);
+    // The caller may be gone; there is nobody left to tell.
+    let _ = stream.write_all(message).await;
+    let _ = stream.shutdown().await;
+}
+
+async fn serve_request(
+    req: http::Request<Incoming>,
+    limits: &ServerLimits,
+    handler: &Handler,
+    served: &Cell<u32>,
+) -> Result<http::Response<ResponseBody>, Infallible> {
+    served.set(served.get() + 1);
+    let last = served.get() >= limits.requests_per_connection.get();
+    let (head, body) = req.into_parts();
+    let response = match read_body(body, limits).await {
+        Ok(body) => handle(handler, Request { head, body }).await,
+        Err(problem) => Response::problem(&problem).closing(),
+    };
+    let response = if last { response.closing() } else { response };
+    Ok(into_hyper(response))
+}
+
+/// Calls the handler; a panic in it ends only this request.
+async fn handle(handler: &Handler, req: Request) -> Response {
+    let answer = AssertUnwindSafe(async { handler(req).await }).catch_unwind().await;
+    answer.unwrap_or_else(|_| {
+        let detail = "the request ended in an internal error; it may have run";
+        Response::problem(&Problem::unknown(500, "internal-error", detail)).closing()
+    })
+}
+
+fn into_hyper(response: Response) -> http::Response<ResponseBody> {
+    let mut out = http::Response::new(ResponseBody(response.body));
+    *out.status_mut() = response.status;
+    *out.headers_mut() = response.headers;
+    if let ResponseBody(ResponseContent::Stream(_)) = out.body() {
+        out.headers_mut().remove(http::header::CONTENT_LENGTH);
+    }
+    out
+}
--- /dev/null
+++ b/crates/net/src/http/server/listen.rs
@@ -0,0 +1,59 @@
+use masticstair_core::prelude::*;
+use monoio::net::{ListenerOpts, TcpListener};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+
+use super::connection::{send_and_close, serve_connection};
+use super::{ConnectionCount, Handler, ServerLimits};
+
+/// How long to wait after a failed accept, which means that the process ran out of file descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Binds a listener; several workers may bind the same address.
+///
+/// # Errors
+///
+/// Returns the error of the operating system.
+pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind_with_config(addr, &ListenerOpts::new())
+}
+
+/// Serves connections until `stop` completes; connections that are open then go on.
+pub async fn serve(
+    listener: TcpListener,
+    limits: ServerLimits,
+    count: ConnectionCount,
+    handler: Handler,
+    stop: impl Future<Output = ()>,
+) {
+    let limits = Rc::new(limits);
+    let mut stop = pin!(stop);
+    loop {
+        match select(&mut stop, pin!(listener.accept())).await {
+            Either::Left(_) => return,
+            Either::Right((Ok((stream, _)), _)) => {
+                let (limits, handler, count) = (limits.clone(), handler.clone(), count.clone());
+                monoio::spawn(async move {
+                    // A token is one small write; waiting for more would delay it.
+                    let _ = stream.set_nodelay(true);
+                    match count.enter(limits.connections) {
+                        Some(_counted) => serve_connection(stream, limits, handler).await,
+                        None => send_and_close(stream, &too_many(&limits)).await,
+                    }
+                });
+            }
+            Either::Right((Err(_), _)) => monoio::time::sleep(ACCEPT_RETRY).await,
+        }
+    }
+}
+
+fn too_many(limits: &ServerLimits) -> Problem {
+    let detail = format!("{} connections are open on this host already", limits.connections);
+    Problem::not_run(429, "too-many-connections", detail).with_retry_after(1)
+}
--- /dev/null
+++ b/crates/net/src/http/server/read_body.rs
@@ -0,0 +1,27 @@
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use masticstair_core::prelude::*;
+
+use super::ServerLimits;
+
+/// Reads a whole body within the bounds of size and time.
+pub(super) async fn read_body(body: Incoming, limits: &ServerLimits) -> Result<Bytes, Problem> {
+    let limit = limits.body.get();
+    let limited = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX));
+    match monoio::time::timeout(limits.body_timeout.duration(), limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            let detail = format!("the body is larger than {limit} bytes");
+            Err(Problem::not_run(413, "body-too-large", detail).with_field("body"))
+        }
+        Ok(Err(e)) => {
+            let detail = format!("the body could not be read: {e}");
+            Err(Problem::not_run(400, "body-unreadable", detail).with_field("body"))
+        }
+        Err(_) => {
+            let detail = format!("the body took longer than {} ms", limits.body_timeout);
+            Err(Problem::not_run(408, "body-timeout", detail).with_field("body"))
+        }
+    }
+}
