Add the thin path: a host, stand-ins, the demo and replay

Cause: nothing served a request yet. Change: masticstaird with checked settings, a signed bundle file, metrics, JSON logs, spans and graceful shutdown; the request path with echo checks, stream resumption and problem documents; stand-ins; masticstair demo, trace and replay. Calls that must not be repeated are refused as not run until the replicated log is there.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,7 @@
 //! Command line of masticstair for operators and users.
+
+pub mod commands;
+pub mod demo;
+pub mod options;
+pub mod replay;
+pub mod trace;
--- /dev/null
+++ b/crates/cli/src/options.rs
@@ -0,0 +1,130 @@
+//! The command line: every command and option with its help.
+
+use bpaf::{OptionParser, Parser, construct, long};
+use masticstair_core::prelude::*;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// What the command line is asked to do.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Run the demo.
+    Demo {
+        /// Print JSON instead of a table.
+        json: bool,
+    },
+    /// Make a trace.
+    Trace {
+        /// Whose callers are imitated.
+        deployment: DeploymentProfile,
+        /// The same seed gives the same trace.
+        seed: u64,
+        /// How long the trace is.
+        length: Millis,
+        /// Requests a second outside bursts.
+        rate: RatePerSecond,
+    },
+    /// Replay a trace.
+    Replay {
+        /// Print JSON instead of a table.
+        json: bool,
+        /// The addresses of the hosts.
+        targets: Vec<SocketAddr>,
+        /// The file with the tokens of the accounts.
+        tokens: PathBuf,
+        /// The trace.
+        trace: PathBuf,
+    },
+}
+
+/// The deployments whose callers can be imitated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DeploymentProfile {
+    /// Trepiserv Frantsiis OÜ.
+    Trepiserv,
+    /// Prairie Gravel Bar Stewardship Council.
+    Council,
+}
+
+/// The text is no deployment.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("expected trepiserv or council")]
+pub struct ParseDeploymentError;
+
+impl FromStr for DeploymentProfile {
+    type Err = ParseDeploymentError;
+
+    fn from_str(s: &str) -> Result<Self, ParseDeploymentError> {
+        match s {
+            "trepiserv" => Ok(Self::Trepiserv),
+            "council" => Ok(Self::Council),
+            _ => Err(ParseDeploymentError),
+        }
+    }
+}
+
+/// Reads the arguments of the process; prints help or an error and exits where that is asked for.
+pub fn parse_options() -> Command {
+    options().run()
+}
+
+/// The parser of the command line.
+pub fn options() -> OptionParser<Command> {
+    let demo = construct!(Command::Demo { json() })
+        .to_options()
+        .descr("Runs hosts and stand-ins of both deployments in this process and replays a trace")
+        .command("demo");
+    let trace = trace_command();
+    let replay = replay_command();
+    construct!([demo, trace, replay])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Operates and tries out masticstair, a serving system for model pipelines")
+}
+
+fn trace_command() -> impl Parser<Command> {
+    let deployment = long("deployment")
+        .help("Whose callers are imitated: trepiserv or council")
+        .argument("NAME");
+    let seed = long("seed")
+        .help("Seed of the random numbers; the same seed gives the same trace")
+        .argument("N")
+        .fallback(1)
+        .display_fallback();
+    let length = long("length-ms")
+        .help("Length of the trace in milliseconds")
+        .argument("MS")
+        .fallback(Millis::new(6_000))
+        .display_fallback();
+    let rate = long("rate")
+        .help("Requests a second outside bursts, above 0")
+        .argument::<RatePerSecond>("RATE")
+        .guard(|rate| rate.get() > 0.0, "the rate must be above 0")
+        .fallback(RatePerSecond::try_from(40.0).unwrap_or_default())
+        .display_fallback();
+    construct!(Command::Trace { deployment, seed, length, rate })
+        .to_options()
+        .descr("Prints a trace as JSON lines")
+        .command("trace")
+}
+
+fn replay_command() -> impl Parser<Command> {
+    let targets = long("target")
+        .help("Address of a host; give one for each host, requests go to them in turn")
+        .argument("ADDR")
+        .some("at least one --target is needed");
+    let tokens = long("tokens")
+        .help("TOML file with the bearer token of each account: account = \"token\"")
+        .argument("FILE");
+    let trace = bpaf::positional("TRACE").help("Trace file (JSON lines)");
+    construct!(Command::Replay { json(), targets, tokens, trace })
+        .to_options()
+        .descr("Replays a trace in open loop; fails when a stated outcome does not come about")
+        .command("replay")
+}
+
+fn json() -> impl Parser<bool> {
+    long("json").help("Print JSON instead of a table").switch()
+}
--- /dev/null
+++ b/crates/core/src/id/deployment_name.rs
@@ -0,0 +1,4 @@
+name_newtype! {
+    /// A deployment: the hosts that share one configuration.
+    DeploymentName
+}
--- /dev/null
+++ b/crates/host/src/daemon/run.rs
@@ -0,0 +1,67 @@
+use masticstair_core::prelude::*;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use slog::{info, warn};
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::time::Instant;
+use thiserror::Error;
+
+use super::{SignedBundleError, StartError, load_signed_bundle, start_workers};
+use crate::settings::Settings;
+use crate::state::{BundleInForce, HostState};
+use crate::telemetry::json_logger;
+
+/// The revision of a bundle file, which no log has numbered.
+const FILE_REVISION: Revision = Revision::new(1);
+
+/// The reason for which a host ended.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// The bundle file is refused.
+    #[error(transparent)]
+    Bundle(#[from] SignedBundleError),
+    /// The threads did not start.
+    #[error(transparent)]
+    Start(#[from] StartError),
+    /// The signals cannot be caught.
+    #[error("cannot catch signals: {0}")]
+    Signals(#[from] io::Error),
+}
+
+/// Runs a host until `SIGTERM` or `SIGINT` and every request in flight has ended.
+///
+/// # Errors
+///
+/// Fails when the host cannot start.
+pub fn run(cfg: Settings) -> Result<(), RunError> {
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    let level = cfg.log_level.slog();
+    let log = json_logger(io::stderr(), level, &cfg.host, &cfg.data_centre);
+    for warning in cfg.warnings() {
+        warn!(log, "settings"; "warning" => warning.as_ref());
+    }
+    let state = Arc::new(HostState::new(cfg, log.clone()));
+    if let Some(file) = &state.cfg.bundle_file {
+        let bundle = load_signed_bundle(file, &state.cfg.deployment, &state.cfg.operators)?;
+        state.in_force.advance(BundleInForce { revision: FILE_REVISION, bundle });
+    }
+    let workers = start_workers(&state)?;
+    info!(log, "started"; "listen" => workers.addr.to_string(), "workers" => state.cfg.workers);
+    let first = signals.forever().next();
+    info!(log, "shutdown begins"; "signal" => first, "in_flight" => state.drain.in_flight());
+    let watched = state.clone();
+    thread::spawn(move || {
+        for signal in signals.forever() {
+            let cut = watched.drain.in_flight();
+            warn!(watched.log, "signal during shutdown"; "signal" => signal, "would_cut" => cut);
+        }
+    });
+    state.drain.leave();
+    let left = Instant::now();
+    thread::sleep(state.cfg.drain_notice.duration());
+    workers.stop();
+    info!(log, "stopped"; "drain_ms" => left.elapsed().as_millis() as u64);
+    Ok(())
+}
--- /dev/null
+++ b/crates/host/src/daemon/worker.rs
@@ -0,0 +1,122 @@
+use futures_channel::oneshot;
+use masticstair_net::http::client::{ClientLimits, ConnectionPool};
+use masticstair_net::http::server::{bind, serve};
+use masticstair_net::runtime::block_on;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+use thiserror::Error;
+
+use crate::http_api::handler;
+use crate::request::WorkerContext;
+use crate::state::HostState;
+
+/// How often a worker that stops looks whether its requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// The reason for which a host did not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The address cannot be bound.
+    #[error("cannot listen on {addr}: {source}")]
+    Bind {
+        /// The address.
+        addr: SocketAddr,
+        /// The error of the operating system.
+        source: io::Error,
+    },
+    /// A thread cannot be started.
+    #[error("cannot start a thread: {0}")]
+    Thread(#[from] io::Error),
+}
+
+/// The threads that serve callers.
+pub struct Workers {
+    /// The address that the workers listen on.
+    pub addr: SocketAddr,
+    stops: Vec<oneshot::Sender<()>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// Starts the threads that serve callers.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound or a thread cannot be started.
+pub fn start_workers(state: &Arc<HostState>) -> Result<Workers, StartError> {
+    let addr = reserve_addr(state.cfg.listen)?;
+    let (mut stops, mut threads) = (Vec::new(), Vec::new());
+    for number in 0..state.cfg.workers {
+        let (stop_tx, stop_rx) = oneshot::channel();
+        let (bound_tx, bound_rx) = std::sync::mpsc::channel();
+        let state = state.clone();
+        let run = move || run_worker(&state, addr, &bound_tx, stop_rx);
+        threads.push(thread::Builder::new().name(format!("worker-{number}")).spawn(run)?);
+        stops.push(stop_tx);
+        match bound_rx.recv() {
+            Ok(Ok(())) => {}
+            Ok(Err(source)) => return Err(StartError::Bind { addr, source }),
+            Err(_) => return Err(StartError::Thread(io::Error::other("the worker ended"))),
+        }
+    }
+    Ok(Workers { addr, stops, threads })
+}
+
+impl Workers {
+    /// Stops taking connections and waits until every request has ended.
+    pub fn stop(self) {
+        for stop in self.stops {
+            // A worker that has ended needs no word.
+            let _ = stop.send(());
+        }
+        for thread in self.threads {
+            // A worker that panicked has ended as well.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Picks a free port when the address names none, so that all workers share one.
+fn reserve_addr(addr: SocketAddr) -> Result<SocketAddr, StartError> {
+    if addr.port() != 0 {
+        return Ok(addr);
+    }
+    let bound = TcpListener::bind(addr).and_then(|listener| listener.local_addr());
+    bound.map_err(|source| StartError::Bind { addr, source })
+}
+
+fn run_worker(
+    state: &Arc<HostState>,
+    addr: SocketAddr,
+    bound: &std::sync::mpsc::Sender<io::Result<()>>,
+    stop: oneshot::Receiver<()>,
+) {
+    let main = async {
+        let listener = match bind(addr) {
+            Ok(listener) => listener,
+            Err(e) => {
+                // The starter waits for this word; it cannot have gone.
+                let _ = bound.send(Err(e));
+                return;
+            }
+        };
+        let _ = bound.send(Ok(()));
+        let pool = ConnectionPool::new(ClientLimits::default());
+        let cx = Rc::new(WorkerContext { state: state.clone(), pool });
+        let stopped = async {
+            // A dropped sender means that the host is gone; stop as well.
+            let _ = stop.await;
+        };
+        let (bounds, count) = (state.cfg.bounds, state.connections.clone());
+        serve(listener, bounds, count, handler(cx), stopped).await;
+        while state.drain.in_flight() > 0 {
+            monoio::time::sleep(DRAIN_POLL).await;
+        }
+    };
+    if let Err(e) = block_on(main) {
+        let _ = bound.send(Err(e));
+    }
+}
--- /dev/null
+++ b/crates/host/src/http_api/health.rs
@@ -0,0 +1,36 @@
+//! Health, readiness and metrics.
+
+use http::StatusCode;
+use masticstair_net::http::server::Response;
+
+use crate::state::HostState;
+
+/// The media type of the OpenMetrics text format.
+const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers `GET /readyz`: whether the load balancer may send requests.
+pub(super) fn readiness(state: &HostState) -> Response {
+    let unready = |reason: &str| {
+        Response::new(StatusCode::SERVICE_UNAVAILABLE, "text/plain", format!("{reason}\n"))
+    };
+    if state.drain.is_leaving() {
+        return unready("shutting down");
+    }
+    match state.in_force.get() {
+        None => unready("no bundle in force"),
+        Some(config) => {
+            let text = format!("ready, revision {}\n", config.revision);
+            Response::new(StatusCode::OK, "text/plain", text)
+        }
+    }
+}
+
+/// Answers `GET /metrics`.
+pub(super) fn metrics(state: &HostState) -> Response {
+    let metrics = &state.metrics;
+    metrics.in_flight.set(i64::from(state.drain.in_flight()));
+    if let Some(config) = state.in_force.get() {
+        metrics.revision.set(config.revision.get() as i64);
+    }
+    Response::new(StatusCode::OK, OPENMETRICS, metrics.encode())
+}
--- /dev/null
+++ b/crates/host/src/options.rs
@@ -0,0 +1,41 @@
+use bpaf::{OptionParser, Parser, construct, long};
+use std::path::PathBuf;
+
+/// What the daemon is asked to do.
+#[derive(Clone, Debug)]
+pub(crate) enum Command {
+    /// Run the host.
+    Run {
+        /// The settings file.
+        config: PathBuf,
+    },
+    /// Check the settings only.
+    Check {
+        /// The settings file.
+        config: PathBuf,
+    },
+}
+
+/// Reads the arguments of the process; prints help or an error and exits where that is asked for.
+pub(crate) fn parse_options() -> Command {
+    options().run()
+}
+
+fn options() -> OptionParser<Command> {
+    let run = construct!(Command::Run { config() })
+        .to_options()
+        .descr("Runs a host until SIGTERM; requests in flight are finished first")
+        .command("run");
+    let check = construct!(Command::Check { config() })
+        .to_options()
+        .descr("Checks a settings file and prints every error and warning")
+        .command("check");
+    construct!([run, check])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Serves multi-stage model pipelines on one host")
+}
+
+fn config() -> impl Parser<PathBuf> {
+    long("config").short('c').help("Settings file of the host (TOML)").argument("FILE")
+}
--- /dev/null
+++ b/crates/host/src/request/attempt.rs
@@ -0,0 +1,135 @@
+//! One call of a stage to one endpoint.
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method};
+use masticstair_core::endpoint_api::*;
+use masticstair_core::id::TraceParent;
+use masticstair_core::prelude::*;
+use masticstair_net::http::client::{Call, ClientBody, ResponseHead};
+use std::net::SocketAddr;
+
+use super::attempt_error::AttemptError;
+use super::stage_context::StageContext;
+
+/// The endpoint of an attempt.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub(super) id: EndpointId,
+    pub(super) addr: SocketAddr,
+}
+
+/// Calls the endpoint and returns its whole answer, checked to belong to this call.
+pub(super) async fn call_whole(
+    cx: &StageContext<'_>,
+    target: &Target,
+    trace: TraceParent,
+) -> Result<RunResponse, AttemptError> {
+    let attempt = cx.new_attempt();
+    let call = build_call(cx, target, attempt, trace, None);
+    let fetched = cx.cx.pool.fetch(call).await;
+    let (head, body) = fetched.map_err(|e| AttemptError::Transport(target.id.clone(), e))?;
+    if !head.status.is_success() {
+        return Err(refusal(cx, target, attempt, &head, &body));
+    }
+    match serde_json::from_slice::<RunResponse>(&body) {
+        Ok(answer) if answer.request_id == cx.caller.id && answer.attempt_id == attempt => {
+            Ok(answer)
+        }
+        _ => Err(foreign(cx, target)),
+    }
+}
+
+/// Calls the endpoint for a stream and returns the number of the attempt and the open body.
+pub(super) async fn open_stream(
+    cx: &StageContext<'_>,
+    target: &Target,
+    trace: TraceParent,
+    resume: Option<Resume>,
+) -> Result<(AttemptId, ClientBody), AttemptError> {
+    let attempt = cx.new_attempt();
+    let call = build_call(cx, target, attempt, trace, Some(resume));
+    let sent = cx.cx.pool.send(call).await;
+    let (head, body) = sent.map_err(|e| AttemptError::Transport(target.id.clone(), e))?;
+    if head.status.is_success() {
+        return Ok((attempt, body));
+    }
+    let body = body.read_all().await.unwrap_or_default();
+    Err(refusal(cx, target, attempt, &head, &body))
+}
+
+/// Counts and reports an answer that belongs to another call.
+pub(super) fn foreign(cx: &StageContext<'_>, target: &Target) -> AttemptError {
+    cx.cx.state.metrics.foreign_answers.inc();
+    AttemptError::Foreign(target.id.clone())
+}
+
+/// `stream` is `None` for a whole answer, otherwise where the stream goes on.
+fn build_call(
+    cx: &StageContext<'_>,
+    target: &Target,
+    attempt: AttemptId,
+    trace: TraceParent,
+    stream: Option<Option<Resume>>,
+) -> Call {
+    let timeout = cx.time_left();
+    let run = RunRequest {
+        request_id: cx.caller.id,
+        attempt_id: attempt,
+        pipeline: cx.caller.pipeline.name.clone(),
+        stage: cx.stage.name.clone(),
+        kind: cx.stage.kind,
+        model: cx.stage.model.clone(),
+        account: cx.caller.account.clone(),
+        input: cx.input.clone(),
+        stream: stream.is_some(),
+        resume_from: stream.flatten(),
+    };
+    Call {
+        addr: target.addr,
+        method: Method::POST,
+        path: "/v1/run".into(),
+        headers: build_headers(cx, attempt, trace, timeout),
+        // A structure of plain JSON types always encodes.
+        body: Bytes::from(serde_json::to_vec(&run).unwrap_or_default()),
+        timeout,
+        reuse: cx.stage.idempotent,
+    }
+}
+
+fn build_headers(
+    cx: &StageContext<'_>,
+    attempt: AttemptId,
+    trace: TraceParent,
+    timeout: Millis,
+) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    let mut set = |name: &'static str, value: String| {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            headers.insert(name, value);
+        }
+    };
+    set("content-type", "application/json".to_owned());
+    set(REQUEST_ID_HEADER, cx.caller.id.to_string());
+    set(ATTEMPT_ID_HEADER, attempt.to_string());
+    set(DEADLINE_HEADER, timeout.to_string());
+    set(TRACEPARENT_HEADER, trace.to_string());
+    headers
+}
+
+fn refusal(
+    cx: &StageContext<'_>,
+    target: &Target,
+    attempt: AttemptId,
+    head: &ResponseHead,
+    body: &[u8],
+) -> AttemptError {
+    match serde_json::from_slice::<RunError>(body) {
+        Ok(e) if e.request_id == cx.caller.id && e.attempt_id == attempt => AttemptError::Refused {
+            endpoint: target.id.clone(),
+            status: head.status.as_u16(),
+            error: e.error,
+            ran: e.ran,
+        },
+        _ => foreign(cx, target),
+    }
+}
--- /dev/null
+++ b/crates/host/src/settings/log_level.rs
@@ -0,0 +1,56 @@
+use std::fmt;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// The lowest level that is logged.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum LogLevel {
+    /// Details of each request.
+    Debug,
+    /// What changes.
+    #[default]
+    Info,
+    /// What needs a look.
+    Warning,
+    /// What failed.
+    Error,
+}
+
+/// The text is no level.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("debug, info, warning or error")]
+pub struct ParseLogLevelError;
+
+impl LogLevel {
+    /// Returns the level of the logging library.
+    pub fn slog(self) -> slog::Level {
+        match self {
+            Self::Debug => slog::Level::Debug,
+            Self::Info => slog::Level::Info,
+            Self::Warning => slog::Level::Warning,
+            Self::Error => slog::Level::Error,
+        }
+    }
+}
+
+impl fmt::Display for LogLevel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Debug => "debug",
+            Self::Info => "info",
+            Self::Warning => "warning",
+            Self::Error => "error",
+        })
+    }
+}
+
+impl FromStr for LogLevel {
+    type Err = ParseLogLevelError;
+
+    fn from_str(s: &str) -> Result<Self, ParseLogLevelError> {
+        [Self::Debug, Self::Info, Self::Warning, Self::Error]
+            .into_iter()
+            .find(|level| level.to_string() == s)
+            .ok_or(ParseLogLevelError)
+    }
+}
--- /dev/null
+++ b/crates/host/src/settings/read.rs
@@ -0,0 +1,90 @@
+//! Reads the tables of a settings file.
+
+use masticstair_core::prelude::*;
+use masticstair_core::toml_reader::TomlReader;
+use masticstair_net::http::server::ServerLimits;
+use std::collections::HashSet;
+use std::path::PathBuf;
+
+use super::{LogLevel, Operator, Settings};
+
+/// More voters than this slow down every commit and gain no failure that matters.
+const MAX_VOTERS: usize = 7;
+
+pub(super) fn read_settings(r: &TomlReader<'_>) -> Option<Settings> {
+    let deployment = r.text("deployment");
+    let host = r.text("host");
+    let region = r.text("region");
+    let data_centre = r.text("data_centre");
+    let listen = r.text("listen");
+    let peer_listen = r.text("peer_listen");
+    let workers = r.number_or("workers", 1..=256, 1);
+    let seeds = r.texts("seeds");
+    let data_folder = r.optional_text::<PathBuf>("data_folder");
+    let initial_voters = r.texts::<HostId>("initial_voters");
+    let operators = r.tables("operators", read_operator);
+    let bundle_file = r.optional_text::<PathBuf>("bundle_file");
+    let bounds = r.table("bounds", read_bounds);
+    let drain_notice = r.number_or("drain_notice_ms", 0..=600_000, 5_000);
+    let log_level = r.text_or("log_level", LogLevel::Info);
+    let trace_percent = r.number_or("trace_percent", 0..=100, 1);
+    check_voters(r, initial_voters.as_deref().unwrap_or_default());
+    Some(Settings {
+        deployment: deployment?,
+        host: host?,
+        region: region?,
+        data_centre: data_centre?,
+        listen: listen?,
+        peer_listen: peer_listen?,
+        workers: workers? as usize,
+        seeds: seeds?,
+        data_folder: data_folder?,
+        initial_voters: initial_voters?,
+        operators: operators?,
+        bundle_file: bundle_file?,
+        bounds: bounds?,
+        drain_notice: Millis::new(drain_notice?),
+        log_level: log_level?,
+        trace_percent: trace_percent? as u8,
+    })
+}
+
+fn check_voters(r: &TomlReader<'_>, voters: &[HostId]) {
+    let distinct: HashSet<_> = voters.iter().collect();
+    if distinct.len() < voters.len() {
+        r.reject("initial_voters", "with a name twice", "each host once");
+    }
+    if voters.len() > MAX_VOTERS {
+        r.reject("initial_voters", format!("of {} hosts", voters.len()), "at most 7 hosts");
+    }
+}
+
+fn read_operator(r: &TomlReader<'_>) -> Option<Operator> {
+    let name = r.text("name");
+    let key = r.text("key");
+    let may = r.texts("may");
+    if may.as_ref().is_some_and(Vec::is_empty) {
+        r.reject("may", "[]", "at least one of submit, sign-off and roll");
+    }
+    Some(Operator { name: name?, key: key?, may: may?.into() })
+}
+
+fn read_bounds(r: &TomlReader<'_>) -> Option<ServerLimits> {
+    let default = ServerLimits::default();
+    let head = r.number_or("head_bytes", 8_192..=1_048_576, default.head.get());
+    let head_timeout = r.number_or("head_timeout_ms", 10..=600_000, default.head_timeout.get());
+    let body = r.number_or("body_bytes", 1..=1_073_741_824, default.body.get());
+    let body_timeout = r.number_or("body_timeout_ms", 10..=600_000, default.body_timeout.get());
+    let requests = u64::from(default.requests_per_connection.get());
+    let requests = r.number_or("requests_per_connection", 1..=1_000_000, requests);
+    let connections = u64::from(default.connections.get());
+    let connections = r.number_or("connections", 1..=1_000_000, connections);
+    Some(ServerLimits {
+        head: head?.into(),
+        head_timeout: head_timeout?.into(),
+        body: body?.into(),
+        body_timeout: body_timeout?.into(),
+        requests_per_connection: Slots::new(requests? as u32),
+        connections: Slots::new(connections? as u32),
+    })
+}
--- /dev/null
+++ b/crates/host/src/state/drain.rs
@@ -0,0 +1,44 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+
+/// Requests in flight and whether the host leaves.
+#[derive(Debug, Default)]
+pub struct Drain {
+    leaving: AtomicBool,
+    in_flight: Arc<AtomicU32>,
+}
+
+/// One request in flight; ends when it is dropped.
+#[derive(Debug)]
+pub struct InFlight(Arc<AtomicU32>);
+
+impl Drain {
+    /// Counts a request, unless the host has stopped taking new ones.
+    pub fn enter(&self) -> Option<InFlight> {
+        // Counting before the check makes sure that a request that passes is seen by the shutdown.
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        let entered = InFlight(self.in_flight.clone());
+        (!self.is_leaving()).then_some(entered)
+    }
+
+    /// Stops taking new requests.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether the host has stopped taking new requests.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Returns how many requests are in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/host/src/telemetry/log.rs
@@ -0,0 +1,19 @@
+use masticstair_core::prelude::*;
+use slog::{Drain, Level, Logger, o};
+use std::io::Write;
+
+/// Records that wait for the writer; further ones are dropped and counted by the library.
+const RECORDS_BUFFERED: usize = 8_192;
+
+/// Makes a logger that writes JSON lines with the host and its data centre from a thread of its own.
+pub fn json_logger(
+    out: impl Send + Write + 'static,
+    level: Level,
+    host: &HostId,
+    data_centre: &DataCentreId,
+) -> Logger {
+    let json = slog_json::Json::new(out).add_default_keys().build().ignore_res();
+    let drain = slog_async::Async::new(json).chan_size(RECORDS_BUFFERED).build();
+    let drain = slog::LevelFilter::new(drain, level).ignore_res();
+    Logger::root(drain, o!("host" => host.to_string(), "data_centre" => data_centre.to_string()))
+}
--- /dev/null
+++ b/crates/host/src/telemetry/metrics.rs
@@ -0,0 +1,133 @@
+use masticstair_core::endpoint_api::Usage;
+use masticstair_core::prelude::*;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+/// Bounds of the latency buckets in seconds.
+const LATENCY_BUCKETS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0];
+
+/// The pipeline of a request.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct PipelineLabels {
+    /// The name of the pipeline.
+    pub pipeline: String,
+}
+
+/// The pipeline of a request and how it ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RequestLabels {
+    /// The name of the pipeline.
+    pub pipeline: String,
+    /// `complete`, `not_run`, `failed`, `unknown` or `cancelled`.
+    pub outcome: &'static str,
+}
+
+/// A stage and how a call of it ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct StageLabels {
+    /// The name of the pipeline.
+    pub pipeline: String,
+    /// The name of the stage.
+    pub stage: String,
+    /// `ok`, `error` or `wasted` (the answer was not used).
+    pub result: &'static str,
+}
+
+/// The metrics of a host.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that ended.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Time from the arrival of a request to the end of its answer.
+    pub duration: Family<PipelineLabels, Histogram, fn() -> Histogram>,
+    /// Calls to endpoints.
+    pub calls: Family<StageLabels, Counter>,
+    /// Time that endpoints spent.
+    pub engine_time: Family<StageLabels, Counter<f64, AtomicU64>>,
+    /// Tokens that endpoints made.
+    pub tokens: Family<StageLabels, Counter>,
+    /// Answers that belonged to another call and were dropped.
+    pub foreign_answers: Counter,
+    /// Endpoints that are known and ready.
+    pub endpoints: Gauge,
+    /// The revision in force.
+    pub revision: Gauge,
+    /// Requests in flight.
+    pub in_flight: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("masticstair");
+        let new_histogram: fn() -> Histogram = || Histogram::new(LATENCY_BUCKETS);
+        let metrics = Self {
+            requests: Family::default(),
+            duration: Family::new_with_constructor(new_histogram),
+            calls: Family::default(),
+            engine_time: Family::default(),
+            tokens: Family::default(),
+            foreign_answers: Counter::default(),
+            endpoints: Gauge::default(),
+            revision: Gauge::default(),
+            in_flight: Gauge::default(),
+            registry: Registry::default(),
+        };
+        registry.register("requests", "Requests that ended", metrics.requests.clone());
+        let help = "Time from the arrival of a request to the end of its answer";
+        let duration = metrics.duration.clone();
+        registry.register_with_unit("request_duration", help, Unit::Seconds, duration);
+        registry.register("stage_calls", "Calls to endpoints", metrics.calls.clone());
+        let engine_time = metrics.engine_time.clone();
+        let help = "Time that endpoints spent";
+        registry.register_with_unit("stage_engine_time", help, Unit::Seconds, engine_time);
+        registry.register("stage_tokens", "Tokens that endpoints made", metrics.tokens.clone());
+        let help = "Answers that belonged to another call and were dropped";
+        registry.register("foreign_answers", help, metrics.foreign_answers.clone());
+        registry.register("endpoints", "Endpoints that are ready", metrics.endpoints.clone());
+        registry.register("revision", "Revision in force", metrics.revision.clone());
+        registry.register("requests_in_flight", "Requests in flight", metrics.in_flight.clone());
+        Self { registry, ..metrics }
+    }
+}
+
+impl Metrics {
+    /// Encodes every metric in the OpenMetrics text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    /// Counts a request that ended.
+    pub fn count_request(&self, pipeline: &PipelineName, outcome: &'static str, time: Duration) {
+        let pipeline = pipeline.to_string();
+        let labels = PipelineLabels { pipeline: pipeline.clone() };
+        self.duration.get_or_create(&labels).observe(time.as_secs_f64());
+        self.requests.get_or_create(&RequestLabels { pipeline, outcome }).inc();
+    }
+
+    /// Counts a call of a stage and what it cost.
+    pub fn count_call(
+        &self,
+        pipeline: &PipelineName,
+        stage: &StageName,
+        result: &'static str,
+        usage: Usage,
+    ) {
+        let labels =
+            StageLabels { pipeline: pipeline.to_string(), stage: stage.to_string(), result };
+        self.calls.get_or_create(&labels).inc();
+        let seconds = usage.engine_us.get() as f64 / 1e6;
+        self.engine_time.get_or_create(&labels).inc_by(seconds);
+        self.tokens.get_or_create(&labels).inc_by(usage.output_tokens.get());
+    }
+}
--- /dev/null
+++ b/crates/standins/src/slot_queue.rs
@@ -0,0 +1,96 @@
+use futures_util::future::poll_fn;
+use masticstair_core::prelude::*;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+
+/// Slots for calls that run at the same time; further calls wait in order of arrival.
+#[derive(Clone, Debug)]
+pub struct SlotQueue(Rc<RefCell<Inner>>);
+
+#[derive(Debug)]
+struct Inner {
+    free: u32,
+    capacity: u32,
+    next_ticket: u64,
+    waiting: VecDeque<(u64, Waker)>,
+}
+
+/// A slot; free again when it is dropped.
+#[derive(Debug)]
+pub struct Slot(SlotQueue);
+
+/// Leaves the queue when the caller stops waiting.
+struct Waiting<'a> {
+    queue: &'a SlotQueue,
+    ticket: u64,
+}
+
+impl SlotQueue {
+    /// Makes a queue with free slots.
+    pub fn new(capacity: Slots) -> Self {
+        Self(Rc::new(RefCell::new(Inner {
+            free: capacity.get(),
+            capacity: capacity.get(),
+            next_ticket: 0,
+            waiting: VecDeque::new(),
+        })))
+    }
+
+    /// Waits for a slot.
+    pub async fn acquire(&self) -> Slot {
+        let ticket = {
+            let mut inner = self.0.borrow_mut();
+            inner.next_ticket += 1;
+            inner.next_ticket
+        };
+        let _waiting = Waiting { queue: self, ticket };
+        poll_fn(|cx| {
+            let mut inner = self.0.borrow_mut();
+            let first = inner.waiting.front().is_none_or(|(t, _)| *t == ticket);
+            if first && inner.free > 0 {
+                inner.free -= 1;
+                return Poll::Ready(());
+            }
+            match inner.waiting.iter_mut().find(|(t, _)| *t == ticket) {
+                Some((_, waker)) => waker.clone_from(cx.waker()),
+                None => inner.waiting.push_back((ticket, cx.waker().clone())),
+            }
+            Poll::Pending
+        })
+        .await;
+        Slot(self.clone())
+    }
+
+    /// Returns how many calls run.
+    pub fn running(&self) -> Slots {
+        let inner = self.0.borrow();
+        Slots::new(inner.capacity - inner.free)
+    }
+
+    /// Returns how many calls wait.
+    pub fn queued(&self) -> Slots {
+        Slots::new(self.0.borrow().waiting.len() as u32)
+    }
+
+    fn wake_first(&self) {
+        if let Some((_, waker)) = self.0.borrow().waiting.front() {
+            waker.wake_by_ref();
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.0.borrow_mut().free += 1;
+        self.0.wake_first();
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.queue.0.borrow_mut().waiting.retain(|(t, _)| *t != self.ticket);
+        self.queue.wake_first();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/stand_in.rs
@@ -0,0 +1,204 @@
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http::{Method, StatusCode};
+use masticstair_core::bundle::StageKind;
+use masticstair_core::endpoint_api::*;
+use masticstair_core::prelude::*;
+use masticstair_net::http::server::{
+    self, BodySender, ConnectionCount, Request, Response, ServerLimits,
+};
+use masticstair_net::http::sse::SseEvent;
+use monoio::time::{Instant, sleep};
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::announcer::announce_forever;
+use super::{Faults, SlotQueue, StageWork};
+
+/// Makes the work of a call.
+pub type WorkFn = Rc<dyn Fn(&RunRequest) -> StageWork>;
+
+/// An endpoint of one pool.
+#[derive(Clone)]
+pub struct StandIn {
+    /// Its name.
+    pub id: EndpointId,
+    /// What it serves.
+    pub kind: StageKind,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Where it is.
+    pub data_centre: DataCentreId,
+    /// Calls that it runs at the same time.
+    pub capacity: Slots,
+    /// The models that it holds.
+    pub models: Vec<LoadedModel>,
+    /// Whether it reports its load.
+    pub reports_load: bool,
+    /// The hosts that it announces itself to.
+    pub hosts: Vec<SocketAddr>,
+    /// Makes the work of a call.
+    pub work: WorkFn,
+}
+
+/// A running stand-in.
+#[derive(Clone)]
+pub struct StandInHandle {
+    /// Where it takes calls.
+    pub addr: SocketAddr,
+    /// Its faults.
+    pub faults: Faults,
+    leaving: Rc<Cell<bool>>,
+}
+
+struct Running {
+    stand_in: StandIn,
+    slots: SlotQueue,
+    faults: Faults,
+}
+
+impl StandInHandle {
+    /// Says in the next announcement that the endpoint leaves.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+}
+
+impl StandIn {
+    /// Starts the endpoint on `addr` (port 0 picks one); its tasks run as long as the runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system when the address cannot be bound.
+    pub fn start(self, addr: SocketAddr) -> io::Result<StandInHandle> {
+        let listener = server::bind(addr)?;
+        let addr = listener.local_addr()?;
+        let (faults, leaving) = (Faults::default(), Rc::new(Cell::new(false)));
+        let handle = StandInHandle { addr, faults: faults.clone(), leaving: leaving.clone() };
+        let slots = SlotQueue::new(self.capacity);
+        let running = Rc::new(Running { stand_in: self, slots, faults });
+        let announced = running.clone();
+        let incarnation = Incarnation::new(wall_time_ms());
+        monoio::spawn(announce_forever(
+            running.stand_in.id.clone(),
+            running.stand_in.hosts.clone(),
+            move || announced.announcement(addr, incarnation, leaving.get()),
+        ));
+        let handler: server::Handler =
+            Rc::new(move |req| handle_request(running.clone(), req).boxed_local());
+        let (limits, count) = (ServerLimits::default(), ConnectionCount::default());
+        monoio::spawn(server::serve(listener, limits, count, handler, std::future::pending()));
+        Ok(handle)
+    }
+}
+
+impl Running {
+    fn announcement(
+        &self,
+        address: SocketAddr,
+        incarnation: Incarnation,
+        leaving: bool,
+    ) -> Announcement {
+        let stand_in = &self.stand_in;
+        let load = LoadReport { running: self.slots.running(), queued: self.slots.queued() };
+        Announcement {
+            address,
+            kind: stand_in.kind,
+            pool: stand_in.pool.clone(),
+            data_centre: stand_in.data_centre.clone(),
+            incarnation,
+            capacity: stand_in.capacity,
+            models: stand_in.models.clone(),
+            load: stand_in.reports_load.then_some(load),
+            state: if leaving { EndpointState::Leaving } else { EndpointState::Ready },
+        }
+    }
+
+    fn scaled(&self, time: Duration) -> Duration {
+        time.mul_f64(self.faults.slowdown())
+    }
+}
+
+async fn handle_request(running: Rc<Running>, req: Request) -> Response {
+    match (&req.head.method, req.path()) {
+        (&Method::POST, "/v1/run") => match serde_json::from_slice::<RunRequest>(&req.body) {
+            Ok(run) => run_stage(running, run).await,
+            Err(e) => Response::new(StatusCode::BAD_REQUEST, "text/plain", e.to_string()),
+        },
+        (&Method::POST, "/v1/cancel") => Response::json(StatusCode::OK, &serde_json::json!({})),
+        _ => Response::new(StatusCode::NOT_FOUND, "text/plain", "no such path"),
+    }
+}
+
+async fn run_stage(running: Rc<Running>, run: RunRequest) -> Response {
+    if running.faults.failing() {
+        let (request_id, attempt_id) = (run.request_id, run.attempt_id);
+        let error = RunError { request_id, attempt_id, error: "out of order".into(), ran: false };
+        return Response::json(StatusCode::SERVICE_UNAVAILABLE, &error);
+    }
+    if running.faults.silent() {
+        std::future::pending::<()>().await;
+    }
+    if run.stream {
+        let (tx, rx) = server::body_stream();
+        monoio::spawn(stream_answer(running, run, tx));
+        return Response::events(rx);
+    }
+    let _slot = running.slots.acquire().await;
+    let started = Instant::now();
+    let work = (running.stand_in.work)(&run);
+    let token_time = work.token_time * work.tokens.len().saturating_sub(1) as u32;
+    sleep(running.scaled(work.time + token_time)).await;
+    let request_id = if running.faults.foreign() { RequestId::random() } else { run.request_id };
+    let usage = Usage { engine_us: elapsed_us(started), ..work.usage };
+    let answer = RunResponse { request_id, attempt_id: run.attempt_id, output: work.output, usage };
+    Response::json(StatusCode::OK, &answer)
+}
+
+/// Streams the tokens; returns early when the caller closes the connection.
+async fn stream_answer(running: Rc<Running>, run: RunRequest, mut tx: BodySender) {
+    let _slot = running.slots.acquire().await;
+    let started = Instant::now();
+    let work = (running.stand_in.work)(&run);
+    let first = run.resume_from.as_ref().map_or(0, |r| r.index.get());
+    let (request_id, attempt_id) = (run.request_id, run.attempt_id);
+    let cut_after = running.faults.cut_after();
+    let tokens = work.tokens.iter().enumerate().skip(first as usize);
+    for (sent, (index, text)) in tokens.enumerate() {
+        if cut_after == Some(sent as u64) {
+            return;
+        }
+        let time = if sent == 0 { work.time } else { work.token_time };
+        sleep(running.scaled(time)).await;
+        let index = TokenCount::new(index as u64);
+        let token = StreamToken { request_id, attempt_id, index, text: text.clone() };
+        if send(&mut tx, SseEvent::encode_json("token", &token)).await.is_err() {
+            return;
+        }
+    }
+    let tokens = TokenCount::new(work.tokens.len() as u64);
+    let usage = Usage {
+        output_tokens: tokens.get().saturating_sub(first).into(),
+        engine_us: elapsed_us(started),
+        ..work.usage
+    };
+    let end = StreamEnd { request_id, attempt_id, tokens, usage };
+    // The caller may have gone; the answer has ended either way.
+    let _ = send(&mut tx, SseEvent::encode_json("end", &end)).await;
+}
+
+async fn send(tx: &mut BodySender, piece: Bytes) -> Result<(), server::BodyClosed> {
+    tx.send(piece).await
+}
+
+fn elapsed_us(started: Instant) -> EngineTime {
+    EngineTime::new(started.elapsed().as_micros() as u64)
+}
+
+fn wall_time_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |d| d.as_millis() as u64)
+}
