--- /dev/null
+++ b/crates/policy/src/estimate/pool_estimate.rs
@@ -0,0 +1,58 @@
+use super::{Latency, MovingMean, Share};
+use masticstair_core::prelude::*;
+use std::time::Duration;
+
+/// The time to the first token, or for a whole call, that is assumed before the first answer.
+const ASSUMED_FIRST: Duration = Duration::from_millis(50);
+
+/// The time for a token that is assumed before the first answer.
+const ASSUMED_TOKEN: Duration = Duration::from_millis(20);
+
+/// The latency of a stage over all endpoints of its pool; the fallback for quiet endpoints.
+#[derive(Clone, Debug)]
+pub struct PoolEstimate {
+    /// Microseconds to the first token, or for the whole call when there are no tokens.
+    pub(crate) first: MovingMean,
+    /// Microseconds for each token.
+    pub(crate) per_token: MovingMean,
+    /// The share of calls that succeeded.
+    pub(crate) success: MovingMean,
+}
+
+impl PoolEstimate {
+    /// Starts with assumed latencies, which the first answer replaces.
+    pub fn new() -> Self {
+        let (first, token) = (ASSUMED_FIRST.as_micros() as f64, ASSUMED_TOKEN.as_micros() as f64);
+        Self {
+            first: MovingMean::assumed(first, first),
+            per_token: MovingMean::assumed(token, token),
+            success: MovingMean::assumed(1.0, 0.0),
+        }
+    }
+
+    /// Estimates a call of `size` tokens (zero for stages without tokens).
+    pub fn latency(&self, size: TokenCount) -> Latency {
+        latency_of(&self.first, &self.per_token, size)
+    }
+
+    /// Returns the share of calls that succeeded.
+    pub fn success(&self) -> Share {
+        Share::clamped(self.success.mean)
+    }
+}
+
+impl Default for PoolEstimate {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Adds up the first token and the others; deviations of one call add up because they correlate.
+pub(super) fn latency_of(first: &MovingMean, per_token: &MovingMean, size: TokenCount) -> Latency {
+    let tokens = size.get() as f64;
+    let micros = |x: f64| Duration::from_micros(x.max(0.0) as u64);
+    Latency {
+        mean: micros(first.mean + per_token.mean * tokens),
+        deviation: micros(first.deviation + per_token.deviation * tokens),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/routing/choose.rs
@@ -0,0 +1,113 @@
+use super::score::{completion, draw_weight};
+use super::{CandidateView, Choice, Draws, RouteRequest};
+use crate::breaker::Gate;
+use masticstair_core::prelude::*;
+use smallvec::SmallVec;
+
+/// Positions among the candidates; inline for the usual size of a pool.
+type Positions = SmallVec<[usize; 32]>;
+
+/// Chooses an endpoint for one attempt.
+///
+/// Leaving and expired endpoints are never chosen, and tried or ejected ones only when nothing else
+/// is left. Returns `None` when no endpoint is live, or for a hedge without another endpoint.
+pub fn choose(
+    now: Timestamp,
+    candidates: &[CandidateView<'_>],
+    request: &RouteRequest<'_>,
+    draw: Draw,
+) -> Option<Choice> {
+    let mut draws = Draws::new(draw);
+    let mut live: Positions =
+        (0..candidates.len()).filter(|&i| candidates[i].is_live(now)).collect();
+    let half_ejected = is_more_than_half_ejected(candidates, &live);
+    if !request.tried.is_empty() {
+        let untried = retain(&live, |i| !request.tried.contains(candidates[i].id));
+        if !untried.is_empty() || request.hedge {
+            live = untried;
+        }
+    }
+    if request.may_probe && !request.hedge {
+        let due = retain(&live, |i| candidates[i].gate == Gate::ProbeDue);
+        if let Some(position) = draw_uniformly(&due, draws.next()) {
+            return Some(Choice { position, probe: true });
+        }
+    }
+    let open = retain(&live, |i| candidates[i].gate.admits_traffic());
+    // Ejected endpoints are a last resort, and too many ejections at once are more likely a fault of
+    // the host's view than of the endpoints.
+    let usable = if (open.is_empty() || half_ejected) && !request.hedge { live } else { open };
+    let position = choose_near(now, candidates, &usable, &mut draws)?;
+    Some(Choice { position, probe: false })
+}
+
+/// Tells whether the members that left since the ejections have made more than half of the pool ejected.
+fn is_more_than_half_ejected(candidates: &[CandidateView<'_>], live: &Positions) -> bool {
+    let ejected = live.iter().filter(|&&i| !candidates[i].gate.admits_traffic()).count();
+    ejected * 2 > live.len()
+}
+
+/// Prefers the own data centre, unless another one is better by more than the round trip.
+fn choose_near(
+    now: Timestamp,
+    candidates: &[CandidateView<'_>],
+    usable: &Positions,
+    draws: &mut Draws,
+) -> Option<usize> {
+    let (local, remote): (Positions, Positions) =
+        usable.iter().copied().partition(|&i| candidates[i].is_local());
+    let local = better_of_two(now, candidates, &local, draws);
+    let remote = better_of_two(now, candidates, &remote, draws);
+    match (local, remote) {
+        (Some((near, near_score)), Some((far, far_score))) => {
+            let round_trip = candidates[far].round_trip.as_micros() as f64;
+            Some(if far_score + round_trip < near_score { far } else { near })
+        }
+        (Some((position, _)), None) | (None, Some((position, _))) => Some(position),
+        (None, None) => None,
+    }
+}
+
+/// Draws two different candidates and returns the one that completes earlier, with its time.
+fn better_of_two(
+    now: Timestamp,
+    candidates: &[CandidateView<'_>],
+    positions: &Positions,
+    draws: &mut Draws,
+) -> Option<(usize, f64)> {
+    let mut weights: SmallVec<[f64; 32]> =
+        positions.iter().map(|&i| draw_weight(&candidates[i])).collect();
+    let scored = |at: usize| (positions[at], completion(now, &candidates[positions[at]]));
+    let first = draw_by_weight(&weights, draws.next())?;
+    weights[first] = 0.0;
+    let best = scored(first);
+    match draw_by_weight(&weights, draws.next()).map(scored) {
+        Some(second) if second.1 < best.1 => Some(second),
+        _ => Some(best),
+    }
+}
+
+/// Draws an index with a probability in proportion to its weight; `None` when all weights are zero.
+fn draw_by_weight(weights: &[f64], draw: Draw) -> Option<usize> {
+    let mut rest = draw.fraction() * weights.iter().sum::<f64>();
+    let mut last = None;
+    for (i, &weight) in weights.iter().enumerate() {
+        if weight > 0.0 {
+            last = Some(i);
+            rest -= weight;
+            if rest < 0.0 {
+                break;
+            }
+        }
+    }
+    last
+}
+
+fn draw_uniformly(positions: &Positions, draw: Draw) -> Option<usize> {
+    let at = (draw.fraction() * positions.len() as f64) as usize;
+    positions.get(at).copied()
+}
+
+fn retain(positions: &Positions, keep: impl Fn(usize) -> bool) -> Positions {
+    positions.iter().copied().filter(|&i| keep(i)).collect()
+}
--- /dev/null
+++ b/crates/policy/src/routing/draws.rs
@@ -0,0 +1,23 @@
+use masticstair_core::prelude::*;
+
+/// The increment of SplitMix64 (Steele, Lea, Flood 2014): 2^64 divided by the golden ratio, odd.
+const INCREMENT: u64 = 0x9E37_79B9_7F4A_7C15;
+
+/// Several random numbers from one, by SplitMix64.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Draws(u64);
+
+impl Draws {
+    /// Starts from the number that the caller supplied.
+    pub(crate) const fn new(draw: Draw) -> Self {
+        Self(draw.get())
+    }
+
+    /// Returns the next number.
+    pub(crate) const fn next(&mut self) -> Draw {
+        self.0 = self.0.wrapping_add(INCREMENT);
+        let x = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        let x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        Draw::new(x ^ (x >> 31))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/routing/score.rs
@@ -0,0 +1,37 @@
+use super::CandidateView;
+use crate::breaker::Gate;
+use masticstair_core::prelude::*;
+
+/// The least share of successes that is used as a divisor.
+const MIN_SUCCESS: f64 = 0.02;
+
+/// The least latency in microseconds that is used as a divisor.
+const MIN_LATENCY_US: f64 = 50.0;
+
+/// Returns the time in microseconds for a successful answer at the observed load.
+pub(super) fn cost(candidate: &CandidateView<'_>) -> f64 {
+    let latency = (candidate.latency.as_micros() as f64).max(MIN_LATENCY_US);
+    latency / candidate.success.get().max(MIN_SUCCESS)
+}
+
+/// Returns the estimated time in microseconds to complete one more call.
+pub(super) fn completion(now: Timestamp, candidate: &CandidateView<'_>) -> f64 {
+    let others = candidate.report.map_or(0.0, |r| r.others(now, candidate.in_flight));
+    let load = f64::from(candidate.in_flight.get()) + others + 1.0;
+    let fill = load / capacity(candidate);
+    // Below capacity, calls run at once and the load only breaks ties between equal endpoints.
+    cost(candidate) * (1.0 + fill).max(2.0 * fill) / 2.0
+}
+
+/// Returns the weight in the random draw: the rate of successful answers.
+pub(super) fn draw_weight(candidate: &CandidateView<'_>) -> f64 {
+    let share = match candidate.gate {
+        Gate::Recovering(share) => share.get(),
+        Gate::Closed | Gate::Ejected | Gate::ProbeDue => 1.0,
+    };
+    share * capacity(candidate) / cost(candidate)
+}
+
+fn capacity(candidate: &CandidateView<'_>) -> f64 {
+    f64::from(candidate.capacity.get().max(1))
+}
