Add the fair queue and admission

The request path needs to share host slots between accounts, and to refuse at once what can't meet its deadline.

The queue is start-time fair queueing over accounts with earliest deadline first inside an account, a concurrency limit and a token bucket. Admission derives the wait from the cost ahead and the slots that serve it. The host limit follows the inflation of latencies over their floor. Lookups have slots of their own on the host and in each account.

The decisions are not measured yet.

--- /dev/null
+++ b/crates/policy/src/admission/account_view.rs
@@ -0,0 +1,21 @@
+use crate::estimate::Share;
+use crate::fair_queue::Cost;
+use masticstair_core::prelude::*;
+use std::time::Duration;
+
+/// The fair queue as one more request of an account would find it (see `FairQueue::view`).
+#[derive(Clone, Copy, Debug)]
+pub struct AccountView {
+    /// The cost of the account's requests of the same class that wait.
+    pub waiting: Cost,
+    /// The cost of all requests of the class that wait.
+    pub total_waiting: Cost,
+    /// The account's weight among the accounts that wait.
+    pub share: Share,
+    /// The account's requests that run.
+    pub running: Slots,
+    /// How many requests of the account may run.
+    pub concurrency: Slots,
+    /// The time until the account's rate admits one more request after those that wait.
+    pub rate_wait: Duration,
+}
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -1,1 +1,25 @@
 //! Admission: whether a request can still meet its deadline.
+//!
+//! The wait in the queue follows from the expected time that the requests ahead occupy slots, divided
+//! by the slots that serve them (Little's law). [`HostLimit`] adapts the number of slots so that a
+//! burst waits at the host, where it can be refused truthfully, and not inside the endpoints.
+
+mod account_view;
+mod admission_decision;
+mod admission_refusal;
+mod admit;
+mod check_stage;
+mod host_limit;
+mod queue_view;
+mod stage_estimate;
+#[cfg(test)]
+mod tests;
+
+pub use account_view::AccountView;
+pub use admission_decision::Admission;
+pub use admission_refusal::AdmissionRefusal;
+pub use admit::admit;
+pub use check_stage::{check_stage, expected_work};
+pub use host_limit::HostLimit;
+pub use queue_view::QueueView;
+pub use stage_estimate::StageEstimate;
--- a/crates/policy/src/estimate/endpoint_estimate.rs
+++ b/crates/policy/src/estimate/endpoint_estimate.rs
@@ -1,5 +1,5 @@
 use super::pool_estimate::latency_of;
-use super::{CallEnd, CallInFlight, CallNumber, Latency, MovingMean, PoolEstimate, Share};
+use super::{CallEnd, CallInFlight, CallNumber, Floor, Latency, MovingMean, PoolEstimate, Share};
 use masticstair_core::prelude::*;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -22,6 +22,9 @@
     success: MovingMean,
     /// When the last call ended.
     updated: Timestamp,
+    /// The slow mean of the first token and of each further one at low load.
+    floor_first: Floor,
+    floor_per_token: Floor,
     /// Ordered by start.
     calls: VecDeque<CallInFlight>,
     /// The number of the latest call.
@@ -37,6 +40,8 @@
             per_token: unknown,
             success: unknown,
             updated: now,
+            floor_first: Floor::new(),
+            floor_per_token: Floor::new(),
             calls: VecDeque::new(),
             next: CallNumber::new(0),
         }
@@ -78,7 +83,7 @@
         match end {
             CallEnd::Success(tokens) => {
                 let (first, per_token) = self.split(now, &call, tokens);
-                self.observe(first, per_token, pool);
+                self.observe(now, first, per_token, pool);
             }
             CallEnd::Failure | CallEnd::Abandoned => self.observe_lower_bound(now, &call, pool),
         }
@@ -109,6 +114,13 @@
         Share::clamped(self.success.blended(&pool.success, self.confidence(now)).mean)
     }
 
+    /// Returns the latency of a call of `size` tokens while the endpoint had little load; zero when
+    /// not known yet.
+    pub fn floor(&self, size: TokenCount) -> Duration {
+        let micros = self.floor_first.get() + self.floor_per_token.get() * size.get() as f64;
+        Duration::from_micros(micros as u64)
+    }
+
     /// Returns the number of calls of this host that have not ended.
     pub fn in_flight(&self) -> Slots {
         Slots::new(u32::try_from(self.calls.len()).unwrap_or(u32::MAX))
@@ -156,11 +168,19 @@
     }
 
     /// Takes up the parts of a call.
-    fn observe(&mut self, first: f64, per_token: Option<f64>, pool: &mut PoolEstimate) {
+    fn observe(
+        &mut self,
+        now: Timestamp,
+        first: f64,
+        per_token: Option<f64>,
+        pool: &mut PoolEstimate,
+    ) {
         self.first.observe(first);
+        self.floor_first.observe(now, first);
         pool.first.observe(first);
         if let Some(per_token) = per_token {
             self.per_token.observe(per_token);
+            self.floor_per_token.observe(now, per_token);
             pool.per_token.observe(per_token);
         }
     }
--- a/crates/policy/src/estimate/mod.rs
+++ b/crates/policy/src/estimate/mod.rs
@@ -7,6 +7,7 @@
 mod call_in_flight;
 mod call_number;
 mod endpoint_estimate;
+mod floor;
 mod latency;
 mod moving_mean;
 mod pool_estimate;
@@ -22,4 +23,5 @@
 pub use share::{Share, ShareError};
 
 pub(crate) use call_in_flight::CallInFlight;
+pub(crate) use floor::Floor;
 pub(crate) use moving_mean::MovingMean;
--- /dev/null
+++ b/crates/policy/src/fair_queue/account_queue.rs
@@ -0,0 +1,47 @@
+use super::{AccountLimits, Backlog, TokenBucket, WorkClass};
+use masticstair_core::prelude::*;
+
+/// An active account.
+#[derive(Clone, Debug)]
+pub(crate) struct AccountQueue {
+    pub(crate) id: AccountId,
+    pub(crate) limits: AccountLimits,
+    pub(crate) bucket: TokenBucket,
+    /// Requests of both classes that run.
+    pub(crate) running: u32,
+    /// By class.
+    pub(crate) backlogs: [Backlog; 2],
+    /// The entry in the set of throttled accounts.
+    pub(crate) throttled: Option<Timestamp>,
+    /// The entry in the set of idle accounts.
+    pub(crate) idle: Option<Timestamp>,
+}
+
+impl AccountQueue {
+    pub(crate) fn new(now: Timestamp, id: AccountId, limits: AccountLimits) -> Self {
+        let bucket = TokenBucket::new(now, &limits);
+        let backlogs = Default::default();
+        Self { id, limits, bucket, running: 0, backlogs, throttled: None, idle: None }
+    }
+
+    /// Takes over limits; tokens earned so far were earned under the old ones.
+    pub(crate) fn set_limits(&mut self, now: Timestamp, limits: AccountLimits) {
+        self.bucket.refill(now, &self.limits);
+        self.limits = limits;
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        self.backlogs.iter().map(Backlog::len).sum()
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.running == 0 && self.waiting() == 0
+    }
+
+    /// Tells whether a request of `class` may start.
+    pub(crate) fn can_start(&self, class: WorkClass) -> bool {
+        !self.backlogs[class.index()].is_empty()
+            && self.running < self.limits.concurrency_for(class)
+            && self.bucket.has_token()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/fair_queue/bookkeeping.rs
@@ -0,0 +1,160 @@
+//! The upkeep of the sets of a [`FairQueue`].
+
+use super::{AccountLimits, AccountQueue, FairQueue, QueueError, QueuedRequest, Tag, WorkClass};
+use masticstair_core::prelude::*;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// An idle account is kept this long, so that it can't shed its share used by pausing.
+const IDLE_KEEP: Duration = Duration::from_secs(10);
+
+/// Idle accounts that one call forgets at most; two for each new one let the set shrink.
+const FORGET_AT_ONCE: usize = 2;
+
+impl FairQueue {
+    pub(super) fn check_bounds(
+        &self,
+        id: &AccountId,
+        request: &QueuedRequest,
+    ) -> Result<(), QueueError> {
+        if self.tickets.contains_key(&request.ticket) {
+            return Err(QueueError::Ticket(request.ticket));
+        }
+        let (waiting, limit) = (self.waiting, self.bounds.total);
+        if waiting >= limit.get() as usize {
+            return Err(QueueError::Full { waiting, limit });
+        }
+        let queue = self.by_id.get(id).and_then(|&at| self.accounts[at].as_ref());
+        let (waiting, limit) = (queue.map_or(0, AccountQueue::waiting), self.bounds.account);
+        if waiting >= limit.get() as usize {
+            return Err(QueueError::AccountFull { account: id.clone(), waiting, limit });
+        }
+        Ok(())
+    }
+
+    /// Returns the position of an account, which is created when it is not active.
+    pub(super) fn activate(
+        &mut self,
+        now: Timestamp,
+        id: &AccountId,
+        limits: AccountLimits,
+    ) -> usize {
+        if let Some(&at) = self.by_id.get(id) {
+            self.replace_limits(now, at, limits);
+            return at;
+        }
+        let queue = Some(AccountQueue::new(now, id.clone(), limits));
+        let at = match self.free.pop() {
+            Some(at) => at,
+            None => {
+                self.accounts.push(None);
+                self.accounts.len() - 1
+            }
+        };
+        self.accounts[at] = queue;
+        self.by_id.insert(id.clone(), at);
+        at
+    }
+
+    /// Replaces limits and keeps the sum of the weights.
+    pub(super) fn replace_limits(&mut self, now: Timestamp, at: usize, limits: AccountLimits) {
+        let Some(queue) = &mut self.accounts[at] else { return };
+        for (set, backlog) in self.ready.iter_mut().zip(&queue.backlogs) {
+            if !backlog.is_empty() {
+                set.weight -= u64::from(queue.limits.weight.get());
+                set.weight += u64::from(limits.weight.get());
+            }
+        }
+        queue.set_limits(now, limits);
+    }
+
+    /// Updates the sums after a request has left a backlog.
+    pub(super) fn note_removed(&mut self, at: usize, request: &QueuedRequest) {
+        self.waiting -= 1;
+        let Some(queue) = &self.accounts[at] else { return };
+        let set = &mut self.ready[request.class.index()];
+        set.cost = set.cost.saturating_sub(request.cost.get());
+        if queue.backlogs[request.class.index()].is_empty() {
+            set.weight -= u64::from(queue.limits.weight.get());
+        }
+    }
+
+    /// Takes an account out of the ready set, so that `refresh` gives it its new start tag.
+    pub(super) fn requeue(&mut self, at: usize, class: WorkClass) {
+        let Some(queue) = &mut self.accounts[at] else { return };
+        if let Some(tag) = queue.backlogs[class.index()].ready.take() {
+            self.ready[class.index()].by_tag.remove(&(tag, at));
+        }
+    }
+
+    /// Brings the sets in line with the state of an account.
+    pub(super) fn refresh(&mut self, now: Timestamp, at: usize) {
+        let Some(queue) = &mut self.accounts[at] else { return };
+        queue.bucket.refill(now, &queue.limits);
+        for class in WorkClass::ALL {
+            let set = &mut self.ready[class.index()];
+            let can_start = queue.can_start(class);
+            let backlog = &mut queue.backlogs[class.index()];
+            match (backlog.ready, can_start) {
+                (None, true) => {
+                    let tag: Tag = backlog.finish.max(set.virtual_time);
+                    set.by_tag.insert((tag, at));
+                    backlog.ready = Some(tag);
+                }
+                (Some(tag), false) => {
+                    set.by_tag.remove(&(tag, at));
+                    backlog.ready = None;
+                }
+                (None, false) | (Some(_), true) => {}
+            }
+        }
+        let throttled = (queue.waiting() > 0 && !queue.bucket.has_token())
+            .then(|| now.plus(queue.bucket.wait_for(1.0, &queue.limits)));
+        move_entry(&mut self.throttled, at, &mut queue.throttled, throttled);
+        let keep = IDLE_KEEP.max(queue.bucket.wait_for_full(&queue.limits));
+        let idle = queue.is_idle().then(|| now.plus(keep));
+        move_entry(&mut self.idle, at, &mut queue.idle, idle);
+    }
+
+    /// Makes accounts ready that have got a token.
+    pub(super) fn wake_throttled(&mut self, now: Timestamp) {
+        while let Some(&(_, account)) = self.throttled.first().filter(|&&(at, _)| at <= now) {
+            let Some(queue) = &mut self.accounts[account] else { break };
+            move_entry(&mut self.throttled, account, &mut queue.throttled, None);
+            self.refresh(now, account);
+        }
+    }
+
+    /// Forgets a few accounts that have been idle for long.
+    pub(super) fn forget_idle(&mut self, now: Timestamp) {
+        for _ in 0..FORGET_AT_ONCE {
+            let Some(&(_, at)) = self.idle.first().filter(|&&(until, _)| until <= now) else {
+                return;
+            };
+            self.idle.pop_first();
+            if let Some(queue) = self.accounts[at].take() {
+                self.by_id.remove(&queue.id);
+                self.free.push(at);
+            }
+        }
+    }
+}
+
+/// Replaces the entry of an account in a set that is ordered by time.
+fn move_entry(
+    set: &mut BTreeSet<(Timestamp, usize)>,
+    account: usize,
+    entry: &mut Option<Timestamp>,
+    next: Option<Timestamp>,
+) {
+    if *entry == next {
+        return;
+    }
+    if let Some(at) = *entry {
+        set.remove(&(at, account));
+    }
+    if let Some(at) = next {
+        set.insert((at, account));
+    }
+    *entry = next;
+}
--- /dev/null
+++ b/crates/policy/src/fair_queue/ready_set.rs
@@ -0,0 +1,15 @@
+use super::Tag;
+use std::collections::BTreeSet;
+
+/// The accounts of one class that may start a request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ReadySet {
+    /// Start tag and position of the account.
+    pub(crate) by_tag: BTreeSet<(Tag, usize)>,
+    /// The start tag of the last request that started; never falls.
+    pub(crate) virtual_time: Tag,
+    /// The cost of all requests of the class that wait.
+    pub(crate) cost: u64,
+    /// The weights of the accounts with requests that wait.
+    pub(crate) weight: u64,
+}
