Add the peer server, the peer client and the message schema

Change: a Cap'n Proto schema with its generated code; a server with a task for each connection and a struct of handler closures; a client with a task that owns the connection to one peer, a deadline for every call and jittered backoff. A hello with deployment, host, incarnation and protocol version comes before any other call. The plain structs of host and endpoint records go into the policy package, and the transport depends on it for them. Seven tests over loopback cover replaced dead connections, cuts in either direction, refusals, bounds and garbage; three cover the decoders. Conclusion: consensus, request path and membership can be connected between hosts.

--- /dev/null
+++ b/crates/net/src/peer/backoff.rs
@@ -0,0 +1,29 @@
+use std::time::Duration;
+
+use super::limits::{BACKOFF_MAX, BACKOFF_MIN};
+use rand::Rng;
+
+/// Waiting times between attempts to connect: doubled each time, and random between half and all of it.
+#[derive(Debug)]
+pub(crate) struct Backoff {
+    /// The longest next wait; between `BACKOFF_MIN` and `BACKOFF_MAX`.
+    next: Duration,
+}
+
+impl Backoff {
+    pub(crate) const fn new() -> Self {
+        Self { next: BACKOFF_MIN }
+    }
+
+    /// Returns the next wait.
+    pub(crate) fn next(&mut self, rng: &mut impl Rng) -> Duration {
+        let wait = self.next.mul_f64(rng.random_range(0.5..=1.0));
+        self.next = (self.next * 2).min(BACKOFF_MAX);
+        wait
+    }
+
+    /// Begins again after a success.
+    pub(crate) fn reset(&mut self) {
+        self.next = BACKOFF_MIN;
+    }
+}
--- /dev/null
+++ b/crates/net/src/peer/call_slot.rs
@@ -0,0 +1,28 @@
+use std::cell::Cell;
+use std::rc::Rc;
+
+use super::CallRefused;
+use super::limits::SERVER_CALLS_LIMIT;
+
+/// A call that a connection serves; counted while it lives.
+pub(crate) struct CallSlot(Rc<Cell<usize>>);
+
+impl CallSlot {
+    /// Takes a slot, or refuses the call at the limit.
+    pub(crate) fn take(in_flight: &Rc<Cell<usize>>) -> Result<Self, CallRefused> {
+        let count = in_flight.get();
+        if count >= SERVER_CALLS_LIMIT {
+            return Err(CallRefused::new(format!(
+                "connection has {count} calls in flight (at most {SERVER_CALLS_LIMIT} are allowed)"
+            )));
+        }
+        in_flight.set(count + 1);
+        Ok(Self(in_flight.clone()))
+    }
+}
+
+impl Drop for CallSlot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/net/src/peer/formation_answer.rs
@@ -0,0 +1,10 @@
+use masticstair_core::id::ReplicaId;
+
+/// What a host says about its data folder before a group is formed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FormationAnswer {
+    /// Whether the folder is new.
+    pub new: bool,
+    /// The identity of the folder; none when the host has no folder.
+    pub replica: Option<ReplicaId>,
+}
--- /dev/null
+++ b/crates/net/src/peer/gate.rs
@@ -0,0 +1,37 @@
+use std::cell::Cell;
+use std::rc::Rc;
+
+use super::service::Service;
+use super::{PeerHandlers, PeerIdentity, wire};
+use crate::generated::peer_capnp::gate;
+
+/// The first interface of a connection: accepts or refuses the hello.
+pub(crate) struct Gate {
+    pub(crate) local: Rc<PeerIdentity>,
+    pub(crate) handlers: Rc<PeerHandlers>,
+    /// Set with the first accepted hello; the server closes connections where it stays unset.
+    pub(crate) accepted: Rc<Cell<bool>>,
+    /// Calls in flight over all services of the connection.
+    pub(crate) in_flight: Rc<Cell<usize>>,
+}
+
+impl gate::Server for Gate {
+    async fn hello(
+        self: Rc<Self>,
+        params: gate::HelloParams,
+        mut results: gate::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        let caller = wire::hello::read(params.get()?.get_hello()?)?;
+        let mut out = results.get().init_result();
+        wire::hello::write(out.reborrow().init_hello(), &self.local);
+        if let Some(reason) = self.local.objection_to(&caller) {
+            out.set_refused(&*reason);
+            return Ok(());
+        }
+        self.accepted.set(true);
+        let service =
+            Service { caller, handlers: self.handlers.clone(), in_flight: self.in_flight.clone() };
+        out.set_accepted(capnp_rpc::new_client(service));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/net/src/peer/permit.rs
@@ -0,0 +1,21 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// A call that is in flight; counted while it lives.
+pub(crate) struct Permit(Arc<AtomicUsize>);
+
+impl Permit {
+    /// Takes a permit unless `limit` are taken.
+    pub(crate) fn take(in_flight: &Arc<AtomicUsize>, limit: usize) -> Option<Self> {
+        let taken = in_flight.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |count| {
+            (count < limit).then_some(count + 1)
+        });
+        taken.ok().map(|_| Self(in_flight.clone()))
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/net/src/peer/proposal.rs
@@ -0,0 +1,25 @@
+use std::time::Duration;
+
+use masticstair_core::id::HostId;
+
+/// A command for the leader.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Proposal {
+    /// The encoded command.
+    pub command: Box<[u8]>,
+    /// The time that the leader has for its answer.
+    pub budget: Duration,
+}
+
+/// The answer to a proposal.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ProposeReply {
+    /// The command was applied, with this encoded reply.
+    Applied(Box<[u8]>),
+    /// This host does not lead and the command is not in the log; the leader, when it is known.
+    Redirect(Option<HostId>),
+    /// The command is not in the log and never will be.
+    NotProposed(Box<str>),
+    /// The command may be committed now or later.
+    Unknown(Box<str>),
+}
--- /dev/null
+++ b/crates/net/src/peer/server.rs
@@ -0,0 +1,112 @@
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::gate::Gate;
+use super::limits::{HELLO_TIMEOUT, SERVER_CONNECTIONS_LIMIT};
+use super::transport::transport;
+use super::{PeerHandlers, PeerIdentity};
+use crate::generated::peer_capnp::gate;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use futures_util::FutureExt;
+use futures_util::future::{LocalBoxFuture, Shared, select};
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio::time::sleep;
+use std::pin::pin;
+
+/// The wait after a failed accept; the usual cause is a lack of file descriptors, which needs time.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// A signal that every connection of a server watches.
+type Stop = Shared<LocalBoxFuture<'static, ()>>;
+
+/// Listens for peers and serves one task for each connection.
+pub struct PeerServer {
+    listener: TcpListener,
+    local: Rc<PeerIdentity>,
+    handlers: Rc<PeerHandlers>,
+    /// Connections that are open; at most `SERVER_CONNECTIONS_LIMIT`.
+    open: Rc<Cell<usize>>,
+}
+
+impl PeerServer {
+    /// Listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system when the address cannot be used.
+    pub fn bind(
+        address: SocketAddr,
+        local: PeerIdentity,
+        handlers: PeerHandlers,
+    ) -> io::Result<Self> {
+        let options = ListenerOpts::new().reuse_addr(true).reuse_port(false);
+        let listener = TcpListener::bind_with_config(address, &options)?;
+        Ok(Self {
+            listener,
+            local: Rc::new(local),
+            handlers: Rc::new(handlers),
+            open: Rc::default(),
+        })
+    }
+
+    /// Returns the address that it listens on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until `stop` completes, and then closes every connection.
+    pub async fn run(self, stop: impl Future<Output = ()> + 'static) {
+        let stop: Stop = stop.boxed_local().shared();
+        let accept = pin!(self.accept_all(stop.clone()));
+        select(stop, accept).await;
+    }
+
+    async fn accept_all(&self, stop: Stop) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) if self.open.get() < SERVER_CONNECTIONS_LIMIT => {
+                    self.spawn_connection(stream, stop.clone());
+                }
+                // Dropping the stream closes the connection beyond the limit.
+                Ok(_) => {}
+                Err(_) => sleep(ACCEPT_RETRY).await,
+            }
+        }
+    }
+
+    fn spawn_connection(&self, stream: TcpStream, stop: Stop) {
+        let open = self.open.clone();
+        open.set(open.get() + 1);
+        let (local, handlers) = (self.local.clone(), self.handlers.clone());
+        monoio::spawn(async move {
+            serve(stream, local, handlers, stop).await;
+            open.set(open.get().saturating_sub(1));
+        });
+    }
+}
+
+/// Serves one connection until it ends, until the server stops, or until it says no hello in time.
+async fn serve(stream: TcpStream, local: Rc<PeerIdentity>, handlers: Rc<PeerHandlers>, stop: Stop) {
+    let Ok(network) = transport(stream, Side::Server) else { return };
+    let accepted = Rc::new(Cell::new(false));
+    let gate = Gate { local, handlers, accepted: accepted.clone(), in_flight: Rc::default() };
+    let gate: gate::Client = capnp_rpc::new_client(gate);
+    let rpc = RpcSystem::new(network, Some(gate.client));
+    let hello = async {
+        sleep(HELLO_TIMEOUT).await;
+        if accepted.get() {
+            std::future::pending::<()>().await;
+        }
+    };
+    let hello = pin!(hello);
+    select(rpc, select(stop, hello)).await;
+}
--- /dev/null
+++ b/crates/net/src/peer/service.rs
@@ -0,0 +1,180 @@
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::call_slot::CallSlot;
+use super::limits::{ANSWER_MARGIN, MESSAGE_LIMIT};
+use super::{
+    BundleRequest, CallRefused, GroupId, InGroup, PeerHandlers, PeerIdentity, ProbeRequest,
+    Proposal, ProposeReply, ReadQuery, ReadReply, wire,
+};
+use crate::generated::peer_capnp::peer;
+use masticstair_core::id::Revision;
+use monoio::time::timeout;
+
+/// The calls of a peer whose hello was accepted.
+pub(crate) struct Service {
+    pub(crate) caller: PeerIdentity,
+    pub(crate) handlers: Rc<PeerHandlers>,
+    pub(crate) in_flight: Rc<Cell<usize>>,
+}
+
+impl peer::Server for Service {
+    async fn vote(
+        self: Rc<Self>,
+        params: peer::VoteParams,
+        mut results: peer::VoteResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = CallSlot::take(&self.in_flight)?;
+        let params = params.get()?;
+        let message = wire::vote::read_request(params.get_request()?)?;
+        let group = GroupId::new(params.get_group());
+        let reply = (self.handlers.vote)(&self.caller, InGroup { group, message }).await?;
+        wire::vote::write_reply(results.get().init_reply(), reply);
+        Ok(())
+    }
+
+    async fn append(
+        self: Rc<Self>,
+        params: peer::AppendParams,
+        mut results: peer::AppendResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = CallSlot::take(&self.in_flight)?;
+        let params = params.get()?;
+        let message = wire::append::read_request(params.get_request()?)?;
+        let group = GroupId::new(params.get_group());
+        let reply = (self.handlers.append)(&self.caller, InGroup { group, message }).await?;
+        wire::append::write_reply(results.get().init_reply(), reply);
+        Ok(())
+    }
+
+    async fn snapshot(
+        self: Rc<Self>,
+        params: peer::SnapshotParams,
+        mut results: peer::SnapshotResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = CallSlot::take(&self.in_flight)?;
+        let params = params.get()?;
+        let message = wire::snapshot::read_chunk(params.get_chunk()?)?;
+        let group = GroupId::new(params.get_group());
+        let reply = (self.handlers.snapshot)(&self.caller, InGroup { group, message }).await?;
+        wire::snapshot::write_reply(results.get().init_reply(), reply);
+        Ok(())
+    }
+
+    async fn propose(
+        self: Rc<Self>,
+        params: peer::ProposeParams,
+        mut results: peer::ProposeResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = CallSlot::take(&self.in_flight)?;
+        let params = params.get()?;
+        let budget = answer_budget(params.get_budget_ms());
+        let message = Proposal { command: params.get_command()?.into(), budget };
+        let group = GroupId::new(params.get_group());
+        let call = (self.handlers.propose)(&self.caller, InGroup { group, message });
+        let reply = match timeout(budget, call).await {
+            Ok(reply) => reply?,
+            Err(_) => ProposeReply::Unknown(late(budget)),
+        };
+        let mut out = results.get();
+        wire::propose::write_reply(out.reborrow().init_reply(), &reply);
+        check_size(out.into_reader().total_size()?.word_count)
+    }
+
+    async fn read(
+        self: Rc<Self>,
+        params: peer::ReadParams,
+        mut results: peer::ReadResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = CallSlot::take(&self.in_flight)?;
+        let params = params.get()?;
+        let budget = answer_budget(params.get_budget_ms());
+        let message = ReadQuery { query: params.get_query()?.into(), budget };
+        let group = GroupId::new(params.get_group());
+        let call = (self.handlers.read)(&self.caller, InGroup { group, message });
+        let reply = match timeout(budget, call).await {
+            Ok(reply) => reply?,
+            Err(_) => ReadReply::Failed(late(budget)),
+        };
+        let mut out = results.get();
+        wire::read::write_reply(out.reborrow().init_reply(), &reply);
+        check_size(out.into_reader().total_size()?.word_count)
+    }
+
+    async fn gossip(
+        self: Rc<Self>,
+        params: peer::GossipParams,
+        mut results: peer::GossipResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = CallSlot::take(&self.in_flight)?;
+        let message = wire::gossip::read(params.get()?.get_request()?)?;
+        let reply = (self.handlers.gossip)(&self.caller, message).await?;
+        let mut out = results.get();
+        wire::gossip::write(out.reborrow().init_reply(), &reply);
+        check_size(out.into_reader().total_size()?.word_count)
+    }
+
+    async fn probe(
+        self: Rc<Self>,
+        params: peer::ProbeParams,
+        mut results: peer::ProbeResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = CallSlot::take(&self.in_flight)?;
+        let params = params.get()?;
+        let host = wire::text::read_name("host", params.get_host())?;
+        let budget = answer_budget(params.get_budget_ms());
+        let call = (self.handlers.probe)(&self.caller, ProbeRequest { host, budget });
+        let answered = timeout(budget, call).await.unwrap_or(Ok(false))?;
+        results.get().set_answered(answered);
+        Ok(())
+    }
+
+    async fn bundle(
+        self: Rc<Self>,
+        params: peer::BundleParams,
+        mut results: peer::BundleResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = CallSlot::take(&self.in_flight)?;
+        let params = params.get()?;
+        let request = BundleRequest {
+            revision: Revision::new(params.get_revision()),
+            offset: params.get_offset(),
+        };
+        let chunk = (self.handlers.bundle)(&self.caller, request).await?;
+        let mut out = results.get();
+        wire::bundle::write_chunk(out.reborrow().init_chunk(), &chunk);
+        check_size(out.into_reader().total_size()?.word_count)
+    }
+
+    async fn formation(
+        self: Rc<Self>,
+        params: peer::FormationParams,
+        mut results: peer::FormationResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = CallSlot::take(&self.in_flight)?;
+        let group = GroupId::new(params.get()?.get_group());
+        let answer = (self.handlers.formation)(&self.caller, group).await?;
+        wire::formation::write_answer(results.get().init_answer(), answer);
+        Ok(())
+    }
+}
+
+/// Keeps a part of the caller's deadline for the way back.
+fn answer_budget(budget_ms: u32) -> Duration {
+    let budget = Duration::from_millis(budget_ms.into());
+    budget.saturating_sub(ANSWER_MARGIN.min(budget / 4))
+}
+
+fn late(budget: Duration) -> Box<str> {
+    format!("no result within {} ms", budget.as_millis()).into()
+}
+
+fn check_size(words: u64) -> Result<(), capnp::Error> {
+    let size = words.saturating_mul(8);
+    if size <= MESSAGE_LIMIT as u64 {
+        return Ok(());
+    }
+    Err(CallRefused::new(format!("answer has {size} bytes (at most {MESSAGE_LIMIT} are allowed)"))
+        .into())
+}
--- /dev/null
+++ b/crates/net/src/peer/wire/formation.rs
@@ -0,0 +1,27 @@
+//! The question whether a data folder is new.
+
+use super::text::read_replica;
+use crate::generated::peer_capnp::formation_answer;
+use crate::peer::{DecodeError, FormationAnswer};
+
+/// Writes the answer.
+pub(crate) fn write_answer(mut out: formation_answer::Builder<'_>, answer: FormationAnswer) {
+    out.set_new(answer.new);
+    if let Some(replica) = answer.replica {
+        out.set_replica(replica.as_bytes());
+    }
+}
+
+/// Reads the answer.
+pub(crate) fn read_answer(
+    answer: formation_answer::Reader<'_>,
+) -> Result<FormationAnswer, DecodeError> {
+    let replica = answer.get_replica()?;
+    Ok(FormationAnswer {
+        new: answer.get_new(),
+        replica: match replica.is_empty() {
+            true => None,
+            false => Some(read_replica("replica", Ok(replica))?),
+        },
+    })
+}
--- /dev/null
+++ b/crates/net/src/peer/wire/gossip.rs
@@ -0,0 +1,105 @@
+//! Gossip; lists that are empty are not written.
+
+use super::text::{check_count, read_name};
+use super::{endpoint_record, host_record};
+use crate::generated::peer_capnp::gossip_message;
+use crate::peer::DecodeError;
+use crate::peer::limits::{BUCKETS_LIMIT, GOSSIP_RECORDS_LIMIT, SUMMARIES_LIMIT};
+use masticstair_core::id::Revision;
+use masticstair_policy::endpoint_table::LoadReport;
+use masticstair_policy::membership::{GossipMessage, RecordKey, RecordSummary};
+
+/// Writes a gossip message.
+pub(crate) fn write(mut out: gossip_message::Builder<'_>, message: &GossipMessage) {
+    out.set_revision(message.revision.get());
+    out.set_table_hash(message.table_hash);
+    write_records(out.reborrow(), message);
+    write_digest(out, message);
+}
+
+/// Reads a gossip message.
+pub(crate) fn read(message: gossip_message::Reader<'_>) -> Result<GossipMessage, DecodeError> {
+    let (hosts, endpoints) = (message.get_hosts()?, message.get_endpoints()?);
+    let (loads, buckets) = (message.get_loads()?, message.get_buckets()?);
+    let (summaries, wants) = (message.get_summaries()?, message.get_wants()?);
+    check_count("hosts", hosts.len(), GOSSIP_RECORDS_LIMIT)?;
+    check_count("endpoints", endpoints.len(), GOSSIP_RECORDS_LIMIT)?;
+    check_count("loads", loads.len(), GOSSIP_RECORDS_LIMIT)?;
+    check_count("buckets", buckets.len(), BUCKETS_LIMIT)?;
+    check_count("summaries", summaries.len(), SUMMARIES_LIMIT)?;
+    check_count("wants", wants.len(), SUMMARIES_LIMIT)?;
+    if !buckets.is_empty() && !buckets.len().is_power_of_two() {
+        let reason = format_args!("{} buckets (a power of two is allowed)", buckets.len());
+        return Err(DecodeError::value("buckets", reason));
+    }
+    Ok(GossipMessage {
+        revision: Revision::new(message.get_revision()),
+        table_hash: message.get_table_hash(),
+        hosts: hosts.iter().map(host_record::read).collect::<Result<_, _>>()?,
+        endpoints: endpoints.iter().map(endpoint_record::read).collect::<Result<_, _>>()?,
+        loads: loads.iter().map(read_load).collect::<Result<_, _>>()?,
+        buckets: buckets.iter().collect(),
+        summaries: summaries
+            .iter()
+            .map(|s| RecordSummary { key: RecordKey::new(s.get_key()), version: s.get_version() })
+            .collect(),
+        wants: wants.iter().map(RecordKey::new).collect(),
+    })
+}
+
+fn write_records(mut out: gossip_message::Builder<'_>, message: &GossipMessage) {
+    if !message.hosts.is_empty() {
+        let mut hosts = out.reborrow().init_hosts(message.hosts.len() as u32);
+        for (i, record) in message.hosts.iter().enumerate() {
+            host_record::write(hosts.reborrow().get(i as u32), record);
+        }
+    }
+    if !message.endpoints.is_empty() {
+        let mut endpoints = out.reborrow().init_endpoints(message.endpoints.len() as u32);
+        for (i, record) in message.endpoints.iter().enumerate() {
+            endpoint_record::write(endpoints.reborrow().get(i as u32), record);
+        }
+    }
+    if !message.loads.is_empty() {
+        let mut loads = out.init_loads(message.loads.len() as u32);
+        for (i, load) in message.loads.iter().enumerate() {
+            let mut out = loads.reborrow().get(i as u32);
+            out.set_endpoint(load.endpoint.as_str());
+            out.set_running(load.running);
+            out.set_queued(load.queued);
+        }
+    }
+}
+
+fn write_digest(mut out: gossip_message::Builder<'_>, message: &GossipMessage) {
+    if !message.buckets.is_empty() {
+        let mut buckets = out.reborrow().init_buckets(message.buckets.len() as u32);
+        for (i, hash) in message.buckets.iter().enumerate() {
+            buckets.set(i as u32, *hash);
+        }
+    }
+    if !message.summaries.is_empty() {
+        let mut summaries = out.reborrow().init_summaries(message.summaries.len() as u32);
+        for (i, summary) in message.summaries.iter().enumerate() {
+            let mut out = summaries.reborrow().get(i as u32);
+            out.set_key(summary.key.get());
+            out.set_version(summary.version);
+        }
+    }
+    if !message.wants.is_empty() {
+        let mut wants = out.init_wants(message.wants.len() as u32);
+        for (i, key) in message.wants.iter().enumerate() {
+            wants.set(i as u32, key.get());
+        }
+    }
+}
+
+fn read_load(
+    load: crate::generated::peer_capnp::load_report::Reader<'_>,
+) -> Result<LoadReport, DecodeError> {
+    Ok(LoadReport {
+        endpoint: read_name("endpoint", load.get_endpoint())?,
+        running: load.get_running(),
+        queued: load.get_queued(),
+    })
+}
--- /dev/null
+++ b/crates/net/src/peer/wire/mod.rs
@@ -0,0 +1,20 @@
+//! Conversions between the generated code and the plain structs. Nothing else reads or writes the wire
+//! form. Every `read_*` function returns an error for bytes that no host of this version writes.
+
+pub(super) mod address;
+pub(super) mod append;
+pub(super) mod bundle;
+pub(super) mod endpoint_record;
+pub(super) mod formation;
+pub(super) mod gossip;
+pub(super) mod hello;
+pub(super) mod host_record;
+pub(super) mod log_entry;
+pub(super) mod propose;
+pub(super) mod read;
+pub(super) mod snapshot;
+#[cfg(test)]
+mod tests;
+pub(super) mod text;
+pub(super) mod vote;
+pub(super) mod voter_set;
--- /dev/null
+++ b/crates/net/tests/common/link.rs
@@ -0,0 +1,116 @@
+//! A TCP forwarder that stands in for a link between two hosts.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, Splitable};
+use monoio::net::{TcpListener, TcpStream};
+
+/// What the link does with bytes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[allow(dead_code)]
+pub enum LinkMode {
+    #[default]
+    Pass,
+    /// Every piece waits this long.
+    Delay(Duration),
+    /// Bytes of the connecting side vanish; connections stay open.
+    CutForward,
+    /// Bytes of the accepting side vanish; connections stay open.
+    CutBackward,
+    /// Bytes of both sides vanish; connections stay open and new ones are accepted.
+    Silent,
+    /// New connections are closed at once.
+    Refuse,
+}
+
+/// A forwarder to one address.
+#[derive(Clone)]
+pub struct Link {
+    pub address: SocketAddr,
+    mode: Rc<Cell<LinkMode>>,
+    /// Connections with a lower number are silent for ever.
+    dead_below: Rc<Cell<u64>>,
+    accepted: Rc<Cell<u64>>,
+}
+
+#[allow(dead_code)]
+impl Link {
+    /// Starts a forwarder to `target`.
+    pub fn spawn(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let link = Self {
+            address: listener.local_addr().unwrap(),
+            mode: Rc::default(),
+            dead_below: Rc::default(),
+            accepted: Rc::default(),
+        };
+        monoio::spawn(link.clone().accept(listener, target));
+        link
+    }
+
+    pub fn set(&self, mode: LinkMode) {
+        self.mode.set(mode);
+    }
+
+    /// Makes the open connections silent for ever; new ones work.
+    pub fn kill_open_connections(&self) {
+        self.dead_below.set(self.accepted.get() + 1);
+    }
+
+    /// Connections accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.accepted.get()
+    }
+
+    async fn accept(self, listener: TcpListener, target: SocketAddr) {
+        while let Ok((near, _)) = listener.accept().await {
+            if self.mode.get() == LinkMode::Refuse {
+                continue;
+            }
+            self.accepted.set(self.accepted.get() + 1);
+            let Ok(far) = TcpStream::connect_addr(target).await else { continue };
+            near.set_nodelay(true).unwrap();
+            far.set_nodelay(true).unwrap();
+            let (near_read, near_write) = near.into_split();
+            let (far_read, far_write) = far.into_split();
+            let number = self.accepted.get();
+            monoio::spawn(self.clone().pump(near_read, far_write, LinkMode::CutForward, number));
+            monoio::spawn(self.clone().pump(far_read, near_write, LinkMode::CutBackward, number));
+        }
+    }
+
+    async fn pump(
+        self,
+        mut from: impl AsyncReadRent,
+        mut to: impl AsyncWriteRent,
+        cut: LinkMode,
+        number: u64,
+    ) {
+        let mut buf = Vec::with_capacity(16 * 1024);
+        loop {
+            let (read, bytes) = from.read(buf).await;
+            if !matches!(read, Ok(n) if n > 0) {
+                let _ = to.shutdown().await;
+                return;
+            }
+            buf = bytes;
+            let mode = self.mode.get();
+            if let LinkMode::Delay(delay) = mode {
+                monoio::time::sleep(delay).await;
+            }
+            if mode == cut || mode == LinkMode::Silent || number < self.dead_below.get() {
+                buf.clear();
+                continue;
+            }
+            let (written, bytes) = to.write_all(buf).await;
+            if written.is_err() {
+                return;
+            }
+            buf = bytes;
+            buf.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/tests/common/mod.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the tests of the peer transport.
+
+pub mod link;
--- /dev/null
+++ b/crates/net/tests/peer.rs
@@ -0,0 +1,346 @@
+//! Calls between hosts over real loopback connections.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use common::link::{Link, LinkMode};
+use masticstair_core::id::{HostId, Incarnation, LogIndex, ReplicaId, Revision, Term};
+use masticstair_core::message::{
+    AppendReply, AppendRequest, EntryPayload, LogEntry, VoteReply, VoteRequest,
+};
+use masticstair_net::peer::limits::{CLIENT_CALLS_LIMIT, MESSAGE_LIMIT};
+use masticstair_net::peer::*;
+use masticstair_net::runtime::block_on;
+use masticstair_policy::membership::GossipMessage;
+use monoio::io::AsyncWriteRentExt;
+use monoio::net::TcpStream;
+use monoio::time::sleep;
+
+const LIMIT: Duration = Duration::from_millis(200);
+
+fn identity(deployment: &str, host: &str, protocol: u16) -> PeerIdentity {
+    PeerIdentity {
+        deployment: deployment.parse().unwrap(),
+        host: host.parse().unwrap(),
+        incarnation: Incarnation::new(7),
+        protocol: ProtocolVersion::new(protocol),
+    }
+}
+
+fn near() -> PeerIdentity {
+    identity("test", "near", 1)
+}
+
+/// Starts a host `far` that answers votes, appends, proposals, gossip and bundles; a proposal of `slow`
+/// never ends.
+fn serve(local: PeerIdentity) -> SocketAddr {
+    let mut handlers = PeerHandlers::refusing();
+    handlers.vote = Box::new(|_, request| {
+        let reply = VoteReply { term: request.message.term, granted: request.message.transfer };
+        Box::pin(async move { Ok(reply) })
+    });
+    handlers.append = Box::new(|_, request| {
+        let reply = AppendReply {
+            term: request.message.term,
+            success: true,
+            match_index: LogIndex::new(request.message.entries.len() as u64),
+            round: request.message.round,
+        };
+        Box::pin(async move { Ok(reply) })
+    });
+    handlers.propose = Box::new(|caller, request| {
+        let (host, command) = (caller.host.clone(), request.message.command);
+        Box::pin(async move {
+            match &*command {
+                b"slow" => std::future::pending().await,
+                b"redirect" => Ok(ProposeReply::Redirect(Some(host))),
+                b"refuse" => Err(CallRefused::new("not now")),
+                _ => Ok(ProposeReply::Applied(command)),
+            }
+        })
+    });
+    handlers.gossip = Box::new(|_, message| Box::pin(async move { Ok(message) }));
+    handlers.formation = Box::new(|_, _| {
+        let answer = FormationAnswer { new: true, replica: Some(ReplicaId::from_bytes([9; 16])) };
+        Box::pin(async move { Ok(answer) })
+    });
+    let server = PeerServer::bind("127.0.0.1:0".parse().unwrap(), local, handlers).unwrap();
+    let address = server.local_addr().unwrap();
+    monoio::spawn(server.run(std::future::pending()));
+    address
+}
+
+fn client(address: SocketAddr, local: PeerIdentity, expected: Option<&str>) -> PeerClient {
+    let expected = expected.map(|host| host.parse::<HostId>().unwrap());
+    PeerClient::spawn(PeerClientConfig { address, expected, local })
+}
+
+fn far_client() -> PeerClient {
+    client(serve(identity("test", "far", 1)), near(), Some("far"))
+}
+
+async fn gossip(client: &PeerClient, revision: u64) -> Result<u64, PeerError> {
+    let message = GossipMessage { revision: Revision::new(revision), ..Default::default() };
+    client.gossip(message, LIMIT).await.map(|reply| reply.revision.get())
+}
+
+async fn propose(client: &PeerClient, command: &[u8]) -> Result<ProposeReply, PeerError> {
+    let proposal = Proposal { command: command.into(), budget: LIMIT };
+    client.propose(GroupId::FIRST, proposal).await
+}
+
+/// Guards against fields that are lost or exchanged on the way.
+#[test]
+fn calls_return_what_the_handler_answers() {
+    block_on(async {
+        let client = far_client();
+        let vote = VoteRequest {
+            term: Term::new(3),
+            candidate: ReplicaId::random(),
+            last_index: LogIndex::new(4),
+            last_term: Term::new(2),
+            pre_vote: false,
+            transfer: true,
+        };
+        let reply = client.vote(GroupId::FIRST, vote, LIMIT).await.unwrap();
+        assert_eq!(reply, VoteReply { term: Term::new(3), granted: true });
+        let formation = client.formation(GroupId::FIRST, LIMIT).await.unwrap();
+        assert_eq!(formation.replica, Some(ReplicaId::from_bytes([9; 16])));
+        assert_eq!(gossip(&client, 5).await, Ok(5));
+        assert_eq!(client.connected().unwrap().host.as_str(), "far");
+        let redirect = ProposeReply::Redirect(Some("near".parse().unwrap()));
+        assert_eq!(propose(&client, b"redirect").await, Ok(redirect));
+        let refused = propose(&client, b"refuse").await.unwrap_err();
+        assert!(refused.to_string().ends_with("not now"), "{refused}");
+        let refused = client.bundle(BundleRequest { revision: Revision::new(1), offset: 0 }, LIMIT);
+        assert!(matches!(refused.await, Err(PeerError::Remote { .. })));
+    })
+    .unwrap();
+}
+
+/// Guards against a leader without a quorum whose connection is taken for dead: it answers in the budget.
+#[test]
+fn slow_proposal_is_answered_as_unknown_before_the_deadline() {
+    block_on(async {
+        let client = far_client();
+        assert_eq!(gossip(&client, 1).await, Ok(1));
+        let reply = propose(&client, b"slow").await;
+        assert!(matches!(reply, Ok(ProposeReply::Unknown(_))), "{reply:?}");
+    })
+    .unwrap();
+}
+
+/// Guards against hosts that talk to another deployment, version, host or to themselves.
+#[test]
+fn wrong_peers_are_refused_with_a_clear_error() {
+    struct Case {
+        name: &'static str,
+        server: PeerIdentity,
+        expected: Option<&'static str>,
+        message: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "other deployment",
+            server: identity("other", "far", 1),
+            expected: None,
+            message: "host near belongs to deployment test, host far to deployment other",
+        },
+        Case {
+            name: "other protocol version",
+            server: identity("test", "far", 2),
+            expected: None,
+            message: "host near speaks protocol version 1, host far speaks version 2",
+        },
+        Case {
+            name: "another host at the address",
+            server: identity("test", "third", 1),
+            expected: Some("far"),
+            message: "it is host third, not far",
+        },
+        Case {
+            name: "this host itself",
+            server: near(),
+            expected: None,
+            message: "it is this host, near",
+        },
+    ];
+    block_on(async {
+        for case in cases {
+            let client = client(serve(case.server), near(), case.expected);
+            let error = gossip(&client, 1).await.unwrap_err();
+            assert!(matches!(error, PeerError::Refused { .. }), "{}: {error}", case.name);
+            assert!(error.to_string().ends_with(case.message), "{}: {error}", case.name);
+            assert!(error.never_sent(), "{}", case.name);
+        }
+    })
+    .unwrap();
+}
+
+/// Guards against a link fault that outlives the fault: an open but dead connection that is kept, a call
+/// that hangs, or a client that does not come back.
+#[test]
+fn connections_are_replaced_after_link_faults() {
+    struct Case {
+        name: &'static str,
+        fault: fn(&Link),
+        never_sent: bool,
+        /// Whether the client reconnects while the fault lasts.
+        survives: bool,
+    }
+    let cases = [
+        Case {
+            name: "open but dead connection",
+            fault: Link::kill_open_connections,
+            never_sent: false,
+            survives: true,
+        },
+        Case {
+            name: "requests cut",
+            fault: |link| link.set(LinkMode::CutForward),
+            never_sent: false,
+            survives: false,
+        },
+        Case {
+            name: "answers cut",
+            fault: |link| link.set(LinkMode::CutBackward),
+            never_sent: false,
+            survives: false,
+        },
+        Case {
+            name: "silent both ways",
+            fault: |link| link.set(LinkMode::Silent),
+            never_sent: false,
+            survives: false,
+        },
+        Case {
+            name: "delay beyond the deadline",
+            fault: |link| link.set(LinkMode::Delay(LIMIT * 2)),
+            never_sent: false,
+            survives: false,
+        },
+    ];
+    block_on(async {
+        for case in cases {
+            let link = Link::spawn(serve(identity("test", "far", 1)));
+            let client = client(link.address, near(), Some("far"));
+            assert_eq!(gossip(&client, 1).await, Ok(1), "{}", case.name);
+            (case.fault)(&link);
+            let start = Instant::now();
+            let error = gossip(&client, 2).await.unwrap_err();
+            assert!(start.elapsed() < LIMIT + Duration::from_millis(100), "{}", case.name);
+            assert_eq!(error.never_sent(), case.never_sent, "{}: {error}", case.name);
+            if !case.survives {
+                link.set(LinkMode::Pass);
+            }
+            assert!(recovers(&client).await, "{}", case.name);
+            assert!(link.accepted() >= 2, "{}", case.name);
+        }
+    })
+    .unwrap();
+}
+
+/// Tells whether calls succeed again within 3 s: two hellos that time out and the longest wait.
+async fn recovers(client: &PeerClient) -> bool {
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(3) {
+        if gossip(client, 3).await == Ok(3) {
+            return true;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+/// Guards against calls that hang, or are called ambiguous, while nothing listens at the address.
+#[test]
+fn calls_to_a_dead_host_fail_at_once_as_never_sent() {
+    block_on(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let client = client(address, near(), None);
+        for _ in 0..20 {
+            let start = Instant::now();
+            let error = gossip(&client, 1).await.unwrap_err();
+            assert!(matches!(error, PeerError::Unreachable { .. }), "{error}");
+            assert!(start.elapsed() < Duration::from_millis(100));
+        }
+    })
+    .unwrap();
+}
+
+/// Guards against memory that grows with the calls of one peer, and with one oversized message.
+#[test]
+fn calls_and_messages_are_bounded() {
+    block_on(async {
+        let client = far_client();
+        assert_eq!(gossip(&client, 1).await, Ok(1));
+        let busy = Rc::new(Cell::new(0));
+        let calls = (0..CLIENT_CALLS_LIMIT + 8).map(|_| {
+            let (client, busy) = (client.clone(), busy.clone());
+            async move {
+                if let Err(PeerError::Busy { .. }) = propose(&client, b"slow").await {
+                    busy.set(busy.get() + 1);
+                }
+            }
+        });
+        futures_util::future::join_all(calls).await;
+        assert_eq!(busy.get(), 8);
+        let entry = LogEntry {
+            index: LogIndex::new(1),
+            term: Term::new(1),
+            payload: EntryPayload::Command(vec![0; MESSAGE_LIMIT].into()),
+        };
+        let append = AppendRequest {
+            term: Term::new(1),
+            leader: ReplicaId::random(),
+            prev_index: LogIndex::new(0),
+            prev_term: Term::new(0),
+            entries: vec![entry],
+            commit: LogIndex::new(0),
+            round: 1,
+        };
+        let error = client.append(GroupId::FIRST, append, LIMIT).await.unwrap_err();
+        assert!(matches!(error, PeerError::TooLarge { .. }), "{error}");
+        assert_eq!(gossip(&client, 2).await, Ok(2));
+    })
+    .unwrap();
+}
+
+/// Guards against a server that dies, or serves others no more, after bytes that are no message.
+#[test]
+fn server_survives_garbage_and_oversized_messages() {
+    struct Case {
+        name: &'static str,
+        bytes: Vec<u8>,
+    }
+    let cases = [
+        Case { name: "text", bytes: b"GET / HTTP/1.1\r\n\r\n".to_vec() },
+        Case { name: "ones", bytes: vec![0xff; 4096] },
+        Case { name: "zeros", bytes: vec![0; 4096] },
+        Case {
+            name: "segment of 32 GiB",
+            bytes: vec![0, 0, 0, 0, 0xff, 0xff, 0xff, 0xff, 1, 2, 3],
+        },
+        Case { name: "half a header", bytes: vec![0, 0, 0] },
+    ];
+    block_on(async {
+        let address = serve(identity("test", "far", 1));
+        let client = client(address, near(), Some("far"));
+        for case in cases {
+            let mut stream = TcpStream::connect_addr(address).await.unwrap();
+            // A reset while writing is a valid answer to garbage.
+            let _ = stream.write_all(case.bytes).await;
+            sleep(Duration::from_millis(20)).await;
+            assert_eq!(gossip(&client, 1).await, Ok(1), "{}", case.name);
+        }
+    })
+    .unwrap();
+}
--- /dev/null
+++ b/crates/policy/src/endpoint_table/endpoint_record.rs
@@ -0,0 +1,78 @@
+use std::cmp::Ordering;
+use std::net::SocketAddr;
+
+use super::{EndpointState, Sequence, ServedModel};
+use masticstair_core::bundle::StageKind;
+use masticstair_core::id::{DataCentreId, EndpointId, HostId, Incarnation, PoolName};
+use masticstair_core::unit::Slots;
+use smallvec::SmallVec;
+
+/// What hosts tell each other about an endpoint.
+///
+/// Two records of an endpoint merge to the one that `supersedes` the other. That is a total order, so the
+/// merge is commutative, associative and idempotent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EndpointRecord {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// The life of its process, as it announces it.
+    pub incarnation: Incarnation,
+    /// Whether it takes work.
+    pub state: EndpointState,
+    /// The number of the change that made this record.
+    pub sequence: Sequence,
+    /// The host that made this change; it holds the lease of a ready endpoint.
+    pub observer: HostId,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// The pool that it belongs to.
+    pub pool: PoolName,
+    /// The kind of its stages.
+    pub kind: StageKind,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Calls that it runs at the same time.
+    pub capacity: Slots,
+    /// The models that it has loaded.
+    pub models: SmallVec<[ServedModel; 2]>,
+}
+
+impl EndpointRecord {
+    /// Tells whether this record replaces another one of the same endpoint.
+    ///
+    /// A higher incarnation wins. Within one, leaving is final, then the later change wins. The rest of the
+    /// order only breaks ties between observers that changed the record at the same time.
+    pub fn supersedes(&self, other: &Self) -> bool {
+        self.order(other).is_gt()
+    }
+
+    /// Tells whether two records say the same about the endpoint itself.
+    pub fn same_announcement(&self, other: &Self) -> bool {
+        self.incarnation == other.incarnation
+            && self.address == other.address
+            && self.pool == other.pool
+            && self.kind == other.kind
+            && self.data_centre == other.data_centre
+            && self.capacity == other.capacity
+            && self.models == other.models
+    }
+
+    fn order(&self, other: &Self) -> Ordering {
+        self.incarnation
+            .cmp(&other.incarnation)
+            .then_with(|| self.is_leaving().cmp(&other.is_leaving()))
+            .then_with(|| self.sequence.cmp(&other.sequence))
+            .then_with(|| self.observer.cmp(&other.observer))
+            .then_with(|| self.state.cmp(&other.state))
+            .then_with(|| self.address.cmp(&other.address))
+            .then_with(|| self.pool.cmp(&other.pool))
+            .then_with(|| self.kind.as_str().cmp(other.kind.as_str()))
+            .then_with(|| self.data_centre.cmp(&other.data_centre))
+            .then_with(|| self.capacity.cmp(&other.capacity))
+            .then_with(|| self.models.cmp(&other.models))
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.state == EndpointState::Leaving
+    }
+}
--- /dev/null
+++ b/crates/policy/src/endpoint_table/sequence.rs
@@ -0,0 +1,38 @@
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+/// The number of a change to an endpoint's record; an observer that changes the record raises it by one.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Sequence(u64);
+
+impl Sequence {
+    /// Wraps a raw value.
+    pub const fn new(value: u64) -> Self {
+        Self(value)
+    }
+
+    /// Returns the raw value.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the number of the next change.
+    pub const fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
+
+impl fmt::Display for Sequence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Sequence {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, ParseIntError> {
+        s.parse().map(Self)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/membership/gossip_message.rs
@@ -0,0 +1,24 @@
+use super::{HostRecord, RecordKey, RecordSummary};
+use crate::endpoint_table::{EndpointRecord, LoadReport};
+use masticstair_core::id::Revision;
+
+/// A gossip request or its answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct GossipMessage {
+    /// The newest revision that the sender holds.
+    pub revision: Revision,
+    /// Hash over the sender's records; 0 when it is not given.
+    pub table_hash: u64,
+    /// Changes of hosts.
+    pub hosts: Vec<HostRecord>,
+    /// Changes of endpoints.
+    pub endpoints: Vec<EndpointRecord>,
+    /// Coarse load of endpoints that the sender observes.
+    pub loads: Vec<LoadReport>,
+    /// Hashes of the sender's records by bucket; empty or a power of two of entries.
+    pub buckets: Vec<u32>,
+    /// The sender's records in the buckets that differ.
+    pub summaries: Vec<RecordSummary>,
+    /// Records that the sender asks for.
+    pub wants: Vec<RecordKey>,
+}
