Route by observed latency, queue fairly and refuse what cannot finish

Cause: the thin path sent every call to the first endpoint and admitted everything. Change: the request path asks the policy package: two weighted choices, breaker, retry budget, hedges, admission and fair queueing, with their state behind one lock for all workers. Run-once calls are still refused as not run.

--- a/crates/cli/src/demo/run.rs
+++ b/crates/cli/src/demo/run.rs
@@ -86,7 +86,7 @@
     loop {
         let now = host.state.clock.now();
         let pools = bundle.pools.iter();
-        let known = pools.map(|p| host.state.endpoints.ready(now, &p.name).len()).sum();
+        let known = pools.map(|p| host.state.endpoints.ready(now, &p.name, None).len()).sum();
         if known == expected {
             return Ok(());
         }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod settings;
 pub mod state;
 pub mod telemetry;
+pub mod traffic;
--- a/crates/host/src/request/accept.rs
+++ b/crates/host/src/request/accept.rs
@@ -25,7 +25,7 @@
         Problem::not_run(503, "no-configuration", "this host has no bundle in force yet")
             .with_retry_after(1)
     })?;
-    let account = authenticate(&config, req)?.id.clone();
+    let account = authenticate(&config, req)?.clone();
     let pipeline = find_pipeline(&config, pipeline)?.clone();
     let span = read_deadline(&pipeline, req)?;
     let key = read_key(&pipeline, req)?;
--- a/crates/host/src/request/attempt.rs
+++ b/crates/host/src/request/attempt.rs
@@ -6,10 +6,14 @@
 use masticstair_core::id::TraceParent;
 use masticstair_core::prelude::*;
 use masticstair_net::http::client::{Call, ClientBody, ResponseHead};
+use masticstair_policy::routing::RouteRequest;
 use std::net::SocketAddr;
 
 use super::attempt_error::AttemptError;
 use super::stage_context::StageContext;
+use super::stage_error::StageError;
+use crate::telemetry::Span;
+use crate::traffic::{CallGuard, CallStart};
 
 /// The endpoint of an attempt.
 #[derive(Clone, Debug)]
@@ -18,14 +22,50 @@
     pub(super) addr: SocketAddr,
 }
 
+/// An attempt whose endpoint is chosen.
+pub(super) struct StartedAttempt {
+    pub(super) target: Target,
+    pub(super) span: Span,
+    pub(super) guard: CallGuard,
+}
+
+/// Chooses an endpoint that this stage has not tried, while there is one.
+pub(super) fn start_attempt(
+    cx: &StageContext<'_>,
+    stage_span: Span,
+    tried: &[EndpointId],
+    hedge: bool,
+) -> Result<StartedAttempt, StageError> {
+    let state = &cx.cx.state;
+    let now = state.clock.now();
+    let (pool, model) = (&cx.stage.pool, cx.stage.model.as_ref());
+    let candidates = state.endpoints.ready(now, pool, model);
+    let start = CallStart {
+        key: cx.key,
+        pipeline: &cx.caller.pipeline.name,
+        home: &state.cfg.data_centre,
+        candidates: &candidates,
+        route: RouteRequest { tried, hedge, may_probe: cx.stage.idempotent && tried.is_empty() },
+        draw: cx.draw(),
+    };
+    let started = state.traffic.begin_call(&start);
+    let (position, guard) = started.ok_or_else(|| StageError::NoEndpoint(pool.clone()))?;
+    let (id, entry) = &candidates[position];
+    Ok(StartedAttempt {
+        target: Target { id: id.clone(), addr: entry.announcement.address },
+        span: Span::start(stage_span.context, "attempt", now),
+        guard,
+    })
+}
+
 /// Calls the endpoint and returns its whole answer, checked to belong to this call.
 pub(super) async fn call_whole(
     cx: &StageContext<'_>,
-    target: &Target,
-    trace: TraceParent,
+    started: &StartedAttempt,
 ) -> Result<RunResponse, AttemptError> {
+    let target = &started.target;
     let attempt = cx.new_attempt();
-    let call = build_call(cx, target, attempt, trace, None);
+    let call = build_call(cx, target, attempt, started.span.context, None);
     let fetched = cx.cx.pool.fetch(call).await;
     let (head, body) = fetched.map_err(|e| AttemptError::Transport(target.id.clone(), e))?;
     if !head.status.is_success() {
@@ -42,12 +82,12 @@
 /// Calls the endpoint for a stream and returns the number of the attempt and the open body.
 pub(super) async fn open_stream(
     cx: &StageContext<'_>,
-    target: &Target,
-    trace: TraceParent,
+    started: &StartedAttempt,
     resume: Option<Resume>,
 ) -> Result<(AttemptId, ClientBody), AttemptError> {
+    let target = &started.target;
     let attempt = cx.new_attempt();
-    let call = build_call(cx, target, attempt, trace, Some(resume));
+    let call = build_call(cx, target, attempt, started.span.context, Some(resume));
     let sent = cx.cx.pool.send(call).await;
     let (head, body) = sent.map_err(|e| AttemptError::Transport(target.id.clone(), e))?;
     if head.status.is_success() {
@@ -79,7 +119,7 @@
         stage: cx.stage.name.clone(),
         kind: cx.stage.kind,
         model: cx.stage.model.clone(),
-        account: cx.caller.account.clone(),
+        account: cx.caller.account.id.clone(),
         input: cx.input.clone(),
         stream: stream.is_some(),
         resume_from: stream.flatten(),
--- a/crates/host/src/request/caller_request.rs
+++ b/crates/host/src/request/caller_request.rs
@@ -1,6 +1,7 @@
-use masticstair_core::bundle::Pipeline;
+use masticstair_core::bundle::{Account, Pipeline, Stage, StageKind};
 use masticstair_core::id::TraceParent;
 use masticstair_core::prelude::*;
+use masticstair_policy::fair_queue::{AccountLimits, WorkClass};
 use serde_json::Value;
 use std::sync::Arc;
 
@@ -14,7 +15,7 @@
     /// The bundle under which all of its stages run.
     pub config: Arc<BundleInForce>,
     /// The client account.
-    pub account: AccountId,
+    pub account: Account,
     /// The pipeline.
     pub pipeline: Pipeline,
     /// When it arrived.
@@ -32,3 +33,25 @@
     /// The trace of the caller, or a new one.
     pub trace: TraceParent,
 }
+
+impl CallerRequest {
+    /// Returns the class in which the request waits: plain lookups have slots of their own.
+    pub(super) fn work_class(&self) -> WorkClass {
+        let lookup = |s: &Stage| s.kind == StageKind::Service && s.idempotent;
+        if self.pipeline.stages.iter().all(lookup) { WorkClass::Lookup } else { WorkClass::Work }
+    }
+
+    /// Returns the part of the account's limits that this host owns.
+    pub(super) fn own_limits(&self) -> AccountLimits {
+        let hosts = self.config.bundle.limits.hosts.max(1);
+        let part = |limit: Slots| Slots::new((limit.get() / hosts).max(1));
+        let account = &self.account;
+        let rate = account.rate.get() / f64::from(hosts);
+        AccountLimits {
+            weight: account.weight,
+            concurrency: part(account.concurrency),
+            rate: RatePerSecond::try_from(rate).unwrap_or_default(),
+            burst: part(account.burst),
+        }
+    }
+}
--- a/crates/host/src/request/run_pipeline.rs
+++ b/crates/host/src/request/run_pipeline.rs
@@ -1,11 +1,13 @@
 //! Runs the stages of a request in order under one deadline.
 
 use http::StatusCode;
+use masticstair_core::bundle::StageKind;
 use masticstair_core::endpoint_api::Usage;
 use masticstair_core::id::TraceParent;
 use masticstair_core::prelude::*;
 use masticstair_net::http::server::{BodySender, Response, body_stream};
 use masticstair_net::http::sse::SseEvent;
+use masticstair_policy::admission::check_stage;
 use serde_json::{Value, json};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -18,9 +20,12 @@
 use super::{CallerRequest, WorkerContext};
 use crate::state::InFlight;
 use crate::telemetry::Span;
+use crate::traffic::{Entry, EntryRefusal, Permit, StageKey};
 
 /// How far a request has come.
 struct Progress {
+    /// The keys of all stages.
+    keys: Vec<StageKey>,
     /// The input of the next stage.
     input: Value,
     cost: Vec<StageCost>,
@@ -29,7 +34,12 @@
 
 impl Progress {
     fn new(caller: &CallerRequest) -> Self {
-        Self { input: caller.body.clone(), cost: Vec::new(), next_attempt: Cell::new(1) }
+        Self {
+            keys: caller.pipeline.stages.iter().map(StageKey::new).collect(),
+            input: caller.body.clone(),
+            cost: Vec::new(),
+            next_attempt: Cell::new(1),
+        }
     }
 
     fn add_cost(&mut self, stage: &StageName, usage: Usage) {
@@ -46,7 +56,10 @@
 ) -> Response {
     let mut progress = Progress::new(&caller);
     let count = caller.pipeline.stages.len();
-    let result = run_stages(&cx, &caller, span.context, &mut progress, count).await;
+    let result = match enter(&cx, &caller, span.context, &progress.keys).await {
+        Ok(_permit) => run_stages(&cx, &caller, span.context, &mut progress, count).await,
+        Err(error) => Err(error),
+    };
     drop(in_flight);
     match result {
         Ok(output) => {
@@ -96,15 +109,20 @@
     tx: &mut BodySender,
 ) -> Result<AnswerEnd, StreamError> {
     let mut progress = Progress::new(caller);
+    let _permit = enter(cx, caller, trace, &progress.keys).await.map_err(StreamError::Stage)?;
     let last = caller.pipeline.stages.len() - 1;
     let stages = run_stages(cx, caller, trace, &mut progress, last);
     stages.await.map_err(StreamError::Stage)?;
     let stage = &caller.pipeline.stages[last];
     let input = std::mem::take(&mut progress.input);
     let next_attempt = &progress.next_attempt;
-    let stage_cx = StageContext { cx, caller, stage, input: &input, trace, next_attempt };
+    let (key, later) = (&progress.keys[last], &progress.keys[last + 1..]);
+    let stage_cx =
+        StageContext { cx, caller, stage, input: &input, key, later, trace, next_attempt };
+    check_time(&stage_cx).map_err(StreamError::Stage)?;
     let mut delivered = Delivered::default();
     let usage = stream_stage(&stage_cx, tx, &mut delivered).await?;
+    cx.state.traffic.observe_size(&caller.pipeline.name, delivered.tokens);
     progress.add_cost(&stage.name, usage);
     Ok(AnswerEnd {
         request_id: caller.id,
@@ -125,14 +143,17 @@
     count: usize,
 ) -> Result<Value, StageError> {
     let mut output = Value::Null;
-    for stage in &caller.pipeline.stages[..count] {
+    for (i, stage) in caller.pipeline.stages[..count].iter().enumerate() {
         let input = std::mem::take(&mut progress.input);
         let next_attempt = &progress.next_attempt;
-        let stage_cx = StageContext { cx, caller, stage, input: &input, trace, next_attempt };
-        if stage_cx.time_left().get() == 0 {
-            return Err(StageError::Deadline(stage.name.clone()));
-        }
+        let (key, later) = (&progress.keys[i], &progress.keys[i + 1..]);
+        let stage_cx =
+            StageContext { cx, caller, stage, input: &input, key, later, trace, next_attempt };
+        check_time(&stage_cx)?;
         let answer = run_stage(&stage_cx).await?;
+        if stage.kind == StageKind::Generate {
+            cx.state.traffic.observe_size(&caller.pipeline.name, answer.usage.output_tokens);
+        }
         progress.add_cost(&stage.name, answer.usage);
         progress.input = json!({ "request": caller.body, "previous": answer.output });
         output = answer.output;
@@ -140,6 +161,50 @@
     Ok(output)
 }
 
+/// Waits for a slot of the account and of the host.
+async fn enter(
+    cx: &WorkerContext,
+    caller: &CallerRequest,
+    trace: TraceParent,
+    keys: &[StageKey],
+) -> Result<Permit, StageError> {
+    let state = &cx.state;
+    let span = Span::start(trace, "queue", state.clock.now());
+    let entry = Entry {
+        account: &caller.account.id,
+        limits: caller.own_limits(),
+        class: caller.work_class(),
+        deadline: caller.deadline,
+        pipeline: &caller.pipeline.name,
+        keys,
+    };
+    let entered = state.traffic.enter(&entry).await;
+    span.end(&state.log, state.clock.now(), caller.id, caller.account.id.as_str());
+    entered.map_err(|e| StageError::Refused(entry_problem(&e)))
+}
+
+fn entry_problem(refusal: &EntryRefusal) -> Problem {
+    match refusal {
+        EntryRefusal::Late(late) => {
+            Problem::not_run(503, "deadline-unreachable", refusal.to_string())
+                .with_retry_after(late.retry_after_s)
+        }
+        EntryRefusal::Full(_) => {
+            Problem::not_run(429, "queue-full", refusal.to_string()).with_retry_after(1)
+        }
+    }
+}
+
+/// Refuses a stage that can no longer be answered in time.
+fn check_time(cx: &StageContext<'_>) -> Result<(), StageError> {
+    let state = &cx.cx.state;
+    let (pipeline, contended) = (&cx.caller.pipeline.name, state.traffic.waiting() > 0);
+    let mut stages = state.traffic.estimate(pipeline, std::slice::from_ref(cx.key));
+    stages.extend(state.traffic.estimate(pipeline, cx.later));
+    let checked = check_stage(state.clock.now(), cx.caller.deadline, &stages, contended);
+    checked.map_err(|_| StageError::Deadline(cx.stage.name.clone()))
+}
+
 fn refuse(cx: &WorkerContext, caller: &CallerRequest, span: Span, error: StageError) -> Problem {
     let problem = error.into_problem(caller.pipeline.is_idempotent()).with_request(caller.id);
     let outcome = match problem.outcome {
--- a/crates/host/src/request/run_stage.rs
+++ b/crates/host/src/request/run_stage.rs
@@ -1,79 +1,156 @@
 //! Runs one stage: chooses endpoints and repeats calls where that is allowed.
 
+use futures_util::future::{Either, select};
 use masticstair_core::endpoint_api::{RunResponse, Usage};
 use masticstair_core::prelude::*;
+use masticstair_policy::estimate::CallEnd;
+use masticstair_policy::retry::{
+    AttemptProgress, AttemptView, ExtraCall, HedgeView, RetryDecision, hedge_delay, next_attempt,
+};
+use std::pin::{Pin, pin};
+use std::time::Duration;
 
-use super::attempt::{Target, call_whole};
+use super::attempt::{StartedAttempt, call_whole, start_attempt};
 use super::attempt_error::AttemptError;
 use super::stage_context::StageContext;
 use super::stage_error::StageError;
 use crate::telemetry::Span;
 
-/// Calls of one stage at the most.
-const MAX_ATTEMPTS: usize = 3;
-
+/// Runs a stage to its whole answer.
 pub(super) async fn run_stage(cx: &StageContext<'_>) -> Result<RunResponse, StageError> {
-    let state = &cx.cx.state;
     if !cx.stage.idempotent {
         return Err(StageError::Refused(no_replicated_log()));
     }
+    let state = &cx.cx.state;
     let span = Span::start(cx.trace, "stage", state.clock.now());
     let mut tried = Vec::new();
     let result = loop {
-        let target = choose_target(cx, &tried)?;
-        tried.push(target.id.clone());
-        let attempt_span = Span::start(span.context, "attempt", state.clock.now());
-        let result = call_whole(cx, &target, attempt_span.context).await;
-        attempt_span.end(&state.log, state.clock.now(), cx.caller.id, target.id.as_str());
-        count_attempt(cx, &result);
-        match result {
+        match call_with_hedge(cx, span, &mut tried).await {
             Ok(answer) => break Ok(answer),
-            Err(e) => {
-                if let Some(error) = final_error(cx, e, tried.len()) {
-                    break Err(error);
-                }
-            }
+            Err(CallError::Stage(error)) => break Err(error),
+            Err(CallError::Attempt(error)) => match decide(cx, &error, tried.len()) {
+                Ok(after) => monoio::time::sleep(after).await,
+                Err(error) => break Err(error),
+            },
         }
     };
     span.end(&state.log, state.clock.now(), cx.caller.id, cx.stage.name.as_str());
     result
 }
 
-/// Returns the error to report, or `None` when another call is allowed.
-pub(super) fn final_error(
+/// How a call ended without an answer.
+enum CallError {
+    /// The stage cannot go on.
+    Stage(StageError),
+    /// The attempt failed; another one may be allowed.
+    Attempt(AttemptError),
+}
+
+/// Calls one endpoint, and a second one beside it when the answer is unusually late and the deadline
+/// would be missed.
+async fn call_with_hedge(
     cx: &StageContext<'_>,
-    error: AttemptError,
-    attempts: usize,
-) -> Option<StageError> {
-    let stage = cx.stage.name.clone();
-    let detail = error.to_string().into();
-    if !cx.stage.idempotent && error.may_have_run() {
-        return Some(StageError::Unknown(stage, detail));
+    span: Span,
+    tried: &mut Vec<EndpointId>,
+) -> Result<RunResponse, CallError> {
+    let first = start_attempt(cx, span, tried, false).map_err(CallError::Stage)?;
+    tried.push(first.target.id.clone());
+    let delay = hedge_delay_of(cx, &first);
+    let mut call = pin!(finish_call(cx, first));
+    let Some(delay) = delay else { return call.await.map_err(CallError::Attempt) };
+    match select(call.as_mut(), pin!(monoio::time::sleep(delay))).await {
+        Either::Left((result, _)) => return result.map_err(CallError::Attempt),
+        Either::Right(_) => {}
     }
-    if cx.time_left().get() == 0 {
-        return Some(StageError::Deadline(stage));
+    let now = cx.cx.state.clock.now();
+    let budget = cx.cx.state.traffic.with_budget(|b| b.try_take(now, ExtraCall::Hedge));
+    let hedge = budget.ok().and_then(|()| start_attempt(cx, span, tried, true).ok());
+    let Some(hedge) = hedge else { return call.await.map_err(CallError::Attempt) };
+    tried.push(hedge.target.id.clone());
+    first_answer(call, pin!(finish_call(cx, hedge))).await.map_err(CallError::Attempt)
+}
+
+/// Returns the first answer of two calls; an error only when both fail. Dropping the slower call closes
+/// its connection, which cancels it.
+async fn first_answer<T, E>(
+    a: Pin<&mut impl Future<Output = Result<T, E>>>,
+    b: Pin<&mut impl Future<Output = Result<T, E>>>,
+) -> Result<T, E> {
+    match select(a, b).await {
+        Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
+        Either::Left((Err(_), other)) => other.await,
+        Either::Right((Err(_), other)) => other.await,
     }
-    (attempts >= MAX_ATTEMPTS).then_some(StageError::Failed(stage, detail))
 }
 
-pub(super) fn choose_target(
+async fn finish_call(
     cx: &StageContext<'_>,
-    tried: &[EndpointId],
-) -> Result<Target, StageError> {
+    attempt: StartedAttempt,
+) -> Result<RunResponse, AttemptError> {
     let state = &cx.cx.state;
-    let ready = state.endpoints.ready(state.clock.now(), &cx.stage.pool);
-    let fresh = ready.iter().find(|(id, _)| !tried.contains(id));
-    let (id, announcement) =
-        fresh.or(ready.first()).ok_or_else(|| StageError::NoEndpoint(cx.stage.pool.clone()))?;
-    Ok(Target { id: id.clone(), addr: announcement.address })
+    let result = call_whole(cx, &attempt).await;
+    let StartedAttempt { target, span, guard } = attempt;
+    span.end(&state.log, state.clock.now(), cx.caller.id, target.id.as_str());
+    guard.end(match &result {
+        Ok(answer) => CallEnd::Success(answer.usage.output_tokens),
+        Err(_) => CallEnd::Failure,
+    });
+    count_attempt(cx, result.as_ref().ok().map(|answer| answer.usage));
+    result
 }
 
-fn count_attempt(cx: &StageContext<'_>, result: &Result<RunResponse, AttemptError>) {
-    let (outcome, usage) = match result {
-        Ok(answer) => ("ok", answer.usage),
-        Err(_) => ("error", Usage::default()),
+fn hedge_delay_of(cx: &StageContext<'_>, sent: &StartedAttempt) -> Option<Duration> {
+    let view = HedgeView {
+        idempotent: cx.stage.idempotent,
+        sent: sent.guard.latency,
+        pool: sent.guard.pool_latency,
+        later_stages: cx.later_work(),
+        deadline: cx.caller.deadline,
     };
+    hedge_delay(cx.cx.state.clock.now(), &view)
+}
+
+/// Returns after which time another call is allowed, or the error of the stage.
+pub(super) fn decide(
+    cx: &StageContext<'_>,
+    error: &AttemptError,
+    attempts: usize,
+) -> Result<Duration, StageError> {
+    let stage = cx.stage.name.clone();
+    let detail = error.to_string().into();
+    if !cx.stage.idempotent && error.may_have_run() {
+        return Err(StageError::Unknown(stage, detail));
+    }
+    let state = &cx.cx.state;
+    let now = state.clock.now();
+    if now >= cx.caller.deadline {
+        return Err(StageError::Deadline(stage));
+    }
+    let view = AttemptView {
+        idempotent: cx.stage.idempotent,
+        progress: if error.may_have_run() {
+            AttemptProgress::MayHaveLeft
+        } else {
+            AttemptProgress::NothingSent
+        },
+        attempts: attempts as u32,
+        deadline: cx.caller.deadline,
+        expected: cx.expected_work(),
+    };
+    let draw = cx.draw();
+    match state.traffic.with_budget(|budget| next_attempt(now, budget, &view, draw)) {
+        RetryDecision::Retry { after } => Ok(after),
+        RetryDecision::Stop(refusal) => {
+            Err(StageError::Failed(stage, format!("{error}; {refusal}").into()))
+        }
+    }
+}
+
+/// Counts a call; `usage` is `None` when it failed.
+pub(super) fn count_attempt(cx: &StageContext<'_>, usage: Option<Usage>) {
+    let outcome = if usage.is_some() { "ok" } else { "error" };
     let metrics = &cx.cx.state.metrics;
+    let usage = usage.unwrap_or_default();
     metrics.count_call(&cx.caller.pipeline.name, &cx.stage.name, outcome, usage);
 }
 
--- a/crates/host/src/request/stage_context.rs
+++ b/crates/host/src/request/stage_context.rs
@@ -1,10 +1,13 @@
 use masticstair_core::bundle::Stage;
 use masticstair_core::id::TraceParent;
 use masticstair_core::prelude::*;
+use masticstair_policy::admission::{StageEstimate, expected_work};
 use serde_json::Value;
 use std::cell::Cell;
+use std::time::Duration;
 
 use super::{CallerRequest, WorkerContext};
+use crate::traffic::StageKey;
 
 /// What the calls of one stage share.
 pub(super) struct StageContext<'a> {
@@ -13,6 +16,10 @@
     pub(super) stage: &'a Stage,
     /// The body of the caller for the first stage, otherwise with the answer of the stage before.
     pub(super) input: &'a Value,
+    /// The key of the stage in the host's observations.
+    pub(super) key: &'a StageKey,
+    /// The keys of the stages after this one.
+    pub(super) later: &'a [StageKey],
     /// The span of the request.
     pub(super) trace: TraceParent,
     /// The number of the next attempt of the request; unique within the request.
@@ -27,6 +34,27 @@
         AttemptId::new(attempt)
     }
 
+    /// Returns a random number for a decision.
+    pub(super) fn draw(&self) -> Draw {
+        Draw::new(rand::random())
+    }
+
+    /// Returns the expected time of this stage and those after it.
+    pub(super) fn expected_work(&self) -> Duration {
+        let mut estimates = self.estimate(self.later);
+        estimates.extend(self.estimate(std::slice::from_ref(self.key)));
+        expected_work(&estimates)
+    }
+
+    /// Returns the expected time of the stages after this one.
+    pub(super) fn later_work(&self) -> Duration {
+        expected_work(&self.estimate(self.later))
+    }
+
+    fn estimate(&self, keys: &[StageKey]) -> Vec<StageEstimate> {
+        self.cx.state.traffic.estimate(&self.caller.pipeline.name, keys)
+    }
+
     /// Returns the time that is left, in whole milliseconds.
     pub(super) fn time_left(&self) -> Millis {
         let left = self.caller.deadline.since(self.cx.state.clock.now());
--- a/crates/host/src/request/stream_stage.rs
+++ b/crates/host/src/request/stream_stage.rs
@@ -5,11 +5,12 @@
 use masticstair_net::http::client::ClientBody;
 use masticstair_net::http::server::{BodyClosed, BodySender};
 use masticstair_net::http::sse::{SseEvent, SseParser};
+use masticstair_policy::estimate::CallEnd;
 
 use super::answer::AnswerToken;
-use super::attempt::{Target, foreign, open_stream};
+use super::attempt::{StartedAttempt, Target, foreign, open_stream, start_attempt};
 use super::attempt_error::AttemptError;
-use super::run_stage::{choose_target, final_error};
+use super::run_stage::{count_attempt, decide};
 use super::stage_context::StageContext;
 use super::stage_error::StageError;
 use crate::telemetry::Span;
@@ -47,48 +48,53 @@
     let span = Span::start(cx.trace, "stage", state.clock.now());
     let mut tried = Vec::new();
     loop {
-        let target = choose_target(cx, &tried).map_err(StreamError::Stage)?;
-        tried.push(target.id.clone());
-        let resume = (delivered.tokens.get() > 0)
-            .then(|| Resume { index: delivered.tokens, text: delivered.text.as_str().into() });
-        let attempt_span = Span::start(span.context, "attempt", state.clock.now());
-        let opened = open_stream(cx, &target, attempt_span.context, resume).await;
-        let read = match opened {
-            Ok((attempt, body)) => read_stream(cx, &target, attempt, body, tx, delivered).await,
-            Err(e) => Err(ReadError::Attempt(e)),
-        };
+        let started = start_attempt(cx, span, &tried, false).map_err(StreamError::Stage)?;
+        tried.push(started.target.id.clone());
+        let read = stream_from(cx, &started, tx, delivered).await;
+        let StartedAttempt { target, span: attempt_span, guard } = started;
         attempt_span.end(&state.log, state.clock.now(), cx.caller.id, target.id.as_str());
-        let (outcome, usage) = match &read {
-            Ok(usage) => ("ok", *usage),
-            Err(_) => ("error", Usage::default()),
-        };
-        let metrics = &state.metrics;
-        metrics.count_call(&cx.caller.pipeline.name, &cx.stage.name, outcome, usage);
+        count_attempt(cx, read.as_ref().ok().copied());
         match read {
             Ok(usage) => {
+                guard.end(CallEnd::Success(usage.output_tokens));
                 span.end(&state.log, state.clock.now(), cx.caller.id, cx.stage.name.as_str());
                 return Ok(usage);
             }
             Err(ReadError::Closed) => return Err(StreamError::Closed),
             Err(ReadError::Attempt(e)) => {
-                if let Some(error) = final_error(cx, e, tried.len()) {
-                    return Err(StreamError::Stage(error));
-                }
+                guard.end(CallEnd::Failure);
+                let after = decide(cx, &e, tried.len()).map_err(StreamError::Stage)?;
+                monoio::time::sleep(after).await;
             }
         }
     }
 }
 
+/// Streams from one engine, from the first token that the caller has not got.
+async fn stream_from(
+    cx: &StageContext<'_>,
+    started: &StartedAttempt,
+    tx: &mut BodySender,
+    delivered: &mut Delivered,
+) -> Result<Usage, ReadError> {
+    let resume = (delivered.tokens.get() > 0)
+        .then(|| Resume { index: delivered.tokens, text: delivered.text.as_str().into() });
+    let opened = open_stream(cx, started, resume).await;
+    let (attempt, body) = opened.map_err(ReadError::Attempt)?;
+    read_stream(cx, started, attempt, body, tx, delivered).await
+}
+
 /// Passes the tokens of one engine on to the caller, each by itself.
 async fn read_stream(
     cx: &StageContext<'_>,
-    target: &Target,
+    started: &StartedAttempt,
     attempt: AttemptId,
     mut body: ClientBody,
     tx: &mut BodySender,
     delivered: &mut Delivered,
 ) -> Result<Usage, ReadError> {
     let mut parser = SseParser::new(MAX_EVENT);
+    let target = &started.target;
     let cut = |delivered: &Delivered| {
         ReadError::Attempt(AttemptError::StreamCut(target.id.clone(), delivered.tokens))
     };
@@ -97,6 +103,7 @@
             if let Some(usage) = take_event(cx, target, attempt, &event, tx, delivered).await? {
                 return Ok(usage);
             }
+            started.guard.progress(delivered.tokens);
         }
         let left = cx.time_left().duration();
         match monoio::time::timeout(left, body.next()).await {
--- a/crates/host/src/state/endpoint_directory.rs
+++ b/crates/host/src/state/endpoint_directory.rs
@@ -1,4 +1,5 @@
 use masticstair_core::endpoint_api::{Announcement, EndpointState};
+use masticstair_core::id::ModelName;
 use masticstair_core::prelude::*;
 use parking_lot::Mutex;
 use std::collections::HashMap;
@@ -16,6 +17,8 @@
 pub struct DirectoryEntry {
     /// What it last announced.
     pub announcement: Announcement,
+    /// When it announced that.
+    pub announced: Timestamp,
     /// When that announcement ends without a renewal.
     pub expires: Timestamp,
 }
@@ -62,7 +65,7 @@
             }
         }
         let expires = now.plus(ENDPOINT_LEASE.duration());
-        entries.insert(id, DirectoryEntry { announcement, expires });
+        entries.insert(id, DirectoryEntry { announcement, announced: now, expires });
         Ok(())
     }
 
@@ -75,14 +78,21 @@
         }
     }
 
-    /// Returns the endpoints of a pool that take new work.
-    pub fn ready(&self, now: Timestamp, pool: &PoolName) -> Vec<(EndpointId, Announcement)> {
+    /// Returns the endpoints of a pool that take new work and, for a stage with a model, hold it.
+    pub fn ready(
+        &self,
+        now: Timestamp,
+        pool: &PoolName,
+        model: Option<&ModelName>,
+    ) -> Vec<(EndpointId, DirectoryEntry)> {
         let entries = self.0.lock();
         let ready = entries.iter().filter(|(_, e)| {
-            e.announcement.pool == *pool
-                && e.announcement.state == EndpointState::Ready
+            let announcement = &e.announcement;
+            announcement.pool == *pool
+                && announcement.state == EndpointState::Ready
                 && e.expires > now
+                && model.is_none_or(|m| announcement.models.iter().any(|l| l.name == *m))
         });
-        ready.map(|(id, e)| (id.clone(), e.announcement.clone())).collect()
+        ready.map(|(id, e)| (id.clone(), e.clone())).collect()
     }
 }
--- a/crates/host/src/state/mod.rs
+++ b/crates/host/src/state/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
+use crate::traffic::Traffic;
 
 /// What the threads of a host share.
 pub struct HostState {
@@ -30,6 +31,8 @@
     pub in_force: InForce,
     /// The endpoints that are known.
     pub endpoints: EndpointDirectory,
+    /// What the host observes of its traffic.
+    pub traffic: Traffic,
     /// Requests in flight and whether the host leaves.
     pub drain: Drain,
     /// Open connections.
@@ -39,10 +42,12 @@
 impl HostState {
     /// Makes the state of a host that has just started.
     pub fn new(cfg: Settings, log: Logger) -> Self {
+        let clock = Clock::start();
         Self {
             cfg,
             log,
-            clock: Clock::start(),
+            clock,
+            traffic: Traffic::new(clock),
             metrics: Metrics::default(),
             in_force: InForce::default(),
             endpoints: EndpointDirectory::default(),
--- /dev/null
+++ b/crates/host/src/traffic/call_guard.rs
@@ -0,0 +1,100 @@
+use masticstair_core::prelude::*;
+use masticstair_policy::estimate::{CallEnd, CallNumber, Latency};
+use masticstair_policy::routing::RouteRequest;
+
+use super::{StageKey, Traffic};
+use crate::state::DirectoryEntry;
+
+/// A call that is to begin.
+pub struct CallStart<'a> {
+    /// The stage.
+    pub key: &'a StageKey,
+    /// The pipeline, whose usual size the work is assumed to have.
+    pub pipeline: &'a PipelineName,
+    /// The data centre of this host.
+    pub home: &'a DataCentreId,
+    /// The endpoints of the pool.
+    pub candidates: &'a [(EndpointId, DirectoryEntry)],
+    /// The attempt.
+    pub route: RouteRequest<'a>,
+    /// A random number.
+    pub draw: Draw,
+}
+
+/// A call in flight. One that is dropped before its end counts as given up.
+pub struct CallGuard {
+    traffic: Traffic,
+    key: StageKey,
+    endpoint: EndpointId,
+    number: CallNumber,
+    started: Timestamp,
+    ended: bool,
+    /// The estimated latency of the call.
+    pub latency: Latency,
+    /// The estimated latency of the pool.
+    pub pool_latency: Latency,
+}
+
+impl Traffic {
+    /// Chooses an endpoint for a call; returns its position among the candidates.
+    pub fn begin_call(&self, start: &CallStart<'_>) -> Option<(usize, CallGuard)> {
+        let now = self.0.clock.now();
+        let mut inner = self.0.inner.lock();
+        let size = start.key.sized(inner.sizes.expected(start.pipeline));
+        if !inner.pools.contains_key(start.key) {
+            inner.pools.insert(start.key.clone(), super::PoolTraffic::default());
+        }
+        let pool = inner.pools.get_mut(start.key)?;
+        let (position, number, latency) =
+            pool.begin(now, start.home, start.candidates, &start.route, size, start.draw)?;
+        let pool_latency = pool.estimate.latency(size);
+        if start.route.tried.is_empty() {
+            inner.budget.record_call(now);
+        }
+        let guard = CallGuard {
+            traffic: self.clone(),
+            key: start.key.clone(),
+            endpoint: start.candidates[position].0.clone(),
+            number,
+            started: now,
+            ended: false,
+            latency,
+            pool_latency,
+        };
+        Some((position, guard))
+    }
+}
+
+impl CallGuard {
+    /// Notes that a streamed call has delivered `tokens` tokens in total.
+    pub fn progress(&self, tokens: TokenCount) {
+        let now = self.traffic.0.clock.now();
+        let mut inner = self.traffic.0.inner.lock();
+        if let Some(pool) = inner.pools.get_mut(&self.key) {
+            pool.progress(now, &self.endpoint, self.number, tokens);
+        }
+    }
+
+    /// Notes the end of the call.
+    pub fn end(mut self, end: CallEnd) {
+        self.finish(end);
+    }
+
+    fn finish(&mut self, end: CallEnd) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.traffic.0.clock.now();
+        let mut inner = self.traffic.0.inner.lock();
+        let Some(pool) = inner.pools.get_mut(&self.key) else { return };
+        if let Some(floor) = pool.finish(now, &self.endpoint, self.number, end) {
+            inner.limit.observe(now, now.since(self.started), floor);
+        }
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.finish(CallEnd::Abandoned);
+    }
+}
--- /dev/null
+++ b/crates/host/src/traffic/gate.rs
@@ -0,0 +1,101 @@
+use futures_channel::oneshot;
+use masticstair_core::prelude::*;
+use masticstair_policy::admission::{HostLimit, StageEstimate, expected_work};
+use masticstair_policy::fair_queue::{Dequeued, FairQueue, QueuedRequest, TicketId, WorkClass};
+use std::collections::HashMap;
+
+/// What a waiting request is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Verdict {
+    /// It may start.
+    Granted,
+    /// It can no longer meet its deadline.
+    Late,
+}
+
+/// A request that waits.
+struct Waiter {
+    wake: oneshot::Sender<Verdict>,
+    /// The stages that it needs.
+    stages: Vec<StageEstimate>,
+}
+
+/// The fair queue together with the requests that wait in it.
+pub(super) struct Gate {
+    pub(super) queue: FairQueue,
+    waiters: HashMap<TicketId, Waiter>,
+    last_ticket: u64,
+}
+
+impl Gate {
+    pub(super) fn new(queue: FairQueue) -> Self {
+        Self { queue, waiters: HashMap::new(), last_ticket: 0 }
+    }
+
+    pub(super) fn next_ticket(&mut self) -> TicketId {
+        self.last_ticket += 1;
+        TicketId::new(self.last_ticket)
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Registers a request that waits.
+    pub(super) fn wait(
+        &mut self,
+        ticket: TicketId,
+        stages: Vec<StageEstimate>,
+    ) -> oneshot::Receiver<Verdict> {
+        let (wake, woken) = oneshot::channel();
+        self.waiters.insert(ticket, Waiter { wake, stages });
+        woken
+    }
+
+    /// Forgets a request that stopped waiting.
+    pub(super) fn forget(&mut self, now: Timestamp, ticket: TicketId) {
+        self.waiters.remove(&ticket);
+        self.queue.cancel(now, ticket);
+    }
+
+    /// Starts waiting requests while there are free slots.
+    pub(super) fn dispatch(&mut self, now: Timestamp, limit: &mut HostLimit) {
+        for class in WorkClass::ALL {
+            while limit.try_start(class) {
+                if !self.start_next(now, class) {
+                    limit.end(class);
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Starts the next request of a class in a slot that was taken for it; false when none can start.
+    fn start_next(&mut self, now: Timestamp, class: WorkClass) -> bool {
+        loop {
+            let waiters = &self.waiters;
+            let is_late = |r: &QueuedRequest| {
+                let work = waiters.get(&r.ticket).map(|w| expected_work(&w.stages));
+                work.unwrap_or_default() >= r.deadline.since(now)
+            };
+            match self.queue.dequeue(now, class, is_late) {
+                None => return false,
+                Some(Dequeued::Late(ticket)) => {
+                    self.tell(ticket, Verdict::Late);
+                }
+                Some(Dequeued::Granted(ticket)) => {
+                    if self.tell(ticket, Verdict::Granted) {
+                        return true;
+                    }
+                    self.queue.finish(now, ticket);
+                }
+            }
+        }
+    }
+
+    /// Returns whether the request still waits.
+    fn tell(&mut self, ticket: TicketId, verdict: Verdict) -> bool {
+        let waiter = self.waiters.remove(&ticket);
+        waiter.is_some_and(|w| w.wake.send(verdict).is_ok())
+    }
+}
--- /dev/null
+++ b/crates/host/src/traffic/permit.rs
@@ -0,0 +1,26 @@
+use masticstair_policy::fair_queue::{TicketId, WorkClass};
+
+use super::Traffic;
+
+/// The slot of a request; free again when it is dropped.
+pub struct Permit {
+    traffic: Traffic,
+    ticket: TicketId,
+    class: WorkClass,
+}
+
+impl Permit {
+    pub(super) fn new(traffic: Traffic, ticket: TicketId, class: WorkClass) -> Self {
+        Self { traffic, ticket, class }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.traffic.0.clock.now();
+        let inner = &mut *self.traffic.0.inner.lock();
+        inner.gate.queue.finish(now, self.ticket);
+        inner.limit.end(self.class);
+        inner.gate.dispatch(now, &mut inner.limit);
+    }
+}
--- /dev/null
+++ b/crates/host/src/traffic/pool_traffic.rs
@@ -0,0 +1,139 @@
+use masticstair_core::endpoint_api::EndpointState;
+use masticstair_core::prelude::*;
+use masticstair_policy::breaker::PoolHealth;
+use masticstair_policy::estimate::{CallEnd, CallNumber, Latency, PoolEstimate};
+use masticstair_policy::routing::{CandidateView, Choice, LoadReport, RouteRequest, choose};
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::endpoint_traffic::EndpointTraffic;
+use crate::state::DirectoryEntry;
+
+/// The round trip to an endpoint in another data centre before one is measured.
+const ASSUMED_ROUND_TRIP: Duration = Duration::from_millis(2);
+/// An endpoint that has not been a candidate for this long is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// What a host observes of one pool in one stage.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PoolTraffic {
+    pub(super) estimate: PoolEstimate,
+    endpoints: HashMap<EndpointId, EndpointTraffic>,
+}
+
+impl PoolTraffic {
+    /// Chooses an endpoint and counts the call as begun.
+    pub(super) fn begin(
+        &mut self,
+        now: Timestamp,
+        home: &DataCentreId,
+        candidates: &[(EndpointId, DirectoryEntry)],
+        route: &RouteRequest<'_>,
+        size: TokenCount,
+        draw: Draw,
+    ) -> Option<(usize, CallNumber, Latency)> {
+        self.update_members(now, candidates);
+        let choice = self.choose(now, home, candidates, route, size, draw)?;
+        let id = &candidates[choice.position].0;
+        let endpoint = self.endpoints.get_mut(id)?;
+        if choice.probe {
+            endpoint.breaker.begin_probe(now);
+        }
+        let latency = endpoint.estimate.latency(now, size, &self.estimate);
+        Some((choice.position, endpoint.estimate.begin(now, size), latency))
+    }
+
+    /// Notes the end of a call. Returns the latency of the endpoint at low load for this size.
+    pub(super) fn finish(
+        &mut self,
+        now: Timestamp,
+        id: &EndpointId,
+        number: CallNumber,
+        end: CallEnd,
+    ) -> Option<Duration> {
+        let health = self.health();
+        let endpoint = self.endpoints.get_mut(id)?;
+        endpoint.estimate.finish(now, number, end, &mut self.estimate);
+        match end {
+            CallEnd::Success(tokens) => {
+                endpoint.breaker.record(now, true, &health);
+                return Some(endpoint.estimate.floor(tokens));
+            }
+            CallEnd::Failure => endpoint.breaker.record(now, false, &health),
+            CallEnd::Abandoned => {}
+        }
+        None
+    }
+
+    /// Notes that a streamed call has delivered `tokens` tokens in total.
+    pub(super) fn progress(
+        &mut self,
+        now: Timestamp,
+        id: &EndpointId,
+        number: CallNumber,
+        tokens: TokenCount,
+    ) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.estimate.progress(now, number, tokens);
+        }
+    }
+
+    fn choose(
+        &self,
+        now: Timestamp,
+        home: &DataCentreId,
+        candidates: &[(EndpointId, DirectoryEntry)],
+        route: &RouteRequest<'_>,
+        size: TokenCount,
+        draw: Draw,
+    ) -> Option<Choice> {
+        let views = candidates.iter().filter_map(|(id, entry)| {
+            let endpoint = self.endpoints.get(id)?;
+            let announcement = &entry.announcement;
+            let local = announcement.data_centre == *home;
+            Some(CandidateView {
+                id,
+                round_trip: if local { Duration::ZERO } else { ASSUMED_ROUND_TRIP },
+                capacity: announcement.capacity,
+                in_flight: endpoint.estimate.in_flight(),
+                report: announcement.load.map(|load| LoadReport {
+                    running: load.running,
+                    queued: load.queued,
+                    at: entry.announced,
+                }),
+                latency: endpoint.estimate.latency(now, size, &self.estimate).mean,
+                success: endpoint.estimate.success(now, &self.estimate),
+                gate: endpoint.breaker.gate(now),
+                leaving: announcement.state == EndpointState::Leaving,
+                lease_until: entry.expires,
+            })
+        });
+        let views: Vec<CandidateView<'_>> = views.collect();
+        choose(now, &views, route, draw)
+    }
+
+    /// Knows exactly the candidates and those that were candidates lately.
+    fn update_members(&mut self, now: Timestamp, candidates: &[(EndpointId, DirectoryEntry)]) {
+        for (id, _) in candidates {
+            match self.endpoints.get_mut(id) {
+                Some(endpoint) => endpoint.seen = now,
+                None => {
+                    self.endpoints.insert(id.clone(), EndpointTraffic::new(now));
+                }
+            }
+        }
+        if self.endpoints.len() > candidates.len() {
+            self.endpoints.retain(|_, e| {
+                now.since(e.seen) < FORGET_AFTER || e.estimate.in_flight().get() > 0
+            });
+        }
+    }
+
+    fn health(&self) -> PoolHealth {
+        let ejected = self.endpoints.values().filter(|e| e.breaker.is_ejected()).count();
+        PoolHealth {
+            members: Slots::new(self.endpoints.len() as u32),
+            ejected: Slots::new(ejected as u32),
+        }
+    }
+}
