--- /dev/null
+++ b/crates/policy/src/bundle_history/action.rs
@@ -0,0 +1,32 @@
+use masticstair_core::bundle::Right;
+use masticstair_core::prelude::*;
+
+/// What a bundle command does.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BundleAction {
+    /// Stores content; at most `MAX_CONTENT`.
+    Submit(Box<str>),
+    /// Approves stored content for the next revision.
+    SignOff(Sha256Digest),
+    /// Puts approved content in force as the next revision.
+    Roll(Sha256Digest),
+}
+
+impl BundleAction {
+    /// Returns the right that the signer needs, which also names the kind of the command.
+    pub const fn right(&self) -> Right {
+        match self {
+            Self::Submit(_) => Right::Submit,
+            Self::SignOff(_) => Right::SignOff,
+            Self::Roll(_) => Right::Roll,
+        }
+    }
+
+    /// Returns the digest of the content.
+    pub fn digest(&self) -> Sha256Digest {
+        match self {
+            Self::Submit(content) => Sha256Digest::of(content.as_bytes()),
+            Self::SignOff(digest) | Self::Roll(digest) => *digest,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/bundle_history/check.rs
@@ -0,0 +1,33 @@
+//! Checks of submitted content.
+
+use masticstair_core::bundle::{Bundle, Right};
+use masticstair_core::toml_reader::FieldError;
+
+use super::{BundleRefusal, MAX_ERRORS};
+
+/// Reads content and reports every error.
+///
+/// A bundle whose signers cannot submit, sign off and roll is refused: once it is in force nobody could
+/// ever replace it.
+pub(super) fn read_content(content: &str) -> Result<Bundle, BundleRefusal> {
+    let bundle = content.parse::<Bundle>().map_err(|e| invalid(&e.0))?;
+    let errors = missing_rights(&bundle);
+    if errors.is_empty() { Ok(bundle) } else { Err(invalid(&errors)) }
+}
+
+fn missing_rights(bundle: &Bundle) -> Vec<FieldError> {
+    [Right::Submit, Right::SignOff, Right::Roll]
+        .into_iter()
+        .filter(|right| !bundle.signers.iter().any(|s| s.may.contains(right)))
+        .map(|right| {
+            let allowed = format!("at least one signer with the right {right}");
+            FieldError::new("signers.may", "(none)", allowed)
+        })
+        .collect()
+}
+
+fn invalid(errors: &[FieldError]) -> BundleRefusal {
+    let total = u32::try_from(errors.len()).unwrap_or(u32::MAX);
+    let errors = errors.iter().take(MAX_ERRORS).map(|e| e.to_string().into()).collect();
+    BundleRefusal::Invalid { errors, total }
+}
--- /dev/null
+++ b/crates/policy/src/bundle_history/command_signature.rs
@@ -0,0 +1,40 @@
+use std::fmt;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// An Ed25519 signature over the text of a bundle command, written as 128 hexadecimal digits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CommandSignature([u8; 64]);
+
+/// The text is not a signature.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("an Ed25519 signature has 128 hexadecimal digits")]
+pub struct SignatureError;
+
+impl CommandSignature {
+    /// Wraps the bytes of a signature.
+    pub const fn from_bytes(bytes: [u8; 64]) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the bytes of the signature.
+    pub const fn as_bytes(&self) -> &[u8; 64] {
+        &self.0
+    }
+}
+
+impl fmt::Display for CommandSignature {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl FromStr for CommandSignature {
+    type Err = SignatureError;
+
+    fn from_str(s: &str) -> Result<Self, SignatureError> {
+        let mut bytes = [0; 64];
+        hex::decode_to_slice(s, &mut bytes).map_err(|_| SignatureError)?;
+        Ok(Self(bytes))
+    }
+}
--- a/crates/policy/src/bundle_history/mod.rs
+++ b/crates/policy/src/bundle_history/mod.rs
@@ -1,1 +1,225 @@
 //! The replicated table of bundles.
+//!
+//! Rules:
+//!
+//! - The signers are the operator keys of the settings before the first roll, and those of the bundle in
+//!   force afterwards. All voters must have the same operator keys, or their histories would differ.
+//! - Every command names the revision in force that its operator saw, and is refused under another one.
+//!   Of two operators who roll under one revision, the first in the log wins.
+//! - A sign-off counts for the next revision only. A content that was signed off before another one was
+//!   rolled must be signed off again, since rolling it would undo what the other one changed.
+//! - Whoever has the right to sign off may sign off content of its own. A deployment that wants two
+//!   persons for a change gives the rights `submit` and `sign-off` to different signers.
+//! - A command whose signature does not verify leaves no trace, so that it cannot use up a command id.
+//! - Reading a bundle is part of the replicated state. A release that reads bundles differently must be on
+//!   all voters before a bundle that shows the difference is submitted.
+
+mod action;
+mod check;
+mod command;
+mod command_signature;
+mod deployment_name;
+mod diff;
+mod entry;
+mod execute;
+mod origin;
+mod outcome;
+mod parts;
+mod parts_error;
+mod piece_digest;
+mod piece_table;
+mod recorded_reply;
+mod refusal;
+mod reply;
+mod reply_memory;
+mod restore;
+mod revision_entry;
+mod signed_header;
+mod signed_text;
+mod split;
+mod summary;
+mod table_diff;
+
+pub use action::BundleAction;
+pub use command::BundleCommand;
+pub use command_signature::{CommandSignature, SignatureError};
+pub use deployment_name::DeploymentName;
+pub use diff::diff_bundles;
+pub use entry::BundleEntry;
+pub use origin::Origin;
+pub use outcome::BundleOutcome;
+pub use parts::HistoryParts;
+pub use parts_error::PartsError;
+pub use piece_digest::PieceDigest;
+pub use recorded_reply::RecordedReply;
+pub use refusal::BundleRefusal;
+pub use reply::BundleReply;
+pub use reply_memory::MAX_REPLIES;
+pub use revision_entry::RevisionEntry;
+pub use signed_header::SignedHeader;
+pub use signed_text::signed_text;
+pub use summary::BundleSummary;
+pub use table_diff::TableDiff;
+
+use masticstair_core::bundle::{Bundle, Signer};
+use masticstair_core::prelude::*;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use piece_table::PieceTable;
+use reply_memory::ReplyMemory;
+
+/// The largest content. 37,000 accounts with every key written out take about 8 MB.
+pub const MAX_CONTENT: ByteCount = ByteCount::new(16 << 20);
+
+/// The bundles whose content is kept, the one in force included.
+pub const MAX_CONTENTS: usize = 64;
+
+/// The bundles of the history; more than three days of 1,100 changes.
+pub const MAX_ENTRIES: usize = 4_096;
+
+/// The revisions of the history.
+pub const MAX_REVISIONS: usize = 4_096;
+
+/// The errors of a bundle that a reply lists. The errors of a content at the bound could otherwise take
+/// many times its size.
+pub const MAX_ERRORS: usize = 10_000;
+
+/// The replicated table of bundles.
+#[derive(Debug)]
+pub struct BundleHistory {
+    deployment: DeploymentName,
+    /// The signers before the first roll; from the settings, equal on all voters.
+    operators: Box<[Signer]>,
+    /// The bundle of the last revision; none before the first roll.
+    in_force: Option<Arc<Bundle>>,
+    /// The content that was read last. Only saves a second reading at the roll.
+    last_read: Option<Arc<Bundle>>,
+    /// Oldest first; digests and versions are unique; at most `MAX_ENTRIES`.
+    entries: VecDeque<BundleEntry>,
+    /// Rising; at most `MAX_REVISIONS`.
+    revisions: VecDeque<RevisionEntry>,
+    /// Exactly the pieces that the entries name.
+    pieces: PieceTable,
+    replies: ReplyMemory,
+}
+
+impl BundleHistory {
+    /// Makes an empty history.
+    pub fn new(deployment: DeploymentName, operators: Box<[Signer]>) -> Self {
+        Self {
+            deployment,
+            operators,
+            in_force: None,
+            last_read: None,
+            entries: VecDeque::new(),
+            revisions: VecDeque::new(),
+            pieces: PieceTable::default(),
+            replies: ReplyMemory::default(),
+        }
+    }
+
+    /// Applies a command.
+    pub fn apply(&mut self, cmd: &BundleCommand) -> BundleReply {
+        if let Some(refusal) = too_large(&cmd.action) {
+            return BundleReply::Refused(refusal);
+        }
+        let (digest, kind) = (cmd.action.digest(), cmd.action.right());
+        let SignedHeader { id, expected, signer, .. } = &cmd.header;
+        let text = signed_text(&self.deployment, id, *expected, signer, kind, &digest);
+        let command = Sha256Digest::of(text.as_bytes());
+        if let Some(recorded) = self.replies.get(id) {
+            return repeat_reply(recorded, command, &cmd.action);
+        }
+        if let Err(e) = cmd.header.verify(&self.deployment, kind, &digest, self.signers()) {
+            return BundleReply::Refused(e);
+        }
+        let reply = self.execute(cmd, digest);
+        let invalid = matches!(reply, BundleReply::Refused(BundleRefusal::Invalid { .. }));
+        self.replies.record(RecordedReply {
+            id: id.clone(),
+            command,
+            kind,
+            origin: Origin { by: signer.clone(), digest },
+            reply: (!invalid).then(|| reply.clone()),
+        });
+        reply
+    }
+
+    /// Returns the signers whose commands are accepted.
+    pub fn signers(&self) -> &[Signer] {
+        self.in_force.as_ref().map_or(&self.operators, |bundle| &bundle.signers)
+    }
+
+    /// Returns the revision in force; 0 when there is none.
+    pub fn revision(&self) -> Revision {
+        self.revisions.back().map(|r| r.revision).unwrap_or_default()
+    }
+
+    /// Returns the bundle in force.
+    pub fn in_force(&self) -> Option<&Arc<Bundle>> {
+        self.in_force.as_ref()
+    }
+
+    /// Returns the bundles of the history, oldest first.
+    pub fn entries(&self) -> impl ExactSizeIterator<Item = &BundleEntry> {
+        self.entries.iter()
+    }
+
+    /// Returns the revisions of the history, rising.
+    pub fn revisions(&self) -> impl DoubleEndedIterator<Item = &RevisionEntry> + ExactSizeIterator {
+        self.revisions.iter()
+    }
+
+    /// Describes the newest bundles of the history, newest first.
+    pub fn summaries(&self, last: usize) -> Vec<BundleSummary> {
+        self.entries.iter().rev().take(last).map(BundleEntry::summary).collect()
+    }
+
+    /// Returns the bundle with this content.
+    pub fn find(&self, digest: &Sha256Digest) -> Option<&BundleEntry> {
+        self.entries.iter().find(|e| e.digest == *digest)
+    }
+
+    /// Returns a content that is still kept.
+    pub fn content(&self, digest: &Sha256Digest) -> Option<Box<str>> {
+        self.pieces.join(self.find(digest)?.pieces.as_ref()?)
+    }
+
+    fn execute(&mut self, cmd: &BundleCommand, digest: Sha256Digest) -> BundleReply {
+        let result = match &cmd.action {
+            BundleAction::Submit(content) => self.submit(&cmd.header, content, digest),
+            BundleAction::SignOff(_) => self.sign_off(&cmd.header, digest),
+            BundleAction::Roll(_) => self.roll(&cmd.header, digest),
+        };
+        result.unwrap_or_else(BundleReply::Refused)
+    }
+}
+
+fn too_large(action: &BundleAction) -> Option<BundleRefusal> {
+    let BundleAction::Submit(content) = action else { return None };
+    let size = ByteCount::new(content.len() as u64);
+    (size > MAX_CONTENT).then_some(BundleRefusal::TooLarge { size, limit: MAX_CONTENT })
+}
+
+/// Returns the reply to a command whose id was used before.
+fn repeat_reply(
+    recorded: &RecordedReply,
+    command: Sha256Digest,
+    action: &BundleAction,
+) -> BundleReply {
+    if recorded.command != command {
+        let (id, kind, origin) = (recorded.id.clone(), recorded.kind, recorded.origin.clone());
+        return BundleReply::Refused(BundleRefusal::IdReused { id, kind, origin });
+    }
+    if let Some(reply) = &recorded.reply {
+        return reply.clone();
+    }
+    // Only an invalid submit has no recorded reply; its errors follow from the content again.
+    let errors = match action {
+        BundleAction::Submit(content) => check::read_content(content).err(),
+        _ => None,
+    };
+    let none = BundleRefusal::Invalid { errors: [].into(), total: 0 };
+    BundleReply::Refused(errors.unwrap_or(none))
+}
--- /dev/null
+++ b/crates/policy/src/bundle_history/revision_entry.rs
@@ -0,0 +1,48 @@
+use masticstair_core::bundle::{BundleVersion, Right, Signer};
+use masticstair_core::prelude::*;
+use smallvec::SmallVec;
+
+use super::{BundleRefusal, DeploymentName, Origin, SignedHeader};
+
+/// A revision with the signatures that brought it into force.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RevisionEntry {
+    /// The revision.
+    pub revision: Revision,
+    /// The version that the content names.
+    pub version: BundleVersion,
+    /// The digest of the content.
+    pub digest: Sha256Digest,
+    /// The sign-offs under the revision before; at least one.
+    pub sign_offs: SmallVec<[SignedHeader; 2]>,
+    /// The command that rolled the content.
+    pub roll: SignedHeader,
+}
+
+impl RevisionEntry {
+    /// Checks the signatures against the signers of the revision before; a host does so before it puts a
+    /// revision in force that it got from another host.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first check that failed.
+    pub fn verify(
+        &self,
+        deployment: &DeploymentName,
+        signers: &[Signer],
+    ) -> Result<(), BundleRefusal> {
+        let next = |h: &SignedHeader| h.expected.get().checked_add(1) == Some(self.revision.get());
+        let signed_off = !self.sign_offs.is_empty() && self.sign_offs.iter().all(next);
+        if !signed_off || !next(&self.roll) {
+            return Err(BundleRefusal::NotSignedOff { digest: self.digest, next: self.revision });
+        }
+        for sign_off in &self.sign_offs {
+            sign_off.verify(deployment, Right::SignOff, &self.digest, signers)?;
+        }
+        self.roll.verify(deployment, Right::Roll, &self.digest, signers)
+    }
+
+    pub(super) fn origin(&self) -> Origin {
+        Origin { by: self.roll.signer.clone(), digest: self.digest }
+    }
+}
--- a/crates/policy/src/issuer/mod.rs
+++ b/crates/policy/src/issuer/mod.rs
@@ -1,1 +1,104 @@
 //! The replicated lease and fencing number of the order issuer.
+//!
+//! The replicas read no clock: a challenger takes a lease over only by naming the count of renewals that
+//! it has watched unchanged. `LeaseTiming` documents for how long, and the margin for clock drift.
+
+mod command;
+mod holder;
+mod lease;
+mod lease_timing;
+mod renewal_count;
+mod reply;
+
+pub use command::IssuerCommand;
+pub use holder::Holder;
+pub use lease::IssuerLease;
+pub use lease_timing::LeaseTiming;
+pub use renewal_count::RenewalCount;
+pub use reply::IssuerReply;
+
+use masticstair_core::id::FencingNumber;
+use masticstair_core::prelude::*;
+use std::collections::BTreeMap;
+
+/// The most groups. A lease is never deleted, since its fencing number may not fall; the bound keeps
+/// names of pools that come and go from growing the table without end.
+pub const MAX_GROUPS: usize = 1_024;
+
+/// The leases of all groups.
+#[derive(Debug, Default)]
+pub struct IssuerTable {
+    /// At most `MAX_GROUPS`.
+    leases: BTreeMap<PoolName, IssuerLease>,
+}
+
+impl IssuerTable {
+    /// Makes a table from the parts of a snapshot.
+    pub fn from_parts(leases: impl IntoIterator<Item = (PoolName, IssuerLease)>) -> Self {
+        Self { leases: leases.into_iter().collect() }
+    }
+
+    /// Returns the lease of a group; a group without any has the default lease.
+    pub fn lease(&self, group: &PoolName) -> IssuerLease {
+        self.leases.get(group).cloned().unwrap_or_default()
+    }
+
+    /// Returns every lease, ordered by group.
+    pub fn leases(&self) -> impl ExactSizeIterator<Item = (&PoolName, &IssuerLease)> {
+        self.leases.iter()
+    }
+
+    /// Applies a command.
+    pub fn apply(&mut self, cmd: &IssuerCommand) -> IssuerReply {
+        let group = cmd.group();
+        if !self.leases.contains_key(group) && self.leases.len() >= MAX_GROUPS {
+            return IssuerReply::Full(MAX_GROUPS as u32);
+        }
+        let lease = self.leases.entry(group.clone()).or_default();
+        match cmd {
+            IssuerCommand::Acquire { holder, watched, .. } => acquire(lease, holder, *watched),
+            IssuerCommand::Renew { holder, fencing, .. } => renew(lease, holder, *fencing),
+            IssuerCommand::Release { holder, fencing, .. } => release(lease, holder, *fencing),
+        }
+    }
+}
+
+fn acquire(lease: &mut IssuerLease, holder: &Holder, watched: Option<RenewalCount>) -> IssuerReply {
+    let held_by_other = lease.holder.as_ref().is_some_and(|current| current != holder);
+    if held_by_other && watched != Some(lease.renewals) {
+        return IssuerReply::Refused(lease.clone());
+    }
+    if lease.holder.as_ref() != Some(holder) {
+        lease.holder = Some(holder.clone());
+        lease.fencing = FencingNumber::new(lease.fencing.get().saturating_add(1));
+    }
+    // A holder that asks again counts its lease from then on, so challengers must see a new count.
+    count_renewal(lease);
+    IssuerReply::Granted(lease.clone())
+}
+
+fn renew(lease: &mut IssuerLease, holder: &Holder, fencing: FencingNumber) -> IssuerReply {
+    if !is_held(lease, holder, fencing) {
+        return IssuerReply::Refused(lease.clone());
+    }
+    count_renewal(lease);
+    IssuerReply::Granted(lease.clone())
+}
+
+fn release(lease: &mut IssuerLease, holder: &Holder, fencing: FencingNumber) -> IssuerReply {
+    if is_held(lease, holder, fencing) {
+        lease.holder = None;
+        count_renewal(lease);
+    } else if lease.holder.is_some() || lease.fencing != fencing {
+        return IssuerReply::Refused(lease.clone());
+    }
+    IssuerReply::Released(lease.clone())
+}
+
+fn is_held(lease: &IssuerLease, holder: &Holder, fencing: FencingNumber) -> bool {
+    lease.holder.as_ref() == Some(holder) && lease.fencing == fencing
+}
+
+fn count_renewal(lease: &mut IssuerLease) {
+    lease.renewals = RenewalCount::new(lease.renewals.get().saturating_add(1));
+}
--- /dev/null
+++ b/crates/policy/src/issuer/renewal_count.rs
@@ -0,0 +1,33 @@
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+/// How often the leases of a group were granted or renewed; only rises, also across holders.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RenewalCount(u64);
+
+impl RenewalCount {
+    /// Wraps a raw value.
+    pub const fn new(value: u64) -> Self {
+        Self(value)
+    }
+
+    /// Returns the raw value.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RenewalCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for RenewalCount {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, ParseIntError> {
+        s.parse().map(Self)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/run_once/claim.rs
@@ -0,0 +1,16 @@
+use masticstair_core::prelude::*;
+
+use super::{CallKey, Claimant};
+
+/// A request's claim to run a call; proposed before the call is sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Claim {
+    /// The account and the key.
+    pub call: CallKey,
+    /// The digest of the request body; another body under the same key is a conflict.
+    pub body: Sha256Digest,
+    /// The request whose task proposes the claim; only it may send the call.
+    pub request: RequestId,
+    /// Where and for how long the request runs.
+    pub claimant: Claimant,
+}
--- /dev/null
+++ b/crates/policy/src/run_once/expiry.rs
@@ -0,0 +1,103 @@
+//! Expiry of records and the floor of key times.
+
+use masticstair_core::prelude::*;
+
+use super::{
+    CallDigest, CallKey, RecordState, RunOnceBound, RunOnceCommand, RunOnceRecord, RunOnceReply,
+    RunOnceTable,
+};
+
+/// Records that each command may expire. A claim adds one record at the most, so expiry keeps up.
+const EXPIRED_PER_COMMAND: usize = 8;
+
+/// Records that a raise of the floor may expire; about a millisecond of work.
+const EXPIRED_PER_RAISE: usize = 1_024;
+
+/// The most that one command raises the floor once it is set. A leader whose clock is far ahead would
+/// otherwise make every new UUIDv7 key refused in one step, and the floor never falls.
+pub const MAX_FLOOR_STEP: Millis = Millis::new(3_600_000);
+
+/// How far the time in a key, or the clock of a proposer, may be ahead of the replicated time. A key
+/// further ahead is treated as one without a time, since its record would occupy the table for too long.
+pub const MAX_AHEAD: Millis = Millis::new(30 * 86_400_000);
+
+/// Returns how many records a command may expire.
+pub(super) const fn budget(cmd: &RunOnceCommand) -> usize {
+    match cmd {
+        RunOnceCommand::RaiseFloor { .. } => EXPIRED_PER_RAISE,
+        _ => EXPIRED_PER_COMMAND,
+    }
+}
+
+impl RunOnceTable {
+    /// Deletes up to `budget` records below the floor, oldest first.
+    pub(super) fn expire(&mut self, budget: usize) {
+        for _ in 0..budget {
+            let Some((filed_at, digest)) = self.records.oldest() else { return };
+            if filed_at >= self.floor {
+                return;
+            }
+            if self.records.take(digest).is_some_and(|r| r.needs_digest()) {
+                self.expired.insert(digest);
+            }
+        }
+    }
+
+    pub(super) fn raise_floor(&mut self, now: WallTime) -> RunOnceReply {
+        let target = now.get().saturating_sub(self.limits.retention.get());
+        let highest = match self.floor.get() {
+            0 => u64::MAX,
+            floor => floor.saturating_add(MAX_FLOOR_STEP.get()),
+        };
+        self.floor = self.floor.max(WallTime::new(target.min(highest)));
+        RunOnceReply::Floor(self.floor)
+    }
+
+    /// Tells whether a key is refused for its age. A record below the floor counts as expired before its
+    /// turn to be deleted has come, unless it was released.
+    pub(super) fn is_expired(&self, call: &CallKey, digest: CallDigest) -> bool {
+        call.key.created().is_some_and(|t| t < self.floor)
+            || self.expired.contains(&digest)
+            || self
+                .records
+                .get(digest)
+                .is_some_and(|r| r.filed_at < self.floor && r.state != RecordState::Released)
+    }
+
+    pub(super) fn new_record(
+        &self,
+        call: &CallKey,
+        request: RequestId,
+        proposed_at: WallTime,
+        state: RecordState,
+    ) -> RunOnceRecord {
+        let latest = self.latest_time(proposed_at);
+        let created = call.key.created().filter(|t| *t <= latest);
+        let filed_at = created.unwrap_or(proposed_at.min(latest)).max(self.floor);
+        RunOnceRecord { request, filed_at, timed: created.is_some(), state }
+    }
+
+    /// Returns the bound that filing a record would exceed.
+    pub(super) fn exceeded(
+        &self,
+        digest: CallDigest,
+        record: &RunOnceRecord,
+    ) -> Option<RunOnceBound> {
+        let replaced = self.records.get(digest);
+        if replaced.is_none() && self.records.len() >= self.limits.records as usize {
+            return Some(RunOnceBound::Records);
+        }
+        let digests = self.records.needing_digest() + self.expired.len();
+        let full = digests >= self.limits.expired_keys as usize;
+        (full && record.needs_digest()).then_some(RunOnceBound::ExpiredKeys)
+    }
+
+    /// Returns the latest time that a record may be filed under.
+    fn latest_time(&self, proposed_at: WallTime) -> WallTime {
+        let now = match self.floor.get() {
+            0 => proposed_at.get(),
+            floor => floor.saturating_add(self.limits.retention.get()),
+        };
+        WallTime::new(now.saturating_add(MAX_AHEAD.get()))
+    }
+}
--- a/crates/policy/src/run_once/mod.rs
+++ b/crates/policy/src/run_once/mod.rs
@@ -1,1 +1,255 @@
 //! The replicated table of calls that must not be repeated.
+//!
+//! Every reply is a function of the commands applied before, so that all replicas give the same one. No
+//! clock is read: wall times arrive in commands and only order expiry.
+
+mod bound;
+mod call_digest;
+mod call_key;
+mod claim;
+mod claimant;
+mod command;
+mod expiry;
+mod found_call;
+mod limits;
+mod record;
+mod record_state;
+mod recorded_answer;
+mod records;
+mod reply;
+
+pub use bound::RunOnceBound;
+pub use call_digest::CallDigest;
+pub use call_key::CallKey;
+pub use claim::Claim;
+pub use claimant::Claimant;
+pub use command::RunOnceCommand;
+pub use expiry::{MAX_AHEAD, MAX_FLOOR_STEP};
+pub use found_call::FoundCall;
+pub use limits::RunOnceLimits;
+pub use record::RunOnceRecord;
+pub use record_state::RecordState;
+pub use recorded_answer::RecordedAnswer;
+pub use reply::RunOnceReply;
+
+use masticstair_core::prelude::*;
+use std::collections::BTreeSet;
+
+use records::Records;
+
+/// The bytes of answers that all records together keep. Further answers are recorded as omitted, so that
+/// many large answers cannot make a snapshot of several gigabytes.
+pub const MAX_ANSWER_BYTES: u64 = 256 << 20;
+
+/// The replicated table of calls that must not be repeated.
+#[derive(Debug)]
+pub struct RunOnceTable {
+    limits: RunOnceLimits,
+    /// Keys created before it are refused; only rises, 0 until it is first raised.
+    floor: WallTime,
+    records: Records,
+    /// Digests of keys without a time whose records have expired; never forgotten.
+    expired: BTreeSet<CallDigest>,
+}
+
+impl RunOnceTable {
+    /// Makes an empty table.
+    pub fn new(limits: RunOnceLimits) -> Self {
+        Self {
+            limits,
+            floor: WallTime::default(),
+            records: Records::default(),
+            expired: BTreeSet::new(),
+        }
+    }
+
+    /// Makes a table from the parts of a snapshot.
+    pub fn from_parts(
+        limits: RunOnceLimits,
+        floor: WallTime,
+        records: impl IntoIterator<Item = (CallDigest, RunOnceRecord)>,
+        expired: impl IntoIterator<Item = CallDigest>,
+    ) -> Self {
+        let records = records.into_iter().collect();
+        Self { limits, floor, records, expired: expired.into_iter().collect() }
+    }
+
+    /// Applies a command.
+    pub fn apply(&mut self, cmd: &RunOnceCommand) -> RunOnceReply {
+        self.expire(expiry::budget(cmd));
+        match cmd {
+            RunOnceCommand::Claim(claim) => self.claim(claim),
+            RunOnceCommand::Finish { call, request, answer } => {
+                self.settle(call, *request, answer, |body, answer| RecordState::Done {
+                    body,
+                    answer,
+                })
+            }
+            RunOnceCommand::Fail { call, request, answer } => {
+                self.settle(call, *request, answer, |body, answer| RecordState::Failed {
+                    body,
+                    answer,
+                })
+            }
+            RunOnceCommand::Release { call, request, proposed_at } => {
+                self.release(call, *request, *proposed_at)
+            }
+            RunOnceCommand::ReportOrphaned { call, request } => self.orphan(call, *request),
+            RunOnceCommand::RaiseFloor { now } => self.raise_floor(*now),
+        }
+    }
+
+    /// Sets the limits of the bundle that came into force.
+    pub fn set_limits(&mut self, limits: RunOnceLimits) {
+        self.limits = limits;
+    }
+
+    /// Returns the state of a call without changing it; `NoRecord` when the key is unused.
+    pub fn find(&self, call: &CallKey) -> RunOnceReply {
+        let digest = call.digest();
+        if self.is_expired(call, digest) {
+            return RunOnceReply::KeyExpired;
+        }
+        self.records.get(digest).map_or(RunOnceReply::NoRecord, |r| RunOnceReply::Found(r.found()))
+    }
+
+    /// Returns the floor of key times.
+    pub const fn floor(&self) -> WallTime {
+        self.floor
+    }
+
+    /// Returns every record, ordered by digest.
+    pub fn records(&self) -> impl ExactSizeIterator<Item = (&CallDigest, &RunOnceRecord)> {
+        self.records.iter()
+    }
+
+    /// Returns the digests of expired keys without a time, in order.
+    pub fn expired(&self) -> impl ExactSizeIterator<Item = &CallDigest> {
+        self.expired.iter()
+    }
+
+    fn claim(&mut self, claim: &Claim) -> RunOnceReply {
+        let digest = claim.call.digest();
+        if self.is_expired(&claim.call, digest) {
+            return RunOnceReply::KeyExpired;
+        }
+        match self.records.get(digest) {
+            None => self.file_claim(digest, claim),
+            Some(r) if r.state == RecordState::Released && r.request != claim.request => {
+                self.file_claim(digest, claim)
+            }
+            Some(r) => answer_claim(r, claim),
+        }
+    }
+
+    fn file_claim(&mut self, digest: CallDigest, claim: &Claim) -> RunOnceReply {
+        let state = RecordState::Claimed { body: claim.body, claimant: claim.claimant.clone() };
+        let record = self.new_record(&claim.call, claim.request, claim.claimant.proposed_at, state);
+        if let Some(bound) = self.exceeded(digest, &record) {
+            return RunOnceReply::Full(bound);
+        }
+        self.records.put(digest, record);
+        RunOnceReply::Granted
+    }
+
+    fn settle(
+        &mut self,
+        call: &CallKey,
+        request: RequestId,
+        answer: &RecordedAnswer,
+        state: fn(Sha256Digest, RecordedAnswer) -> RecordState,
+    ) -> RunOnceReply {
+        let digest = call.digest();
+        let Some(record) = self.records.get(digest) else { return self.missing(call, digest) };
+        if record.request != request {
+            return RunOnceReply::NotClaimant;
+        }
+        match &record.state {
+            RecordState::Claimed { body, .. } | RecordState::Unknown { body } => {
+                let state = state(*body, answer.rebound(self.answer_limit()));
+                self.records.change(digest, state);
+                RunOnceReply::Recorded
+            }
+            final_state => match (final_state.body(), final_state.answer()) {
+                (Some(body), Some(kept))
+                    if kept.same_answer(answer) && state(*body, kept.clone()) == *final_state =>
+                {
+                    RunOnceReply::Recorded
+                }
+                _ => RunOnceReply::Found(record.found()),
+            },
+        }
+    }
+
+    fn release(&mut self, call: &CallKey, request: RequestId, now: WallTime) -> RunOnceReply {
+        let digest = call.digest();
+        let Some(record) = self.records.get(digest) else {
+            return self.release_before_claim(call, digest, request, now);
+        };
+        if record.request != request {
+            return RunOnceReply::NotClaimant;
+        }
+        match record.state {
+            RecordState::Done { .. } | RecordState::Failed { .. } => {
+                RunOnceReply::Found(record.found())
+            }
+            RecordState::Released => RunOnceReply::Recorded,
+            RecordState::Claimed { .. } | RecordState::Unknown { .. } => {
+                self.records.change(digest, RecordState::Released);
+                RunOnceReply::Recorded
+            }
+        }
+    }
+
+    /// Keeps a release that overtook its claim, so that the late claim does not block the key. Without
+    /// room for it the late claim is granted to a request that never sends; the key then stays blocked.
+    fn release_before_claim(
+        &mut self,
+        call: &CallKey,
+        digest: CallDigest,
+        request: RequestId,
+        now: WallTime,
+    ) -> RunOnceReply {
+        let record = self.new_record(call, request, now, RecordState::Released);
+        if !self.is_expired(call, digest) && self.exceeded(digest, &record).is_none() {
+            self.records.put(digest, record);
+        }
+        RunOnceReply::Recorded
+    }
+
+    fn orphan(&mut self, call: &CallKey, request: RequestId) -> RunOnceReply {
+        let digest = call.digest();
+        let Some(record) = self.records.get(digest) else { return self.missing(call, digest) };
+        match record.state {
+            RecordState::Claimed { body, .. } if record.request == request => {
+                self.records.change(digest, RecordState::Unknown { body });
+                RunOnceReply::Recorded
+            }
+            _ => RunOnceReply::Found(record.found()),
+        }
+    }
+
+    fn missing(&self, call: &CallKey, digest: CallDigest) -> RunOnceReply {
+        if self.is_expired(call, digest) {
+            RunOnceReply::KeyExpired
+        } else {
+            RunOnceReply::NoRecord
+        }
+    }
+
+    fn answer_limit(&self) -> ByteCount {
+        let left = MAX_ANSWER_BYTES.saturating_sub(self.records.answer_bytes());
+        self.limits.answer.min(ByteCount::new(left))
+    }
+}
+
+fn answer_claim(record: &RunOnceRecord, claim: &Claim) -> RunOnceReply {
+    if record.state.body().is_some_and(|body| *body != claim.body) {
+        return RunOnceReply::BodyConflict;
+    }
+    match record.state {
+        // The proposer resent its claim.
+        RecordState::Claimed { .. } if record.request == claim.request => RunOnceReply::Granted,
+        _ => RunOnceReply::Found(record.found()),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/run_once/records.rs
@@ -0,0 +1,86 @@
+use masticstair_core::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{CallDigest, RecordState, RunOnceRecord};
+
+/// The records with the order in which they expire.
+#[derive(Debug, Default)]
+pub(super) struct Records {
+    by_digest: BTreeMap<CallDigest, RunOnceRecord>,
+    /// One pair for each record, with its `filed_at`.
+    by_time: BTreeSet<(WallTime, CallDigest)>,
+    /// Records that leave a digest when they expire.
+    needing_digest: usize,
+    /// The bytes of all kept answers.
+    answer_bytes: u64,
+}
+
+impl Records {
+    pub(super) fn get(&self, digest: CallDigest) -> Option<&RunOnceRecord> {
+        self.by_digest.get(&digest)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.by_digest.len()
+    }
+
+    pub(super) fn iter(&self) -> impl ExactSizeIterator<Item = (&CallDigest, &RunOnceRecord)> {
+        self.by_digest.iter()
+    }
+
+    pub(super) const fn needing_digest(&self) -> usize {
+        self.needing_digest
+    }
+
+    pub(super) const fn answer_bytes(&self) -> u64 {
+        self.answer_bytes
+    }
+
+    /// Returns the record that expires first, with its time.
+    pub(super) fn oldest(&self) -> Option<(WallTime, CallDigest)> {
+        self.by_time.first().copied()
+    }
+
+    /// Files a record in place of any earlier one.
+    pub(super) fn put(&mut self, digest: CallDigest, record: RunOnceRecord) {
+        self.take(digest);
+        self.count_in(&record);
+        self.by_time.insert((record.filed_at, digest));
+        self.by_digest.insert(digest, record);
+    }
+
+    pub(super) fn take(&mut self, digest: CallDigest) -> Option<RunOnceRecord> {
+        let record = self.by_digest.remove(&digest)?;
+        self.by_time.remove(&(record.filed_at, digest));
+        self.count_out(&record);
+        Some(record)
+    }
+
+    /// Changes the state of a record; does nothing when there is none.
+    pub(super) fn change(&mut self, digest: CallDigest, state: RecordState) {
+        if let Some(mut record) = self.take(digest) {
+            record.state = state;
+            self.put(digest, record);
+        }
+    }
+
+    fn count_in(&mut self, record: &RunOnceRecord) {
+        self.needing_digest += usize::from(record.needs_digest());
+        self.answer_bytes += record.answer_len();
+    }
+
+    fn count_out(&mut self, record: &RunOnceRecord) {
+        self.needing_digest -= usize::from(record.needs_digest());
+        self.answer_bytes -= record.answer_len();
+    }
+}
+
+impl FromIterator<(CallDigest, RunOnceRecord)> for Records {
+    fn from_iter<I: IntoIterator<Item = (CallDigest, RunOnceRecord)>>(records: I) -> Self {
+        let mut filed = Self::default();
+        for (digest, record) in records {
+            filed.put(digest, record);
+        }
+        filed
+    }
+}
--- /dev/null
+++ b/crates/policy/src/run_once/reply.rs
@@ -0,0 +1,26 @@
+use masticstair_core::prelude::*;
+
+use super::{FoundCall, RunOnceBound};
+
+/// The reply to a `RunOnceCommand`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RunOnceReply {
+    /// The request holds the claim and may send the call once.
+    Granted,
+    /// The command changed nothing; this is the state of the call.
+    Found(FoundCall),
+    /// The key belongs to a call with another body; the claim is refused as not run.
+    BodyConflict,
+    /// The key is below the floor, or only its digest is left; its call may have run.
+    KeyExpired,
+    /// The claim is refused as not run, since the table is at this bound.
+    Full(RunOnceBound),
+    /// The command is in effect, now or since it was first applied.
+    Recorded,
+    /// Another request holds the claim; the command changed nothing.
+    NotClaimant,
+    /// There is no record of the call; the command changed nothing.
+    NoRecord,
+    /// The floor after the command.
+    Floor(WallTime),
+}
--- /dev/null
+++ b/crates/store/src/state/answer.rs
@@ -0,0 +1,102 @@
+use masticstair_core::prelude::*;
+use masticstair_policy::bundle_history::{BundleSummary, RevisionEntry};
+use masticstair_policy::issuer::IssuerLease;
+use masticstair_policy::run_once::RunOnceReply;
+
+use super::InForce;
+use super::codec::{self, CodecError};
+
+/// The answer to a `Query`.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// `Found`, `KeyExpired` or `NoRecord`.
+    Call(RunOnceReply),
+    /// The floor of key times.
+    Floor(WallTime),
+    /// The number of the revision in force; 0 when there is none.
+    Revision(Revision),
+    /// The revision in force; none before the first roll.
+    InForce(Option<Box<InForce>>),
+    /// Revisions that follow each other.
+    Revisions(Vec<RevisionEntry>),
+    /// A content; none when it is unknown or no longer kept.
+    Content(Option<Box<str>>),
+    /// The newest bundles, newest first.
+    History(Vec<BundleSummary>),
+    /// The lease of a group.
+    Issuer(IssuerLease),
+    /// The query could not be decoded; this is why.
+    Undecodable(Box<str>),
+}
+
+impl Answer {
+    /// Encodes the answer.
+    pub fn encode(&self) -> Box<[u8]> {
+        codec::encode(|w| match self {
+            Self::Call(reply) => {
+                w.byte(0);
+                codec::run_once::put_reply(w, reply);
+            }
+            Self::Floor(floor) => {
+                w.byte(1);
+                w.number(floor.get());
+            }
+            Self::Revision(revision) => {
+                w.byte(2);
+                w.number(revision.get());
+            }
+            Self::InForce(in_force) => {
+                w.byte(3);
+                w.option(in_force.as_ref(), |w, in_force| {
+                    codec::bundle::put_revision(w, &in_force.revision);
+                    w.text(&in_force.content);
+                });
+            }
+            Self::Revisions(revisions) => {
+                w.byte(4);
+                w.list(revisions.iter(), codec::bundle::put_revision);
+            }
+            Self::Content(content) => {
+                w.byte(5);
+                w.option(content.as_ref(), |w, content| w.text(content));
+            }
+            Self::History(summaries) => {
+                w.byte(6);
+                w.list(summaries.iter(), codec::bundle::put_summary);
+            }
+            Self::Issuer(lease) => {
+                w.byte(7);
+                codec::issuer::put_lease(w, lease);
+            }
+            Self::Undecodable(why) => {
+                w.byte(8);
+                w.text(why);
+            }
+        })
+    }
+
+    /// Decodes an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first value that cannot be read.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
+        codec::decode(bytes, |r| {
+            Ok(match r.byte()? {
+                0 => Self::Call(codec::run_once::get_reply(r)?),
+                1 => Self::Floor(r.number()?.into()),
+                2 => Self::Revision(r.number()?.into()),
+                3 => Self::InForce(r.option(|r| {
+                    let revision = codec::bundle::get_revision(r)?;
+                    Ok(Box::new(InForce { revision, content: r.text()?.into() }))
+                })?),
+                4 => Self::Revisions(r.list(codec::bundle::get_revision)?),
+                5 => Self::Content(r.option(|r| r.text().map(Into::into))?),
+                6 => Self::History(r.list(codec::bundle::get_summary)?),
+                7 => Self::Issuer(codec::issuer::get_lease(r)?),
+                8 => Self::Undecodable(r.text()?.into()),
+                tag => return Err(CodecError::Tag { what: "answer", tag }),
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/store/src/state/codec/mod.rs
@@ -0,0 +1,52 @@
+//! The encoding of commands, replies, queries, answers and snapshots.
+//!
+//! A small hand-written format: JSON would take a content of several megabytes apart and put it together
+//! again, and would write digests and signatures twice as long.
+
+pub(super) mod bundle;
+pub(super) mod bundle_reply;
+mod codec_error;
+pub(super) mod issuer;
+mod reader;
+pub(super) mod run_once;
+mod writer;
+
+pub use codec_error::CodecError;
+pub(super) use reader::Reader;
+pub(super) use writer::Writer;
+
+use masticstair_core::prelude::*;
+
+/// The version of the format of messages; their first byte.
+pub(super) const FORMAT: u8 = 1;
+
+/// Encodes a message that begins with the version of the format.
+pub(super) fn encode(put: impl FnOnce(&mut Writer)) -> Box<[u8]> {
+    let mut w = Writer::default();
+    w.byte(FORMAT);
+    put(&mut w);
+    w.into_bytes()
+}
+
+/// Decodes a message that begins with the version of the format and has nothing behind it.
+pub(super) fn decode<T>(
+    bytes: &[u8],
+    get: impl FnOnce(&mut Reader<'_>) -> Result<T, CodecError>,
+) -> Result<T, CodecError> {
+    let mut r = Reader::new(bytes);
+    match r.byte()? {
+        FORMAT => {}
+        found => return Err(CodecError::Version { found, known: FORMAT }),
+    }
+    let value = get(&mut r)?;
+    r.finish()?;
+    Ok(value)
+}
+
+fn put_digest(w: &mut Writer, digest: &Sha256Digest) {
+    w.fixed(digest.as_bytes());
+}
+
+fn get_digest(r: &mut Reader<'_>) -> Result<Sha256Digest, CodecError> {
+    r.fixed().map(Sha256Digest::from_bytes)
+}
--- /dev/null
+++ b/crates/store/src/state/codec/reader.rs
@@ -0,0 +1,115 @@
+use std::fmt::Display;
+use std::str::FromStr;
+
+use super::CodecError;
+
+/// Room that a list gets before its first value. A length is a claim of the sender, so a list grows only
+/// with the values that are really there.
+const FIRST_CAPACITY: usize = 256;
+
+/// Takes values from bytes in the form of `Writer`. Never panics, and never allocates much more than the
+/// bytes themselves.
+#[derive(Debug)]
+pub(crate) struct Reader<'a>(&'a [u8]);
+
+impl<'a> Reader<'a> {
+    pub(crate) const fn new(bytes: &'a [u8]) -> Self {
+        Self(bytes)
+    }
+
+    /// Checks that no bytes are left.
+    pub(crate) const fn finish(self) -> Result<(), CodecError> {
+        match self.0.len() {
+            0 => Ok(()),
+            left => Err(CodecError::Trailing(left)),
+        }
+    }
+
+    pub(crate) fn byte(&mut self) -> Result<u8, CodecError> {
+        let [byte] = self.fixed()?;
+        Ok(byte)
+    }
+
+    pub(crate) fn flag(&mut self) -> Result<bool, CodecError> {
+        match self.byte()? {
+            0 => Ok(false),
+            1 => Ok(true),
+            tag => Err(CodecError::Tag { what: "flag", tag }),
+        }
+    }
+
+    pub(crate) fn number(&mut self) -> Result<u64, CodecError> {
+        let mut value = 0_u64;
+        for shift in (0..u64::BITS).step_by(7) {
+            let byte = self.byte()?;
+            let bits = u64::from(byte & 0x7f);
+            if (bits << shift) >> shift != bits {
+                return Err(CodecError::Number(u64::BITS));
+            }
+            value |= bits << shift;
+            if byte & 0x80 == 0 {
+                return Ok(value);
+            }
+        }
+        Err(CodecError::Number(u64::BITS))
+    }
+
+    pub(crate) fn number_u32(&mut self) -> Result<u32, CodecError> {
+        u32::try_from(self.number()?).map_err(|_| CodecError::Number(u32::BITS))
+    }
+
+    pub(crate) fn fixed<const N: usize>(&mut self) -> Result<[u8; N], CodecError> {
+        match self.0.split_first_chunk() {
+            Some((bytes, rest)) => {
+                self.0 = rest;
+                Ok(*bytes)
+            }
+            None => Err(CodecError::Truncated((N - self.0.len()) as u64)),
+        }
+    }
+
+    pub(crate) fn bytes(&mut self) -> Result<&'a [u8], CodecError> {
+        let len = self.len()?;
+        let (bytes, rest) = self.0.split_at(len);
+        self.0 = rest;
+        Ok(bytes)
+    }
+
+    pub(crate) fn text(&mut self) -> Result<&'a str, CodecError> {
+        let bytes = self.bytes()?;
+        std::str::from_utf8(bytes).map_err(|e| CodecError::Text(e.to_string().into()))
+    }
+
+    pub(crate) fn parse<T: FromStr<Err: Display>>(&mut self) -> Result<T, CodecError> {
+        self.text()?.parse().map_err(|e: T::Err| CodecError::Text(e.to_string().into()))
+    }
+
+    pub(crate) fn option<T>(
+        &mut self,
+        get: impl FnOnce(&mut Self) -> Result<T, CodecError>,
+    ) -> Result<Option<T>, CodecError> {
+        if self.flag()? { get(self).map(Some) } else { Ok(None) }
+    }
+
+    /// Takes a list whose values have at least one byte each.
+    pub(crate) fn list<T>(
+        &mut self,
+        mut get: impl FnMut(&mut Self) -> Result<T, CodecError>,
+    ) -> Result<Vec<T>, CodecError> {
+        let len = self.len()?;
+        let mut values = Vec::with_capacity(len.min(FIRST_CAPACITY));
+        for _ in 0..len {
+            values.push(get(self)?);
+        }
+        Ok(values)
+    }
+
+    /// Takes a length that the bytes left can hold.
+    fn len(&mut self) -> Result<usize, CodecError> {
+        let len = self.number()?;
+        match usize::try_from(len) {
+            Ok(len) if len <= self.0.len() => Ok(len),
+            _ => Err(CodecError::Truncated(len - self.0.len() as u64)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/state/codec/run_once.rs
@@ -0,0 +1,221 @@
+//! Commands, replies and records of the table of calls that must not be repeated.
+
+use masticstair_core::prelude::*;
+use masticstair_policy::run_once::{
+    CallKey, Claim, Claimant, FoundCall, RecordState, RecordedAnswer, RunOnceBound, RunOnceCommand,
+    RunOnceRecord, RunOnceReply,
+};
+
+use super::{CodecError, Reader, Writer, get_digest, put_digest};
+
+pub(crate) fn put_command(w: &mut Writer, cmd: &RunOnceCommand) {
+    match cmd {
+        RunOnceCommand::Claim(claim) => {
+            put_tagged_call(w, 0, &claim.call, claim.request);
+            put_digest(w, &claim.body);
+            put_claimant(w, &claim.claimant);
+        }
+        RunOnceCommand::Finish { call, request, answer } => {
+            put_tagged_call(w, 1, call, *request);
+            put_answer(w, answer);
+        }
+        RunOnceCommand::Fail { call, request, answer } => {
+            put_tagged_call(w, 2, call, *request);
+            put_answer(w, answer);
+        }
+        RunOnceCommand::Release { call, request, proposed_at } => {
+            put_tagged_call(w, 3, call, *request);
+            w.number(proposed_at.get());
+        }
+        RunOnceCommand::ReportOrphaned { call, request } => put_tagged_call(w, 4, call, *request),
+        RunOnceCommand::RaiseFloor { now } => {
+            w.byte(5);
+            w.number(now.get());
+        }
+    }
+}
+
+pub(crate) fn get_command(r: &mut Reader<'_>) -> Result<RunOnceCommand, CodecError> {
+    let tag = r.byte()?;
+    if tag == 5 {
+        return Ok(RunOnceCommand::RaiseFloor { now: r.number()?.into() });
+    }
+    let (call, request) = (get_call(r)?, get_request(r)?);
+    Ok(match tag {
+        0 => {
+            let (body, claimant) = (get_digest(r)?, get_claimant(r)?);
+            RunOnceCommand::Claim(Box::new(Claim { call, body, request, claimant }))
+        }
+        1 => RunOnceCommand::Finish { call, request, answer: get_answer(r)? },
+        2 => RunOnceCommand::Fail { call, request, answer: get_answer(r)? },
+        3 => RunOnceCommand::Release { call, request, proposed_at: r.number()?.into() },
+        4 => RunOnceCommand::ReportOrphaned { call, request },
+        tag => return Err(CodecError::Tag { what: "run-once command", tag }),
+    })
+}
+
+pub(crate) fn put_reply(w: &mut Writer, reply: &RunOnceReply) {
+    match reply {
+        RunOnceReply::Granted => w.byte(0),
+        RunOnceReply::Found(found) => {
+            w.byte(1);
+            put_found(w, found);
+        }
+        RunOnceReply::BodyConflict => w.byte(2),
+        RunOnceReply::KeyExpired => w.byte(3),
+        RunOnceReply::Full(RunOnceBound::Records) => w.byte(4),
+        RunOnceReply::Full(RunOnceBound::ExpiredKeys) => w.byte(5),
+        RunOnceReply::Recorded => w.byte(6),
+        RunOnceReply::NotClaimant => w.byte(7),
+        RunOnceReply::NoRecord => w.byte(8),
+        RunOnceReply::Floor(floor) => {
+            w.byte(9);
+            w.number(floor.get());
+        }
+    }
+}
+
+pub(crate) fn get_reply(r: &mut Reader<'_>) -> Result<RunOnceReply, CodecError> {
+    Ok(match r.byte()? {
+        0 => RunOnceReply::Granted,
+        1 => RunOnceReply::Found(get_found(r)?),
+        2 => RunOnceReply::BodyConflict,
+        3 => RunOnceReply::KeyExpired,
+        4 => RunOnceReply::Full(RunOnceBound::Records),
+        5 => RunOnceReply::Full(RunOnceBound::ExpiredKeys),
+        6 => RunOnceReply::Recorded,
+        7 => RunOnceReply::NotClaimant,
+        8 => RunOnceReply::NoRecord,
+        9 => RunOnceReply::Floor(r.number()?.into()),
+        tag => return Err(CodecError::Tag { what: "run-once reply", tag }),
+    })
+}
+
+pub(crate) fn put_record(w: &mut Writer, record: &RunOnceRecord) {
+    w.fixed(record.request.as_bytes());
+    w.number(record.filed_at.get());
+    w.flag(record.timed);
+    match &record.state {
+        RecordState::Claimed { body, claimant } => {
+            w.byte(0);
+            put_digest(w, body);
+            put_claimant(w, claimant);
+        }
+        RecordState::Unknown { body } => {
+            w.byte(1);
+            put_digest(w, body);
+        }
+        RecordState::Done { body, answer } => {
+            w.byte(2);
+            put_digest(w, body);
+            put_answer(w, answer);
+        }
+        RecordState::Failed { body, answer } => {
+            w.byte(3);
+            put_digest(w, body);
+            put_answer(w, answer);
+        }
+        RecordState::Released => w.byte(4),
+    }
+}
+
+pub(crate) fn get_record(r: &mut Reader<'_>) -> Result<RunOnceRecord, CodecError> {
+    let (request, filed_at, timed) = (get_request(r)?, r.number()?.into(), r.flag()?);
+    let state = match r.byte()? {
+        0 => RecordState::Claimed { body: get_digest(r)?, claimant: get_claimant(r)? },
+        1 => RecordState::Unknown { body: get_digest(r)? },
+        2 => RecordState::Done { body: get_digest(r)?, answer: get_answer(r)? },
+        3 => RecordState::Failed { body: get_digest(r)?, answer: get_answer(r)? },
+        4 => RecordState::Released,
+        tag => return Err(CodecError::Tag { what: "run-once record", tag }),
+    };
+    Ok(RunOnceRecord { request, filed_at, timed, state })
+}
+
+pub(crate) fn put_call(w: &mut Writer, call: &CallKey) {
+    w.text(call.account.as_str());
+    w.text(call.key.as_str());
+}
+
+pub(crate) fn get_call(r: &mut Reader<'_>) -> Result<CallKey, CodecError> {
+    Ok(CallKey { account: r.parse()?, key: r.parse()? })
+}
+
+fn put_tagged_call(w: &mut Writer, tag: u8, call: &CallKey, request: RequestId) {
+    w.byte(tag);
+    put_call(w, call);
+    w.fixed(request.as_bytes());
+}
+
+fn get_request(r: &mut Reader<'_>) -> Result<RequestId, CodecError> {
+    r.fixed().map(RequestId::from_bytes)
+}
+
+fn put_claimant(w: &mut Writer, claimant: &Claimant) {
+    w.text(claimant.host.as_str());
+    w.number(claimant.incarnation.get());
+    w.number(claimant.deadline.get());
+    w.number(claimant.proposed_at.get());
+}
+
+fn get_claimant(r: &mut Reader<'_>) -> Result<Claimant, CodecError> {
+    Ok(Claimant {
+        host: r.parse()?,
+        incarnation: r.number()?.into(),
+        deadline: r.number()?.into(),
+        proposed_at: r.number()?.into(),
+    })
+}
+
+fn put_answer(w: &mut Writer, answer: &RecordedAnswer) {
+    match answer {
+        RecordedAnswer::Kept(bytes) => {
+            w.byte(0);
+            w.bytes(bytes);
+        }
+        RecordedAnswer::Omitted { digest, length } => {
+            w.byte(1);
+            put_digest(w, digest);
+            w.number(length.get());
+        }
+    }
+}
+
+fn get_answer(r: &mut Reader<'_>) -> Result<RecordedAnswer, CodecError> {
+    Ok(match r.byte()? {
+        0 => RecordedAnswer::Kept(r.bytes()?.into()),
+        1 => RecordedAnswer::Omitted { digest: get_digest(r)?, length: r.number()?.into() },
+        tag => return Err(CodecError::Tag { what: "recorded answer", tag }),
+    })
+}
+
+fn put_found(w: &mut Writer, found: &FoundCall) {
+    match found {
+        FoundCall::Running { request, claimant } => {
+            w.byte(0);
+            w.fixed(request.as_bytes());
+            put_claimant(w, claimant);
+        }
+        FoundCall::Unknown => w.byte(1),
+        FoundCall::Done(answer) => {
+            w.byte(2);
+            put_answer(w, answer);
+        }
+        FoundCall::Failed(answer) => {
+            w.byte(3);
+            put_answer(w, answer);
+        }
+        FoundCall::Released => w.byte(4),
+    }
+}
+
+fn get_found(r: &mut Reader<'_>) -> Result<FoundCall, CodecError> {
+    Ok(match r.byte()? {
+        0 => FoundCall::Running { request: get_request(r)?, claimant: get_claimant(r)? },
+        1 => FoundCall::Unknown,
+        2 => FoundCall::Done(get_answer(r)?),
+        3 => FoundCall::Failed(get_answer(r)?),
+        4 => FoundCall::Released,
+        tag => return Err(CodecError::Tag { what: "found call", tag }),
+    })
+}
--- /dev/null
+++ b/crates/store/src/state/codec/writer.rs
@@ -0,0 +1,58 @@
+/// Appends values to a buffer.
+///
+/// Numbers take 7 bits a byte, least significant first, with the top bit set on all bytes but the last.
+/// Texts, byte strings and lists begin with their length as a number.
+#[derive(Debug, Default)]
+pub(crate) struct Writer(Vec<u8>);
+
+impl Writer {
+    pub(crate) fn into_bytes(self) -> Box<[u8]> {
+        self.0.into()
+    }
+
+    pub(crate) fn byte(&mut self, value: u8) {
+        self.0.push(value);
+    }
+
+    pub(crate) fn flag(&mut self, value: bool) {
+        self.byte(u8::from(value));
+    }
+
+    pub(crate) fn number(&mut self, mut value: u64) {
+        while value >= 0x80 {
+            self.byte(value as u8 | 0x80);
+            value >>= 7;
+        }
+        self.byte(value as u8);
+    }
+
+    /// Appends bytes whose number the reader knows.
+    pub(crate) fn fixed(&mut self, bytes: &[u8]) {
+        self.0.extend_from_slice(bytes);
+    }
+
+    pub(crate) fn bytes(&mut self, bytes: &[u8]) {
+        self.number(bytes.len() as u64);
+        self.fixed(bytes);
+    }
+
+    pub(crate) fn text(&mut self, text: &str) {
+        self.bytes(text.as_bytes());
+    }
+
+    pub(crate) fn option<T>(&mut self, value: Option<T>, put: impl FnOnce(&mut Self, T)) {
+        self.flag(value.is_some());
+        if let Some(value) = value {
+            put(self, value);
+        }
+    }
+
+    pub(crate) fn list<T>(
+        &mut self,
+        values: impl ExactSizeIterator<Item = T>,
+        mut put: impl FnMut(&mut Self, T),
+    ) {
+        self.number(values.len() as u64);
+        values.for_each(|value| put(self, value));
+    }
+}
--- /dev/null
+++ b/crates/store/src/state/query.rs
@@ -0,0 +1,74 @@
+use masticstair_core::prelude::*;
+use masticstair_policy::run_once::CallKey;
+
+use super::codec::{self, CodecError};
+
+/// A question to the replicated state, which does not change it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Query {
+    /// How far a call came.
+    Call(CallKey),
+    /// The floor of key times.
+    Floor,
+    /// The number of the revision in force.
+    Revision,
+    /// The revision in force with its signatures and content.
+    InForce,
+    /// The signatures of the revisions after this one, oldest first, at most `MAX_LISTED`.
+    RevisionsAfter(Revision),
+    /// The content with this digest.
+    Content(Sha256Digest),
+    /// The newest bundles, newest first, at most `MAX_LISTED`.
+    History,
+    /// The lease of a group of order issuers.
+    Issuer(PoolName),
+}
+
+impl Query {
+    /// Encodes the query.
+    pub fn encode(&self) -> Box<[u8]> {
+        codec::encode(|w| match self {
+            Self::Call(call) => {
+                w.byte(0);
+                codec::run_once::put_call(w, call);
+            }
+            Self::Floor => w.byte(1),
+            Self::Revision => w.byte(2),
+            Self::InForce => w.byte(3),
+            Self::RevisionsAfter(revision) => {
+                w.byte(4);
+                w.number(revision.get());
+            }
+            Self::Content(digest) => {
+                w.byte(5);
+                w.fixed(digest.as_bytes());
+            }
+            Self::History => w.byte(6),
+            Self::Issuer(group) => {
+                w.byte(7);
+                w.text(group.as_str());
+            }
+        })
+    }
+
+    /// Decodes a query.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first value that cannot be read.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
+        codec::decode(bytes, |r| {
+            Ok(match r.byte()? {
+                0 => Self::Call(codec::run_once::get_call(r)?),
+                1 => Self::Floor,
+                2 => Self::Revision,
+                3 => Self::InForce,
+                4 => Self::RevisionsAfter(r.number()?.into()),
+                5 => Self::Content(r.fixed().map(Sha256Digest::from_bytes)?),
+                6 => Self::History,
+                7 => Self::Issuer(r.parse()?),
+                tag => return Err(CodecError::Tag { what: "query", tag }),
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/store/src/state/reply.rs
@@ -0,0 +1,57 @@
+use masticstair_policy::bundle_history::BundleReply;
+use masticstair_policy::issuer::IssuerReply;
+use masticstair_policy::run_once::RunOnceReply;
+
+use super::codec::{self, CodecError};
+
+/// The reply to a `Command`; a function of the log up to the command.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Reply {
+    /// From the table of calls that must not be repeated.
+    RunOnce(RunOnceReply),
+    /// From the bundle history.
+    Bundle(BundleReply),
+    /// From the leases of the order issuers.
+    Issuer(IssuerReply),
+    /// The command could not be decoded and changed nothing; this is why.
+    Undecodable(Box<str>),
+}
+
+impl Reply {
+    /// Encodes the reply.
+    pub fn encode(&self) -> Box<[u8]> {
+        codec::encode(|w| match self {
+            Self::RunOnce(reply) => {
+                w.byte(0);
+                codec::run_once::put_reply(w, reply);
+            }
+            Self::Bundle(reply) => {
+                w.byte(1);
+                codec::bundle_reply::put_reply(w, reply);
+            }
+            Self::Issuer(reply) => {
+                w.byte(2);
+                codec::issuer::put_reply(w, reply);
+            }
+            Self::Undecodable(why) => {
+                w.byte(3);
+                w.text(why);
+            }
+        })
+    }
+
+    /// Decodes a reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first value that cannot be read.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
+        codec::decode(bytes, |r| match r.byte()? {
+            0 => codec::run_once::get_reply(r).map(Self::RunOnce),
+            1 => codec::bundle_reply::get_reply(r).map(Self::Bundle),
+            2 => codec::issuer::get_reply(r).map(Self::Issuer),
+            3 => r.text().map(|why| Self::Undecodable(why.into())),
+            tag => Err(CodecError::Tag { what: "reply", tag }),
+        })
+    }
+}
--- /dev/null
+++ b/crates/store/src/state/snapshot.rs
@@ -0,0 +1,92 @@
+//! Snapshots of the replicated state.
+//!
+//! A snapshot has the magic bytes, the version of the format, and then the three tables. Equal states have
+//! equal snapshots.
+
+use masticstair_core::prelude::*;
+use masticstair_policy::bundle_history::{BundleHistory, HistoryParts};
+use masticstair_policy::issuer::IssuerTable;
+use masticstair_policy::run_once::{CallDigest, RunOnceLimits, RunOnceTable};
+
+use super::codec::{self, CodecError, Reader, Writer};
+use super::{ReplicatedState, RestoreError};
+
+const MAGIC: [u8; 4] = *b"MSNP";
+
+/// The version of the format of snapshots.
+const SNAPSHOT_FORMAT: u8 = 1;
+
+pub(super) fn write(state: &ReplicatedState) -> Box<[u8]> {
+    let mut w = Writer::default();
+    w.fixed(&MAGIC);
+    w.byte(SNAPSHOT_FORMAT);
+    put_history(&mut w, &state.bundles);
+    put_run_once(&mut w, &state.run_once);
+    w.list(state.issuers.leases(), |w, (group, lease)| {
+        w.text(group.as_str());
+        codec::issuer::put_lease(w, lease);
+    });
+    w.into_bytes()
+}
+
+/// Reads a snapshot, with the settings of the state that it will replace.
+pub(super) fn read(
+    bytes: &[u8],
+    settings: &BundleHistory,
+) -> Result<ReplicatedState, RestoreError> {
+    let mut r = Reader::new(bytes);
+    if r.fixed() != Ok(MAGIC) {
+        return Err(RestoreError::Magic);
+    }
+    match r.byte()? {
+        SNAPSHOT_FORMAT => {}
+        found => return Err(RestoreError::Version { found, known: SNAPSHOT_FORMAT }),
+    }
+    let parts = get_history(&mut r)?;
+    let bundles = settings.with_parts(parts)?;
+    let run_once = get_run_once(&mut r, limits(&bundles))?;
+    let get_lease = |r: &mut Reader<'_>| Ok((r.parse()?, codec::issuer::get_lease(r)?));
+    let issuers = IssuerTable::from_parts(r.list(get_lease)?);
+    r.finish()?;
+    Ok(ReplicatedState { run_once, bundles, issuers })
+}
+
+/// Returns the limits of the run-once table under the bundle in force.
+pub(super) fn limits(bundles: &BundleHistory) -> RunOnceLimits {
+    let before = RunOnceLimits::BEFORE_FIRST_BUNDLE;
+    bundles.in_force().map_or(before, |bundle| (&bundle.limits).into())
+}
+
+fn put_history(w: &mut Writer, bundles: &BundleHistory) {
+    w.list(bundles.entries(), codec::bundle::put_entry);
+    w.list(bundles.revisions(), codec::bundle::put_revision);
+    w.list(bundles.pieces(), |w, text| w.text(text));
+    let replies = bundles.replies().collect::<Vec<_>>();
+    w.list(replies.into_iter(), codec::bundle::put_recorded);
+}
+
+fn get_history(r: &mut Reader<'_>) -> Result<HistoryParts, CodecError> {
+    Ok(HistoryParts {
+        entries: r.list(codec::bundle::get_entry)?,
+        revisions: r.list(codec::bundle::get_revision)?,
+        pieces: r.list(|r| r.text().map(Into::into))?,
+        replies: r.list(codec::bundle::get_recorded)?,
+    })
+}
+
+fn put_run_once(w: &mut Writer, table: &RunOnceTable) {
+    w.number(table.floor().get());
+    w.list(table.records(), |w, (digest, record)| {
+        w.fixed(digest.as_bytes());
+        codec::run_once::put_record(w, record);
+    });
+    w.list(table.expired(), |w, digest| w.fixed(digest.as_bytes()));
+}
+
+fn get_run_once(r: &mut Reader<'_>, limits: RunOnceLimits) -> Result<RunOnceTable, CodecError> {
+    let get_digest = |r: &mut Reader<'_>| r.fixed().map(CallDigest::from_bytes);
+    let floor = WallTime::new(r.number()?);
+    let records = r.list(|r| Ok((get_digest(r)?, codec::run_once::get_record(r)?)))?;
+    let expired = r.list(get_digest)?;
+    Ok(RunOnceTable::from_parts(limits, floor, records, expired))
+}
