--- /dev/null
+++ b/crates/store/src/storage/file_ops.rs
@@ -0,0 +1,52 @@
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::path::Path;
+
+/// An operation on the path of a file or folder.
+pub type PathOp<T> = Box<dyn FnMut(&Path) -> io::Result<T> + Send>;
+
+/// An operation that returns the content of a file.
+pub type ReadOp = Box<dyn Fn(&Path) -> io::Result<Vec<u8>> + Send>;
+
+/// An operation from one path to another.
+pub type RenameOp = Box<dyn FnMut(&Path, &Path) -> io::Result<()> + Send>;
+
+/// An operation on an open file.
+pub type SyncOp = Box<dyn FnMut(&File) -> io::Result<()> + Send>;
+
+/// An operation that writes bytes to an open file.
+pub type WriteOp = Box<dyn FnMut(&File, &[u8]) -> io::Result<()> + Send>;
+
+/// The operations on files of the data folder. Tests replace single closures to inject faults.
+pub struct FileOps {
+    /// Creates an empty file for writing; an existing one is emptied.
+    pub create: PathOp<File>,
+    /// Reads a whole file.
+    pub read: ReadOp,
+    /// Removes a file.
+    pub remove: PathOp<()>,
+    /// Renames a file; an existing target is replaced.
+    pub rename: RenameOp,
+    /// Makes the content of a file durable.
+    pub sync: SyncOp,
+    /// Makes the names in a folder durable.
+    pub sync_folder: PathOp<()>,
+    /// Writes all bytes at the end of a file.
+    pub write: WriteOp,
+}
+
+impl FileOps {
+    /// Returns the operations of the operating system.
+    pub fn system() -> Self {
+        Self {
+            create: Box::new(|path| File::create(path)),
+            read: Box::new(|path| fs::read(path)),
+            remove: Box::new(|path| fs::remove_file(path)),
+            rename: Box::new(|from, to| fs::rename(from, to)),
+            // fdatasync also flushes a changed file size, which is all that an append needs.
+            sync: Box::new(|file| file.sync_data()),
+            sync_folder: Box::new(|path| File::open(path)?.sync_all()),
+            write: Box::new(|mut file, bytes| file.write_all(bytes)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/storage/identity.rs
@@ -0,0 +1,31 @@
+//! The file that holds the identity of the data folder.
+
+use super::contents::IDENTITY;
+use super::{Folder, StorageError};
+use masticstair_core::id::ReplicaId;
+
+const FORMAT: &str = "masticstair-replica-v1";
+
+/// Reads the identity.
+pub(crate) fn read(folder: &Folder) -> Result<ReplicaId, StorageError> {
+    let path = folder.join(IDENTITY);
+    let bytes = folder.read(&path)?;
+    decode(&bytes).ok_or_else(|| StorageError::damaged(&path, 0, "not an intact identity"))
+}
+
+/// Durably writes the identity.
+pub(crate) fn write(folder: &mut Folder, id: ReplicaId) -> Result<(), StorageError> {
+    let path = folder.join(IDENTITY);
+    folder.replace(&path, encode(id).as_bytes()).map(drop)
+}
+
+fn encode(id: ReplicaId) -> String {
+    format!("{FORMAT} {id} {:08x}\n", crc32fast::hash(id.as_bytes()))
+}
+
+fn decode(bytes: &[u8]) -> Option<ReplicaId> {
+    let text = std::str::from_utf8(bytes).ok()?;
+    let id = text.split(' ').nth(1)?.parse().ok()?;
+    // The exact text is compared, so that every flipped bit is found.
+    (encode(id) == text).then_some(id)
+}
--- /dev/null
+++ b/crates/store/src/storage/log_writer.rs
@@ -0,0 +1,206 @@
+use super::entry_encoding::{check_hard_state, check_order, encode_entries, encode_hard_state};
+use super::{
+    BatchHeader, BatchNumber, Contents, Folder, Position, Record, RecordKind, Replay,
+    SegmentHeader, SegmentNumber, SegmentSpan, StorageError, TermRuns,
+};
+use masticstair_core::id::{LogIndex, ReplicaId};
+use masticstair_core::message::{HardState, LogEntry};
+use std::collections::VecDeque;
+use std::fs::File;
+use std::path::PathBuf;
+
+/// Writes the log: calls are staged into a batch, which one write and one sync make durable.
+///
+/// The state already contains what is staged. After a failed commit it is ahead of the disk, and the writer
+/// must not be used any more.
+pub(crate) struct LogWriter {
+    /// The data folder.
+    pub(crate) folder: Folder,
+    replica: ReplicaId,
+    /// The last segment.
+    file: File,
+    path: PathBuf,
+    size: u64,
+    /// The size at which a new segment is begun.
+    segment_limit: u64,
+    /// All segments in ascending order; never empty.
+    spans: VecDeque<SegmentSpan>,
+    next_batch: BatchNumber,
+    hard_state: HardState,
+    /// The current snapshot; index 0 when there is none.
+    snapshot: Position,
+    terms: TermRuns,
+    /// The batch in preparation: space for its header, then records.
+    buf: Vec<u8>,
+}
+
+/// What is known of the last segment when a writer continues it.
+pub(crate) struct OpenSegment {
+    /// The file, open for appending.
+    pub(crate) file: File,
+    /// The number of the segment.
+    pub(crate) number: SegmentNumber,
+    /// The size of the file.
+    pub(crate) size: u64,
+    /// The batch that comes next.
+    pub(crate) next_batch: BatchNumber,
+}
+
+impl LogWriter {
+    /// Continues a log after its replay.
+    pub(crate) fn new(
+        folder: Folder,
+        replica: ReplicaId,
+        segment_limit: u64,
+        open: OpenSegment,
+        replay: &Replay,
+    ) -> Self {
+        Self {
+            replica,
+            file: open.file,
+            path: Contents::segment_path(&folder, open.number),
+            size: open.size,
+            segment_limit,
+            spans: replay.spans.clone(),
+            next_batch: open.next_batch,
+            hard_state: replay.hard_state,
+            snapshot: replay.mark,
+            terms: replay.terms.clone(),
+            buf: vec![0; BatchHeader::SIZE],
+            folder,
+        }
+    }
+
+    /// Returns the current snapshot; index 0 when there is none.
+    pub(crate) fn snapshot(&self) -> Position {
+        self.snapshot
+    }
+
+    /// Returns how many bytes are staged.
+    pub(crate) fn staged(&self) -> usize {
+        self.buf.len() - BatchHeader::SIZE
+    }
+
+    /// Begins a new segment if the last one is full and nothing is staged yet.
+    fn roll_if_full(&mut self) -> Result<(), StorageError> {
+        if self.staged() > 0 || self.size < self.segment_limit {
+            return Ok(());
+        }
+        let number = self.last_segment().next();
+        let header = SegmentHeader { number, first_batch: self.next_batch, replica: self.replica };
+        let bytes = first_bytes(header, &self.hard_state, self.terms.last(), self.snapshot);
+        let path = Contents::segment_path(&self.folder, number);
+        self.file = self.folder.replace(&path, &bytes)?;
+        self.path = path;
+        self.size = bytes.len() as u64;
+        self.spans.push_back(SegmentSpan { number, last: LogIndex::default() });
+        self.next_batch = self.next_batch.next();
+        Ok(())
+    }
+
+    /// Adds entries to the batch. An error leaves the batch as it was.
+    pub(crate) fn stage_entries(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
+        check_order(entries, self.terms.last().index, self.snapshot.index)?;
+        self.roll_if_full()?;
+        encode_entries(entries, &mut self.buf)?;
+        let (Some(first), Some(last)) = (entries.first(), entries.last()) else { return Ok(()) };
+        self.spans.iter_mut().for_each(|span| span.cut(first.index));
+        if let Some(span) = self.spans.back_mut() {
+            span.last = last.index;
+        }
+        for entry in entries {
+            self.terms.push(Position { index: entry.index, term: entry.term });
+        }
+        Ok(())
+    }
+
+    /// Adds a hard state to the batch. An error leaves the batch as it was.
+    pub(crate) fn stage_hard_state(&mut self, state: HardState) -> Result<(), StorageError> {
+        check_hard_state(state, self.hard_state)?;
+        self.roll_if_full()?;
+        encode_hard_state(&state, &mut self.buf);
+        self.hard_state = state;
+        Ok(())
+    }
+
+    /// Writes and syncs the batch; does nothing when it is empty.
+    pub(crate) fn commit(&mut self) -> Result<(), StorageError> {
+        if self.staged() == 0 {
+            return Ok(());
+        }
+        BatchHeader::seal(&mut self.buf, self.next_batch, self.size as usize);
+        self.folder.write(&self.file, &self.path, &self.buf)?;
+        self.folder.sync(&self.file, &self.path)?;
+        self.size += self.buf.len() as u64;
+        self.next_batch = self.next_batch.next();
+        self.buf.clear();
+        // A rare large batch does not keep its memory.
+        self.buf.shrink_to(super::limits::GROUP_TARGET);
+        self.buf.resize(BatchHeader::SIZE, 0);
+        Ok(())
+    }
+
+    /// Makes a durable snapshot the base of the log, and deletes what it replaces.
+    ///
+    /// Entries after the snapshot stay only if the log has the snapshot's last entry; otherwise they belong
+    /// to another history.
+    pub(crate) fn install(&mut self, snapshot: Position) -> Result<(), StorageError> {
+        let retains = self.terms.term_at(snapshot.index) == Some(snapshot.term);
+        let kind = if retains { RecordKind::SnapshotMark } else { RecordKind::Reset };
+        Record::position(kind, snapshot).encode(&mut self.buf);
+        self.commit()?;
+        if !retains {
+            self.terms = TermRuns::after(snapshot);
+            self.spans.iter_mut().for_each(|span| span.last = LogIndex::default());
+        }
+        self.snapshot = snapshot;
+        self.delete_obsolete()
+    }
+
+    /// Deletes the segments and snapshots that the current snapshot replaces.
+    pub(crate) fn delete_obsolete(&mut self) -> Result<(), StorageError> {
+        self.terms.drop_through(self.snapshot);
+        // Oldest first, because recovery accepts no gap between segments.
+        while self.spans.len() > 1 && self.spans[0].last <= self.snapshot.index {
+            let path = Contents::segment_path(&self.folder, self.spans[0].number);
+            self.folder.remove(&path)?;
+            self.spans.pop_front();
+        }
+        let contents = Contents::list(&self.folder)?;
+        for index in contents.snapshots.into_iter().filter(|i| *i < self.snapshot.index) {
+            let path = Contents::snapshot_path(&self.folder, index);
+            self.folder.remove(&path)?;
+        }
+        Ok(())
+    }
+
+    /// Returns the last log entry, or the snapshot when there is none.
+    pub(crate) fn last(&self) -> Position {
+        self.terms.last()
+    }
+
+    fn last_segment(&self) -> SegmentNumber {
+        self.spans.back().map_or(SegmentNumber(0), |span| span.number)
+    }
+}
+
+/// Returns the header and the first batch of a segment. The batch repeats all that the log still needs from
+/// earlier segments, so that they can be deleted.
+pub(crate) fn first_bytes(
+    header: SegmentHeader,
+    hard_state: &HardState,
+    last: Position,
+    snapshot: Position,
+) -> Vec<u8> {
+    let mut batch = vec![0; BatchHeader::SIZE];
+    Record::position(RecordKind::LastEntry, last).encode(&mut batch);
+    encode_hard_state(hard_state, &mut batch);
+    if snapshot != Position::default() {
+        Record::position(RecordKind::SnapshotMark, snapshot).encode(&mut batch);
+    }
+    BatchHeader::seal(&mut batch, header.first_batch, SegmentHeader::SIZE);
+    let mut bytes = Vec::with_capacity(SegmentHeader::SIZE + batch.len());
+    header.encode(&mut bytes);
+    bytes.extend_from_slice(&batch);
+    bytes
+}
--- a/crates/store/src/storage/mod.rs
+++ b/crates/store/src/storage/mod.rs
@@ -1,1 +1,81 @@
 //! Durable storage: write-ahead log, snapshots, identity and the storage thread.
+//!
+//! A data folder holds these files:
+//!
+//! - `lock`: locked exclusively while a process uses the folder.
+//! - `identity`: the random identity of the replica, made once.
+//! - `wal-N`: the segments of the log, with entries, terms and votes.
+//! - `snapshot-N`: the state up to log entry N.
+//! - `*.tmp`: files that are not complete; removed at the start.
+//! - `set-aside`: what `repair` moved out of the way.
+//!
+//! A new file is written under a temporary name, synced, renamed, and its folder is synced. Only the last
+//! segment grows. The storage thread collects the calls that wait into one batch, which one write and one
+//! sync make durable. A batch is written only after the one before it was synced, so an interrupted write can
+//! leave remains only at the end of the last segment. There they are cut off. All other damage is reported
+//! with file and offset, and the folder is not used.
+
+mod batch;
+mod batch_header;
+mod batch_number;
+mod contents;
+mod entry_encoding;
+mod file_ops;
+mod folder;
+mod identity;
+mod json;
+mod limits;
+mod little_endian;
+mod log_writer;
+mod open;
+mod position;
+mod record;
+mod record_fault;
+mod record_kind;
+mod recovered;
+mod recovery;
+mod repair;
+mod replay;
+mod request;
+mod scan;
+mod sector;
+mod segment_header;
+mod segment_number;
+mod segment_reader;
+mod segment_span;
+mod snapshot_file;
+mod snapshot_job;
+mod storage_error;
+mod storage_handle;
+mod storage_options;
+mod storage_thread;
+mod term_runs;
+
+pub use file_ops::{FileOps, PathOp, ReadOp, RenameOp, SyncOp, WriteOp};
+pub use open::{open, open_with};
+pub use recovered::Recovered;
+pub use repair::repair;
+pub use storage_error::StorageError;
+pub use storage_handle::StorageHandle;
+pub use storage_options::StorageOptions;
+
+pub(crate) use batch::Batch;
+pub(crate) use batch_header::BatchHeader;
+pub(crate) use batch_number::BatchNumber;
+pub(crate) use contents::Contents;
+pub(crate) use folder::Folder;
+pub(crate) use log_writer::LogWriter;
+pub(crate) use position::Position;
+pub(crate) use record::Record;
+pub(crate) use record_fault::RecordFault;
+pub(crate) use record_kind::RecordKind;
+pub(crate) use replay::Replay;
+pub(crate) use request::{Reply, Request};
+pub(crate) use scan::Scan;
+pub(crate) use segment_header::SegmentHeader;
+pub(crate) use segment_number::SegmentNumber;
+pub(crate) use segment_reader::SegmentReader;
+pub(crate) use segment_span::SegmentSpan;
+pub(crate) use snapshot_job::SnapshotJob;
+pub(crate) use storage_thread::StorageThread;
+pub(crate) use term_runs::TermRuns;
--- /dev/null
+++ b/crates/store/src/storage/open.rs
@@ -0,0 +1,36 @@
+use super::recovery::recover;
+use super::{Folder, Recovered, StorageError, StorageHandle, StorageOptions, StorageThread};
+use std::collections::VecDeque;
+use std::path::Path;
+use std::sync::mpsc;
+use std::thread;
+
+/// Opens the data folder, creating it if there is none, and starts the storage thread.
+///
+/// # Errors
+///
+/// `Locked` when another process uses the folder, `Damaged` and `Missing` when its content cannot be relied
+/// on (see `repair`), and `Io`.
+pub fn open(folder: &Path) -> Result<(StorageHandle, Recovered), StorageError> {
+    open_with(folder, StorageOptions::default())
+}
+
+/// Opens the data folder as `open` does, with other options than the default.
+///
+/// # Errors
+///
+/// As for `open`.
+pub fn open_with(
+    path: &Path,
+    options: StorageOptions,
+) -> Result<(StorageHandle, Recovered), StorageError> {
+    let folder = Folder::open(path, options.ops)?;
+    let (writer, recovered) = recover(folder, options.segment.get())?;
+    let (tx, rx) = mpsc::channel();
+    let snapshot_piece = options.snapshot_piece.get() as usize;
+    let jobs = VecDeque::new();
+    let storage = StorageThread { rx, writer, snapshot_piece, jobs, failure: None };
+    let started = thread::Builder::new().name("storage".into()).spawn(|| storage.run());
+    started.map_err(|e| StorageError::io("starting the storage thread", path, &e))?;
+    Ok((StorageHandle { tx }, recovered))
+}
--- /dev/null
+++ b/crates/store/src/storage/repair.rs
@@ -0,0 +1,50 @@
+use super::contents::{IDENTITY, SET_ASIDE};
+use super::{Contents, FileOps, Folder, Scan, StorageError};
+use std::fs;
+use std::path::Path;
+
+/// Sets the content of a damaged data folder aside, so that the next `open` makes a new identity there and
+/// the process can join again as another replica. Returns the folder with the old content.
+///
+/// Only the content of the latest repair is kept. When a repair was interrupted, a repeat ends it; until
+/// then `open` refuses the folder.
+///
+/// # Errors
+///
+/// `NotDamaged` when the content is sound, `Locked` when a process uses the folder, and `Io`.
+pub fn repair(path: &Path) -> Result<Box<Path>, StorageError> {
+    let mut folder = Folder::open(path, FileOps::system())?;
+    match Scan::read(&folder) {
+        Err(StorageError::Damaged { .. } | StorageError::Missing { .. }) => {}
+        // Another failure says nothing about the content, which stays in place.
+        Err(e) => return Err(e),
+        Ok(_) => return Err(StorageError::NotDamaged { folder: path.into() }),
+    }
+    let contents = Contents::list(&folder)?;
+    let target = folder.join(SET_ASIDE);
+    if contents.identity && contents.set_aside {
+        let removed = fs::remove_dir_all(&target);
+        removed.map_err(|e| StorageError::io("removal", &target, &e))?;
+    }
+    fs::create_dir_all(&target).map_err(|e| StorageError::io("creation", &target, &e))?;
+    folder.sync_names()?;
+    for name in names_in_order(&contents) {
+        folder.rename(&folder.join(&name), &target.join(&name))?;
+    }
+    sync(&target)?;
+    Ok(target.into())
+}
+
+/// Returns the files to move. The identity goes first, so that it can never be found with a part of its
+/// log. The newest segment follows, so that no prefix of the log looks like an empty one.
+fn names_in_order(contents: &Contents) -> Vec<String> {
+    let identity = contents.identity.then(|| IDENTITY.to_owned());
+    let segments = contents.segments.iter().rev().map(|n| Contents::segment_name(*n));
+    let snapshots = contents.snapshots.iter().map(|i| Contents::snapshot_name(*i));
+    identity.into_iter().chain(segments).chain(snapshots).collect()
+}
+
+fn sync(folder: &Path) -> Result<(), StorageError> {
+    let result = fs::File::open(folder).and_then(|f| f.sync_all());
+    result.map_err(|e| StorageError::io("sync", folder, &e))
+}
--- /dev/null
+++ b/crates/store/src/storage/replay.rs
@@ -0,0 +1,91 @@
+use super::{Position, Record, RecordKind, SegmentNumber, SegmentSpan, TermRuns};
+use masticstair_core::id::{LogIndex, Term};
+use masticstair_core::message::{HardState, LogEntry};
+use std::collections::VecDeque;
+
+/// What the records of the log, applied in order, add up to.
+#[derive(Debug, Default)]
+pub(crate) struct Replay {
+    /// The valid entries; consecutive.
+    pub(crate) entries: Vec<LogEntry>,
+    /// The last hard state.
+    pub(crate) hard_state: HardState,
+    /// The snapshot that the log relies on; index 0 when there is none.
+    pub(crate) mark: Position,
+    /// The segments read so far.
+    pub(crate) spans: VecDeque<SegmentSpan>,
+    /// The terms of the valid entries.
+    pub(crate) terms: TermRuns,
+}
+
+impl Replay {
+    /// Notes that the records that follow come from another segment.
+    pub(crate) fn begin_segment(&mut self, number: SegmentNumber) {
+        self.spans.push_back(SegmentSpan { number, last: LogIndex::default() });
+    }
+
+    /// Applies a record; an error says why it cannot stand where it does.
+    pub(crate) fn apply(&mut self, record: Record<'_>) -> Result<(), Box<str>> {
+        if let Some(entry) = record.to_entry()? {
+            return self.push(entry);
+        }
+        match record.kind {
+            RecordKind::HardState => self.hard_state = record.to_hard_state()?,
+            RecordKind::LastEntry => return self.check_last(record.to_position()),
+            RecordKind::Reset => self.reset(record.to_position()),
+            RecordKind::SnapshotMark => self.mark = record.to_position(),
+            kind => return Err(format!("a {kind:?} record does not belong here").into()),
+        }
+        Ok(())
+    }
+
+    /// Tells whether nothing was ever saved.
+    pub(crate) fn is_untouched(&self) -> bool {
+        self.hard_state == HardState::default()
+            && self.mark == Position::default()
+            && self.terms.last() == Position::default()
+    }
+
+    fn push(&mut self, entry: LogEntry) -> Result<(), Box<str>> {
+        let last = self.terms.last().index.get();
+        let index = entry.index.get();
+        if index == 0 || index > last + 1 {
+            return Err(format!("entry {index} does not follow entry {last}").into());
+        }
+        self.cut(entry.index);
+        self.terms.push(Position { index: entry.index, term: entry.term });
+        if let Some(span) = self.spans.back_mut() {
+            span.last = entry.index;
+        }
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    fn cut(&mut self, from: LogIndex) {
+        self.spans.iter_mut().for_each(|span| span.cut(from));
+        let keep = self.entries.partition_point(|e| e.index < from);
+        self.entries.truncate(keep);
+        if from <= self.terms.start().index {
+            // Earlier segments were deleted, so the term before the first entry is not known.
+            let index = LogIndex::new(from.get() - 1);
+            self.terms = TermRuns::after(Position { index, term: Term::default() });
+        }
+    }
+
+    fn check_last(&mut self, last: Position) -> Result<(), Box<str>> {
+        if self.spans.len() == 1 && self.entries.is_empty() {
+            self.terms = TermRuns::after(last);
+        } else if self.terms.last().index != last.index {
+            let found = self.terms.last().index;
+            return Err(format!("the segment follows entry {}, not {found}", last.index).into());
+        }
+        Ok(())
+    }
+
+    fn reset(&mut self, at: Position) {
+        self.entries.clear();
+        self.spans.iter_mut().for_each(|span| span.last = LogIndex::default());
+        self.terms = TermRuns::after(at);
+        self.mark = at;
+    }
+}
--- /dev/null
+++ b/crates/store/src/storage/scan.rs
@@ -0,0 +1,115 @@
+use super::{
+    BatchNumber, Contents, Folder, Position, Replay, SegmentNumber, SegmentReader, StorageError,
+    identity, snapshot_file,
+};
+use masticstair_core::id::ReplicaId;
+use masticstair_core::message::SnapshotMeta;
+
+/// The content of a data folder as read and checked, before anything is changed.
+pub(crate) struct Scan {
+    /// The identity; `None` in a folder whose creation did not end.
+    pub(crate) identity: Option<ReplicaId>,
+    /// The files.
+    pub(crate) contents: Contents,
+    /// The newest snapshot.
+    pub(crate) snapshot: Option<(SnapshotMeta, Box<[u8]>)>,
+    /// What the log adds up to.
+    pub(crate) replay: Replay,
+    /// The last segment.
+    pub(crate) last: Option<LastSegment>,
+}
+
+/// The last segment of the log.
+pub(crate) struct LastSegment {
+    /// Its number.
+    pub(crate) number: SegmentNumber,
+    /// Its valid part.
+    pub(crate) bytes: Vec<u8>,
+    /// The batch that follows.
+    pub(crate) next_batch: BatchNumber,
+}
+
+impl Scan {
+    /// Reads and checks the folder.
+    pub(crate) fn read(folder: &Folder) -> Result<Self, StorageError> {
+        let contents = Contents::list(folder)?;
+        let identity = match contents.identity {
+            true => Some(identity::read(folder)?),
+            false => None,
+        };
+        let (replay, last) = read_log(folder, &contents, identity)?;
+        let newest = contents.snapshots.last();
+        let snapshot = newest.map(|index| snapshot_file::read(folder, *index)).transpose()?;
+        let scan = Self { identity, contents, snapshot, replay, last };
+        scan.check(folder)?;
+        Ok(scan)
+    }
+
+    /// Tells whether nothing was ever saved in the folder, not even before a repair.
+    pub(crate) fn is_untouched(&self) -> bool {
+        !self.contents.set_aside && self.holds_nothing()
+    }
+
+    /// Returns the position of the newest snapshot; index 0 when there is none.
+    pub(crate) fn snapshot_position(&self) -> Position {
+        let position =
+            |(meta, _): &(SnapshotMeta, _)| Position { index: meta.index, term: meta.term };
+        self.snapshot.as_ref().map_or_else(Position::default, position)
+    }
+
+    fn holds_nothing(&self) -> bool {
+        self.snapshot.is_none() && self.replay.is_untouched()
+    }
+
+    fn check(&self, folder: &Folder) -> Result<(), StorageError> {
+        let snapshot = self.snapshot_position().index;
+        let mark = self.replay.mark.index;
+        let missing = |what: String| {
+            Err(StorageError::Missing { folder: folder.path().into(), what: what.into() })
+        };
+        if self.identity.is_none() && !self.holds_nothing() {
+            return missing("its identity".into());
+        }
+        if self.identity.is_some() && self.last.is_none() {
+            return missing("its log".into());
+        }
+        if mark > snapshot {
+            return missing(format!("the snapshot at {mark}"));
+        }
+        let start = match self.replay.entries.first() {
+            Some(entry) => entry.index.get() - 1,
+            None => self.replay.terms.last().index.get(),
+        };
+        if start > snapshot.get() {
+            return missing(format!("the log entries from {} to {start}", snapshot.get() + 1));
+        }
+        let last = self.replay.terms.last().index;
+        if last < mark {
+            return missing(format!("the log entries from {} to {mark}", last.get() + 1));
+        }
+        Ok(())
+    }
+}
+
+fn read_log(
+    folder: &Folder,
+    contents: &Contents,
+    identity: Option<ReplicaId>,
+) -> Result<(Replay, Option<LastSegment>), StorageError> {
+    let mut reader =
+        SegmentReader { replica: identity, next_batch: None, replay: Replay::default() };
+    let mut last = None;
+    let mut expected = contents.segments.first().copied();
+    for number in contents.segments.iter().copied() {
+        if let Some(expected) = expected.filter(|expected| *expected != number) {
+            let what = format!("segment {expected} of its log").into();
+            return Err(StorageError::Missing { folder: folder.path().into(), what });
+        }
+        let is_last = contents.segments.last() == Some(&number);
+        last = Some((number, reader.read(folder, number, is_last)?));
+        expected = Some(number.next());
+    }
+    let last = last.zip(reader.next_batch);
+    let last = last.map(|((number, bytes), next_batch)| LastSegment { number, bytes, next_batch });
+    Ok((reader.replay, last))
+}
--- /dev/null
+++ b/crates/store/src/storage/segment_reader.rs
@@ -0,0 +1,82 @@
+use super::{
+    Batch, BatchNumber, Contents, Folder, Replay, SegmentHeader, SegmentNumber, StorageError,
+};
+use masticstair_core::id::ReplicaId;
+use std::path::Path;
+
+/// Reads the segments of a log in order.
+#[derive(Debug)]
+pub(crate) struct SegmentReader {
+    /// The folder that the segments must belong to; taken from the first segment when not known.
+    pub(crate) replica: Option<ReplicaId>,
+    /// The number of the batch that comes next; `None` before the first segment.
+    pub(crate) next_batch: Option<BatchNumber>,
+    /// What the records read so far add up to.
+    pub(crate) replay: Replay,
+}
+
+impl SegmentReader {
+    /// Reads a segment and returns the part of it that is valid. A torn end is cut off when the segment is
+    /// the last one; all other damage is an error.
+    pub(crate) fn read(
+        &mut self,
+        folder: &Folder,
+        number: SegmentNumber,
+        is_last: bool,
+    ) -> Result<Vec<u8>, StorageError> {
+        let path = Contents::segment_path(folder, number);
+        let mut bytes = folder.read(&path)?;
+        let mut next = self.check_header(&path, number, &bytes)?;
+        self.replay.begin_segment(number);
+        let mut at = SegmentHeader::SIZE;
+        while at < bytes.len() {
+            match Batch::decode(&bytes, at, next) {
+                Ok(batch) => at = self.apply(&path, batch)?,
+                // The first batch was synced before the segment got its name, so it cannot be torn.
+                Err(f) if is_last && at > SegmentHeader::SIZE && f.is_torn(&bytes, at) => break,
+                Err(f) => return Err(StorageError::damaged(&path, f.offset, f.reason)),
+            }
+            next = next.next();
+        }
+        if at == SegmentHeader::SIZE {
+            return Err(StorageError::damaged(&path, at, "the first batch is not there"));
+        }
+        bytes.truncate(at);
+        self.next_batch = Some(next);
+        Ok(bytes)
+    }
+
+    fn check_header(
+        &mut self,
+        path: &Path,
+        number: SegmentNumber,
+        bytes: &[u8],
+    ) -> Result<BatchNumber, StorageError> {
+        let damaged = |reason: &str| StorageError::damaged(path, 0, reason);
+        let header =
+            SegmentHeader::decode(bytes).ok_or_else(|| damaged("not an intact segment header"))?;
+        if header.number != number {
+            return Err(damaged(&format!("the header says segment {}", header.number)));
+        }
+        let replica = *self.replica.get_or_insert(header.replica);
+        if header.replica != replica {
+            let found = header.replica;
+            return Err(damaged(&format!("it belongs to replica {found}, not {replica}")));
+        }
+        let expected = self.next_batch.unwrap_or(header.first_batch);
+        if header.first_batch != expected {
+            let found = header.first_batch;
+            return Err(damaged(&format!("batch {found} stands where {expected} belongs")));
+        }
+        Ok(expected)
+    }
+
+    fn apply(&mut self, path: &Path, batch: Batch<'_>) -> Result<usize, StorageError> {
+        for (offset, record) in batch.records {
+            self.replay
+                .apply(record)
+                .map_err(|reason| StorageError::damaged(path, offset, reason))?;
+        }
+        Ok(batch.end)
+    }
+}
--- /dev/null
+++ b/crates/store/src/storage/snapshot_file.rs
@@ -0,0 +1,62 @@
+//! Reading of a snapshot file: a magic number, then a record with the description, records with the data in
+//! order, and a record that ends the file.
+
+use super::{Contents, Folder, Record, RecordKind, StorageError};
+use masticstair_core::id::LogIndex;
+use masticstair_core::message::SnapshotMeta;
+
+/// The first bytes of a snapshot file.
+pub(crate) const MAGIC: &[u8; 8] = b"mstsnp\x00\x01";
+
+/// Reads a snapshot.
+pub(crate) fn read(
+    folder: &Folder,
+    index: LogIndex,
+) -> Result<(SnapshotMeta, Box<[u8]>), StorageError> {
+    let path = Contents::snapshot_path(folder, index);
+    let bytes = folder.read(&path)?;
+    decode(&bytes, index).map_err(|(offset, reason)| StorageError::damaged(&path, offset, reason))
+}
+
+type Fault = (usize, &'static str);
+
+fn decode(bytes: &[u8], index: LogIndex) -> Result<(SnapshotMeta, Box<[u8]>), Fault> {
+    if !bytes.starts_with(MAGIC) {
+        return Err((0, "not a snapshot file"));
+    }
+    let mut at = MAGIC.len();
+    let meta = decode_meta(next_record(bytes, &mut at)?, index)?;
+    let mut data = Vec::new();
+    loop {
+        let offset = at;
+        let record = next_record(bytes, &mut at)?;
+        match record.kind {
+            RecordKind::SnapshotData if record.index == data.len() as u64 => {
+                data.extend_from_slice(record.body);
+            }
+            RecordKind::SnapshotEnd if meta.size == data.len() as u64 && at == bytes.len() => {
+                return Ok((meta, data.into()));
+            }
+            _ => return Err((offset, "the record does not belong here")),
+        }
+    }
+}
+
+fn next_record<'a>(bytes: &'a [u8], at: &mut usize) -> Result<Record<'a>, Fault> {
+    let (record, size) = Record::decode(&bytes[*at..]).map_err(|reason| (*at, reason))?;
+    *at += size;
+    Ok(record)
+}
+
+fn decode_meta(record: Record<'_>, index: LogIndex) -> Result<SnapshotMeta, Fault> {
+    let at = MAGIC.len();
+    let meta: SnapshotMeta = match record.kind {
+        RecordKind::SnapshotMeta => serde_json::from_slice(record.body)
+            .map_err(|_| (at, "the description is not valid JSON"))?,
+        _ => return Err((at, "the description is not there")),
+    };
+    if meta.index != index {
+        return Err((at, "the description has another index than the file name"));
+    }
+    Ok(meta)
+}
--- /dev/null
+++ b/crates/store/src/storage/snapshot_job.rs
@@ -0,0 +1,89 @@
+use super::folder::temporary;
+use super::json::encode_json;
+use super::{Contents, Folder, Position, Record, RecordKind, Reply, StorageError, snapshot_file};
+use masticstair_core::id::LogIndex;
+use masticstair_core::message::SnapshotMeta;
+use masticstair_core::unit::ByteCount;
+use std::fs::File;
+use std::path::PathBuf;
+
+/// A snapshot that is being written, one piece for each step.
+pub(crate) struct SnapshotJob {
+    meta: Box<SnapshotMeta>,
+    data: Box<[u8]>,
+    /// Where to report the end.
+    pub(crate) reply: Reply,
+    /// The temporary file and its path; `None` before the first step.
+    file: Option<(File, PathBuf)>,
+    /// How much of the data was written.
+    offset: usize,
+}
+
+impl SnapshotJob {
+    /// Makes a job that has not begun.
+    pub(crate) fn new(meta: Box<SnapshotMeta>, data: Box<[u8]>, reply: Reply) -> Self {
+        Self { meta, data, reply, file: None, offset: 0 }
+    }
+
+    /// Returns the last entry that the snapshot contains.
+    pub(crate) fn position(&self) -> Position {
+        Position { index: self.meta.index, term: self.meta.term }
+    }
+
+    /// Checks that the data has the stated size and that the snapshot reaches beyond the saved one.
+    pub(crate) fn check(&self, saved: LogIndex) -> Result<(), StorageError> {
+        let (size, stated) = (self.data.len() as u64, self.meta.size);
+        if size != stated {
+            let (size, stated) = (ByteCount::new(size), ByteCount::new(stated));
+            return Err(StorageError::SnapshotSize { size, stated });
+        }
+        let index = self.meta.index;
+        if index <= saved {
+            return Err(StorageError::StaleSnapshot { index, saved });
+        }
+        Ok(())
+    }
+
+    /// Writes and syncs the next piece. Returns true once the snapshot is durable under its name.
+    pub(crate) fn step(&mut self, folder: &mut Folder, piece: usize) -> Result<bool, StorageError> {
+        let mut buf = Vec::new();
+        let (file, path) = match self.file.take() {
+            Some(open) => open,
+            None => {
+                let path = temporary(&Contents::snapshot_path(folder, self.meta.index));
+                self.encode_meta(&mut buf)?;
+                (folder.create(&path)?, path)
+            }
+        };
+        self.encode_piece(&mut buf, piece);
+        folder.write(&file, &path, &buf)?;
+        folder.sync(&file, &path)?;
+        let complete = self.offset == self.data.len();
+        if complete {
+            folder.rename(&path, &Contents::snapshot_path(folder, self.meta.index))?;
+        } else {
+            self.file = Some((file, path));
+        }
+        Ok(complete)
+    }
+
+    fn encode_meta(&self, buf: &mut Vec<u8>) -> Result<(), StorageError> {
+        let body = encode_json("a snapshot description", &self.meta)?;
+        buf.extend_from_slice(snapshot_file::MAGIC);
+        let at = self.position();
+        Record { body: &body, ..Record::position(RecordKind::SnapshotMeta, at) }.encode(buf);
+        Ok(())
+    }
+
+    fn encode_piece(&mut self, buf: &mut Vec<u8>, piece: usize) {
+        let end = self.data.len().min(self.offset + piece.max(1));
+        let body = &self.data[self.offset..end];
+        let kind = RecordKind::SnapshotData;
+        Record { kind, index: self.offset as u64, term: 0, body }.encode(buf);
+        self.offset = end;
+        if end == self.data.len() {
+            let kind = RecordKind::SnapshotEnd;
+            Record { kind, index: end as u64, term: 0, body: &[] }.encode(buf);
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/storage/storage_options.rs
@@ -0,0 +1,23 @@
+use super::FileOps;
+use masticstair_core::unit::ByteCount;
+
+/// How the storage writes.
+pub struct StorageOptions {
+    /// The file operations.
+    pub ops: FileOps,
+    /// The size at which a new segment of the log is begun. The last segment is rewritten at every start,
+    /// so this bounds that work too.
+    pub segment: ByteCount,
+    /// The most bytes of a snapshot that are written and synced before waiting appends get their turn.
+    pub snapshot_piece: ByteCount,
+}
+
+impl Default for StorageOptions {
+    fn default() -> Self {
+        Self {
+            ops: FileOps::system(),
+            segment: ByteCount::new(8 << 20),
+            snapshot_piece: ByteCount::new(256 << 10),
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/tests/storage_calls.rs
@@ -0,0 +1,189 @@
+//! The calls of a storage handle: refusals, group commit, compaction, identity and lock.
+
+#![allow(clippy::expect_used, clippy::unwrap_used, reason = "a failure must end the test")]
+
+mod storage_support;
+
+use futures_util::future::join_all;
+use masticstair_core::message::EntryPayload;
+use masticstair_store::storage::{FileOps, StorageError, open};
+use std::fs;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, mpsc};
+use std::task::{Context, Waker};
+use std::thread;
+use storage_support::Step::{Append, Hard, Snapshot};
+use storage_support::{Model, Step, call, data, entries, files, meta, open_small, run, wait};
+
+struct Refusal {
+    name: &'static str,
+    step: Step,
+    says: &'static str,
+}
+
+const REFUSALS: &[Refusal] = &[
+    Refusal {
+        name: "gap",
+        step: Append(12, 12, 2),
+        says: "entry 12 does not follow the last entry 10",
+    },
+    Refusal { name: "index 0", step: Append(0, 0, 2), says: "entry 0 is already part" },
+    Refusal {
+        name: "covered",
+        step: Append(5, 11, 2),
+        says: "entry 5 is already part of the snapshot at 5",
+    },
+    Refusal {
+        name: "term falls",
+        step: Hard(1, 1),
+        says: "term 1 contradicts the saved one of term 2",
+    },
+    Refusal { name: "second vote", step: Hard(2, 2), says: "contradicts" },
+    Refusal { name: "withdrawn vote", step: Hard(2, 0), says: "contradicts" },
+    Refusal {
+        name: "stale snapshot",
+        step: Snapshot(5, 1),
+        says: "snapshot at 5 does not reach beyond",
+    },
+];
+
+/// Guards against calls that would break the log, and against a refusal that changes or fails the storage.
+#[test]
+fn refused_calls_change_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    run(folder.path(), &[Hard(2, 1), Append(1, 10, 1), Snapshot(5, 1)]);
+    let (storage, before) = open_small(folder.path(), FileOps::system()).unwrap();
+    for Refusal { name, step, says } in REFUSALS {
+        let e = wait(call(&storage, *step)).expect_err(name);
+        assert!(e.to_string().contains(says), "{name}: {e}");
+    }
+    let large = |size: usize| EntryPayload::Command(vec![0; size].into());
+    for (size, count) in [(4 << 20 | 1, 1), (3 << 20, 3)] {
+        let mut large_entries = entries(11, 10 + count, 2);
+        large_entries.iter_mut().for_each(|e| e.payload = large(size));
+        let refused = wait(storage.append(large_entries));
+        assert!(matches!(refused, Err(StorageError::TooLarge { .. })), "{size}: {refused:?}");
+    }
+    let wrong_size = wait(storage.save_snapshot(meta(9, 1), data(9)[1..].into()));
+    assert!(matches!(wrong_size, Err(StorageError::SnapshotSize { .. })), "{wrong_size:?}");
+    wait(storage.append(vec![])).unwrap();
+    wait(storage.close()).unwrap();
+    assert_eq!(wait(storage.append(vec![])), Err(StorageError::Closed));
+    assert_eq!(run(folder.path(), &[]), before);
+}
+
+/// Guards against one sync for each call, and against an answer before the sync.
+#[test]
+fn waiting_calls_share_a_sync() {
+    let folder = tempfile::tempdir().unwrap();
+    let (opened, gate) = mpsc::channel::<()>();
+    let syncs = Arc::new(AtomicU64::new(0));
+    let mut ops = FileOps::system();
+    let (mut sync, count) = (ops.sync, syncs.clone());
+    ops.sync = Box::new(move |f| {
+        // The first three syncs are those of the creation.
+        if count.fetch_add(1, Ordering::SeqCst) >= 3 {
+            gate.recv().unwrap();
+        }
+        sync(f)
+    });
+    let (storage, _) = open_small(folder.path(), ops).unwrap();
+    assert_eq!(syncs.load(Ordering::SeqCst), 3);
+    let mut calls: Vec<_> = (1..=300).map(|i| Box::pin(call(&storage, Append(i, i, 1)))).collect();
+    let mut cx = Context::from_waker(Waker::noop());
+    let answered = |c: &mut _| Future::poll(std::pin::Pin::as_mut(c), &mut cx).is_ready();
+    assert_eq!(
+        calls.iter_mut().map(answered).filter(|a| *a).count(),
+        0,
+        "answered before the sync"
+    );
+    let wake = thread::spawn(move || while opened.send(()).is_ok() {});
+    assert!(wait(join_all(calls)).into_iter().all(|r| r.is_ok()));
+    wait(storage.close()).unwrap();
+    wake.join().unwrap();
+    // One sync for the calls that the thread found first, one or two for those that came meanwhile, and at
+    // most two for the next segment.
+    let shared = syncs.load(Ordering::SeqCst) - 3;
+    assert!((1..=5).contains(&shared), "{shared} syncs for 300 calls");
+    assert_eq!(run(folder.path(), &[]).entries, entries(1, 300, 1));
+}
+
+/// Guards against calls from other threads and runtimes that are lost or mixed up.
+#[test]
+fn handles_work_on_any_thread() {
+    let folder = tempfile::tempdir().unwrap();
+    let (storage, _) = open(folder.path()).unwrap();
+    for index in 1..=8 {
+        let storage = storage.clone();
+        let task = thread::spawn(move || wait(call(&storage, Append(index, index, 1))));
+        task.join().unwrap().unwrap();
+    }
+    wait(storage.close()).unwrap();
+    assert_eq!(run(folder.path(), &[]).entries, entries(1, 8, 1));
+}
+
+/// Guards against disk use that grows with the number of entries, and against appends that wait for a whole
+/// snapshot.
+#[test]
+fn compaction_bounds_disk_use() {
+    let folder = tempfile::tempdir().unwrap();
+    let (storage, _) = open_small(folder.path(), FileOps::system()).unwrap();
+    let mut model = Model::default();
+    for round in 0..50 {
+        let (first, last) = (round * 20 + 1, round * 20 + 20);
+        let snapshot = call(&storage, Snapshot(last - 5, 1));
+        wait(call(&storage, Append(first, last, 1))).unwrap();
+        wait(snapshot).unwrap();
+        model.apply(Append(first, last, 1));
+        model.apply(Snapshot(last - 5, 1));
+        // A round writes less than 8,000 bytes, and a segment holds 2,000 bytes and a batch.
+        let used: u64 =
+            files(folder.path(), "").iter().map(|f| fs::metadata(f).unwrap().len()).sum();
+        assert!(used < 3 * 8_000, "round {round}: {used} bytes");
+        assert_eq!(files(folder.path(), "snapshot-").len(), 1, "round {round}");
+    }
+    wait(storage.close()).unwrap();
+    assert_eq!(Model::of(&run(folder.path(), &[])), model);
+}
+
+/// Guards against a tail that comes back after it was cut and overwritten, in each position of a segment.
+#[test]
+fn overwritten_tail_stays_overwritten() {
+    for from in 1..=40 {
+        let folder = tempfile::tempdir().unwrap();
+        let mut steps: Vec<_> = (0..10).map(|n| Append(n * 4 + 1, n * 4 + 4, 1)).collect();
+        steps.push(Append(from, from, 2));
+        run(folder.path(), &steps);
+        let mut expected = entries(1, from - 1, 1);
+        expected.extend(entries(from, from, 2));
+        assert_eq!(run(folder.path(), &[]).entries, expected, "cut from {from}");
+        // The same again after a restart, and with a snapshot right before the cut.
+        let cut = [Snapshot(from, 2), Append(from + 1, from + 9, 2), Append(from + 1, from + 1, 3)];
+        run(folder.path(), &cut);
+        let found = run(folder.path(), &[]);
+        assert_eq!(
+            found.entries,
+            entries(from + 1, from + 1, 3),
+            "cut from {from} after a snapshot"
+        );
+    }
+}
+
+/// Guards against two processes in one folder, an identity that changes, and a used folder that counts as
+/// new.
+#[test]
+fn identity_and_lock_belong_to_the_folder() {
+    let parent = tempfile::tempdir().unwrap();
+    let folder = parent.path().join("a/b");
+    let (storage, first) = open(&folder).unwrap();
+    assert!(matches!(open(&folder), Err(StorageError::Locked { .. })));
+    wait(storage.close()).unwrap();
+    let second = run(&folder, &[]);
+    assert!(first.new && second.new, "a folder without content is new");
+    let third = run(&folder, &[Hard(1, 1)]);
+    let fourth = run(&folder, &[]);
+    assert!(!fourth.new, "a saved vote means that the folder is not new");
+    assert!([second, third, fourth].iter().all(|r| r.identity == first.identity));
+    let other = run(&parent.path().join("c"), &[]);
+    assert!(other.identity != first.identity && other.entries.is_empty());
+}
--- /dev/null
+++ b/crates/store/tests/storage_faults.rs
@@ -0,0 +1,225 @@
+//! Every file operation of a long run fails once, in several ways and with several kinds of power loss.
+//! Guards against acknowledgements before the sync, calls that succeed after a failure, and states of the
+//! folder that recovery cannot continue.
+
+#![allow(clippy::expect_used, clippy::unwrap_used, reason = "a failure must end the test")]
+
+mod storage_support;
+
+use masticstair_store::storage::{FileOps, Recovered, StorageError};
+use std::collections::{HashMap, HashSet};
+use std::fs::{self, File};
+use std::io::{self, ErrorKind, Write};
+use std::os::unix::fs::{FileExt, MetadataExt};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use storage_support::Step::{Append, Hard, Snapshot};
+use storage_support::{Model, Step, call, files, open_small, wait};
+
+/// How the chosen operation fails.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    /// It does nothing and reports a full disk.
+    Full,
+    /// It takes effect, writes by half, and reports an error.
+    Partial,
+}
+
+/// What happens to written bytes that were not synced.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    Nothing,
+    All,
+    Half,
+    /// The file keeps its size and the bytes read as zeros.
+    Zeros,
+}
+
+/// The disk: counts operations and knows how much of each file is synced.
+#[derive(Debug, Default)]
+struct Disk {
+    count: u64,
+    fail_at: u64,
+    failed: Option<&'static str>,
+    after_failure: Vec<&'static str>,
+    /// The synced size of each inode.
+    synced: HashMap<u64, u64>,
+    /// Inodes whose sync failed. As on Linux, a later sync succeeds without writing what was lost.
+    poisoned: HashSet<u64>,
+}
+
+impl Disk {
+    fn fails(&mut self, operation: &'static str) -> bool {
+        if self.failed.is_some() {
+            self.after_failure.push(operation);
+        }
+        self.count += 1;
+        let fails = self.count == self.fail_at;
+        if fails {
+            self.failed = Some(operation);
+        }
+        fails
+    }
+}
+
+type Shared = Arc<Mutex<Disk>>;
+
+fn step<T>(
+    disk: &Shared,
+    operation: &'static str,
+    fault: Fault,
+    act: impl FnOnce(bool) -> io::Result<T>,
+) -> io::Result<T> {
+    let fails = disk.lock().unwrap().fails(operation);
+    let error = || io::Error::from(ErrorKind::StorageFull);
+    match (fails, fault) {
+        (false, _) => act(false),
+        (true, Fault::Full) => Err(error()),
+        (true, Fault::Partial) => act(true).and_then(|_| Err(error())),
+    }
+}
+
+fn faulty(disk: &Shared, fault: Fault) -> FileOps {
+    let d = || disk.clone();
+    let (create, remove, rename, sync, folder, write) = (d(), d(), d(), d(), d(), d());
+    FileOps {
+        create: Box::new(move |p| step(&create, "create", fault, |_| create_file(&create, p))),
+        read: Box::new(|p| fs::read(p)),
+        remove: Box::new(move |p| step(&remove, "remove", fault, |_| fs::remove_file(p))),
+        rename: Box::new(move |a, b| step(&rename, "rename", fault, |_| fs::rename(a, b))),
+        sync: Box::new(move |f| sync_file(&sync, f)),
+        sync_folder: Box::new(move |_| step(&folder, "sync_folder", fault, |_| Ok(()))),
+        write: Box::new(move |mut f, bytes| {
+            step(&write, "write", fault, |half| {
+                f.write_all(if half { &bytes[..bytes.len() / 2] } else { bytes })
+            })
+        }),
+    }
+}
+
+fn create_file(disk: &Shared, path: &Path) -> io::Result<File> {
+    let file = File::create(path)?;
+    let inode = file.metadata()?.ino();
+    let mut disk = disk.lock().unwrap();
+    disk.synced.remove(&inode);
+    disk.poisoned.remove(&inode);
+    Ok(file)
+}
+
+fn sync_file(disk: &Shared, file: &File) -> io::Result<()> {
+    let meta = file.metadata()?;
+    let result = step(disk, "sync", Fault::Full, |_| Ok(()));
+    let mut disk = disk.lock().unwrap();
+    if result.is_err() {
+        disk.poisoned.insert(meta.ino());
+    } else if !disk.poisoned.contains(&meta.ino()) {
+        disk.synced.insert(meta.ino(), meta.len());
+    }
+    result
+}
+
+fn lose(folder: &Path, disk: &Shared, loss: Loss) {
+    for path in files(folder, "wal-").into_iter().chain(files(folder, "snapshot-")) {
+        let file = File::options().write(true).open(&path).unwrap();
+        let meta = file.metadata().unwrap();
+        let synced = disk.lock().unwrap().synced.get(&meta.ino()).copied().unwrap_or(0);
+        let lost = meta.len().saturating_sub(synced);
+        match loss {
+            Loss::Nothing => {}
+            Loss::All => file.set_len(synced).unwrap(),
+            Loss::Half => file.set_len(synced + lost / 2).unwrap(),
+            Loss::Zeros => file.write_all_at(&vec![0; lost as usize], synced).unwrap(),
+        }
+    }
+}
+
+const STEPS: &[Step] = &[
+    Hard(1, 1),
+    Append(1, 10, 1),
+    Append(8, 12, 2),
+    Hard(2, 0),
+    Snapshot(6, 1),
+    Append(13, 20, 2),
+    Hard(3, 2),
+    Append(15, 16, 3),
+    Snapshot(16, 3),
+    Append(17, 30, 3),
+    Snapshot(50, 4),
+    Append(51, 60, 4),
+    Snapshot(55, 9),
+    Append(56, 58, 9),
+];
+
+/// Runs the steps until one fails; returns the models before and after that step.
+fn run_until_failure(folder: &Path, disk: &Shared, fault: Fault, name: &str) -> [Model; 2] {
+    let mut before = Model::default();
+    let Ok((storage, _)) = open_small(folder, faulty(disk, fault)) else {
+        return [before.clone(), before];
+    };
+    for step in STEPS {
+        let mut after = before.clone();
+        after.apply(*step);
+        if let Err(e) = wait(call(&storage, *step)) {
+            assert!(matches!(e, StorageError::Io { .. }), "{name}: {e}");
+            for step in [Append(1, 1, 1), Hard(9, 9), Snapshot(90, 9)] {
+                let later = wait(call(&storage, step));
+                assert!(matches!(later, Err(StorageError::Failed { .. })), "{name}: {later:?}");
+            }
+            wait(storage.close()).unwrap();
+            return [before, after];
+        }
+        before = after;
+    }
+    wait(storage.close()).unwrap();
+    [before.clone(), before]
+}
+
+/// Reopens without further faults, goes on from there, and loses power once more.
+fn reopen(folder: &Path, disk: &Shared, name: &str) -> Recovered {
+    disk.lock().unwrap().fail_at = 0;
+    let opened = open_small(folder, faulty(disk, Fault::Full));
+    let (storage, recovered) = opened.unwrap_or_else(|e| panic!("{name}: {e}"));
+    let mut model = Model::of(&recovered);
+    let last = model.entries.last().map_or(model.snapshot.0, |e| e.index.get());
+    for step in [Append(last + 1, last + 3, 9), Append(last + 2, last + 2, 10), Hard(11, 3)] {
+        wait(call(&storage, step)).unwrap_or_else(|e| panic!("{name}: {step:?}: {e}"));
+        model.apply(step);
+    }
+    wait(storage.close()).unwrap();
+    lose(folder, disk, Loss::All);
+    let (storage, again) = open_small(folder, faulty(disk, Fault::Full)).unwrap();
+    wait(storage.close()).unwrap();
+    assert_eq!(Model::of(&again), model, "{name}: what was added after recovery is not found");
+    recovered
+}
+
+#[test]
+fn every_operation_fails_once() {
+    let losses = [Loss::Nothing, Loss::All, Loss::Half, Loss::Zeros];
+    let mut kinds = HashMap::<&str, u64>::new();
+    for (fault, loss) in
+        [Fault::Full, Fault::Partial].into_iter().flat_map(|f| losses.map(|l| (f, l)))
+    {
+        for fail_at in 1.. {
+            let folder = tempfile::tempdir().unwrap();
+            let disk = Shared::new(Mutex::new(Disk { fail_at, ..Disk::default() }));
+            let name = format!("{fault:?}, {loss:?}, operation {fail_at}");
+            let expected = run_until_failure(folder.path(), &disk, fault, &name);
+            let failed = disk.lock().unwrap().failed;
+            let later = std::mem::take(&mut disk.lock().unwrap().after_failure);
+            assert!(later.is_empty(), "{name}: {failed:?} failed, then came {later:?}");
+            lose(folder.path(), &disk, loss);
+            let found = Model::of(&reopen(folder.path(), &disk, &name));
+            assert!(
+                expected.contains(&found),
+                "{name} ({failed:?}): {found:?} not in {expected:?}"
+            );
+            let Some(kind) = failed else { break };
+            *kinds.entry(kind).or_default() += 1;
+        }
+    }
+    println!("faults injected: {kinds:?}");
+    for kind in ["create", "remove", "rename", "sync", "sync_folder", "write"] {
+        assert!(kinds.contains_key(kind), "no {kind} failed");
+    }
+}
--- /dev/null
+++ b/crates/store/tests/storage_recovery.rs
@@ -0,0 +1,209 @@
+//! What `open` finds after files were changed, cut or removed, and what `repair` does about it.
+
+#![allow(clippy::expect_used, clippy::unwrap_used, reason = "a failure must end the test")]
+
+mod storage_support;
+
+use masticstair_store::storage::{FileOps, StorageError, open, repair};
+use std::fs::{self, File};
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+use storage_support::Step::{Append, Hard, Snapshot};
+use storage_support::{Model, Step, files, open_small, run};
+
+/// Leaves a snapshot, several segments, and a last segment with several batches.
+const STEPS: &[Step] = &[
+    Hard(1, 1),
+    Append(1, 20, 1),
+    Snapshot(10, 1),
+    Append(21, 40, 1),
+    Append(41, 43, 2),
+    Hard(3, 2),
+    Append(42, 42, 3),
+    // The last two batches are longer than a sector and have sectors of zeros.
+    Append(43, 48, 3),
+    Append(49, 52, 3),
+];
+
+fn copy(from: &Path) -> tempfile::TempDir {
+    let to = tempfile::tempdir().unwrap();
+    for path in files(from, "") {
+        fs::copy(&path, to.path().join(path.file_name().unwrap())).unwrap();
+    }
+    to
+}
+
+/// Guards against a flipped bit that is skipped, cut off or reported at another place.
+#[test]
+fn every_flipped_byte_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    run(folder.path(), STEPS);
+    for path in files(folder.path(), "").into_iter().filter(|p| !p.ends_with("lock")) {
+        let bytes = fs::read(&path).unwrap();
+        let file = File::options().write(true).open(&path).unwrap();
+        for (at, byte) in bytes.iter().enumerate() {
+            file.write_all_at(&[byte ^ 1 << (at % 8)], at as u64).unwrap();
+            match open_small(folder.path(), FileOps::system()) {
+                Err(StorageError::Damaged { file, offset, .. }) => {
+                    assert_eq!(*file, *path, "flip at {at}");
+                    assert!(offset.get() <= at as u64, "flip at {at}, reported at {offset}");
+                }
+                other => panic!("flip at {at} of {}: {:?}", path.display(), other.map(|_| ())),
+            }
+            file.write_all_at(&[*byte], at as u64).unwrap();
+        }
+    }
+    assert!(open_small(folder.path(), FileOps::system()).is_ok());
+}
+
+/// Guards against a torn tail that is refused, or that takes an earlier batch with it.
+#[test]
+fn torn_tail_is_cut_off_at_every_length() {
+    let folder = tempfile::tempdir().unwrap();
+    run(folder.path(), STEPS);
+    let last = files(folder.path(), "wal-").pop().unwrap();
+    let whole = fs::metadata(&last).unwrap().len();
+    let models: Vec<Model> = (0..=STEPS.len())
+        .map(|n| {
+            let mut model = Model::default();
+            STEPS[..n].iter().for_each(|step| model.apply(*step));
+            model
+        })
+        .collect();
+    let mut held = vec![];
+    for length in 0..=whole {
+        let torn = copy(folder.path());
+        let file = File::options().write(true).open(torn.path().join(last.file_name().unwrap()));
+        file.unwrap().set_len(length).unwrap();
+        match open_small(torn.path(), FileOps::system()) {
+            Ok((_, found)) => {
+                let found = Model::of(&found);
+                let steps = models.iter().rposition(|m| *m == found);
+                held.push(steps.unwrap_or_else(|| panic!("length {length}: {found:?}")));
+            }
+            // The first batch got its name after its sync, so it cannot be torn.
+            Err(StorageError::Damaged { .. }) => assert!(held.is_empty(), "length {length}"),
+            Err(e) => panic!("length {length}: {e}"),
+        }
+    }
+    assert!(held.is_sorted(), "a longer file holds less: {held:?}");
+    // The last segment begins after the fourth step.
+    assert_eq!((held.first(), held.last()), (Some(&(STEPS.len() - 5)), Some(&STEPS.len())));
+}
+
+struct Damage {
+    name: &'static str,
+    make: fn(&Path),
+    says: &'static str,
+}
+
+fn remove(folder: &Path, prefix: &str, nth: usize) {
+    fs::remove_file(&files(folder, prefix)[nth]).unwrap();
+}
+
+const DAMAGES: &[Damage] = &[
+    Damage { name: "no identity", make: |f| remove(f, "identity", 0), says: "lacks its identity" },
+    Damage {
+        name: "no log",
+        make: |f| files(f, "wal-").iter().for_each(|p| fs::remove_file(p).unwrap()),
+        says: "lacks its log",
+    },
+    Damage {
+        name: "no first segment",
+        make: |f| remove(f, "wal-", 0),
+        says: "lacks the log entries",
+    },
+    Damage { name: "no middle segment", make: |f| remove(f, "wal-", 1), says: "lacks segment" },
+    Damage {
+        name: "no snapshot",
+        make: |f| remove(f, "snapshot-", 0),
+        says: "lacks the snapshot at 10",
+    },
+    Damage {
+        name: "segment of another replica",
+        make: |f| {
+            let other = tempfile::tempdir().unwrap();
+            run(other.path(), STEPS);
+            let from = files(other.path(), "wal-");
+            fs::copy(&from[0], &files(f, "wal-")[0]).unwrap();
+        },
+        says: "belongs to replica",
+    },
+    Damage {
+        name: "short middle segment",
+        make: |f| {
+            let file = File::options().write(true).open(&files(f, "wal-")[0]).unwrap();
+            file.set_len(file.metadata().unwrap().len() - 1).unwrap();
+        },
+        says: "longer than the file",
+    },
+    Damage {
+        name: "zeros before a later batch",
+        make: |f| {
+            let last = files(f, "wal-").pop().unwrap();
+            let bytes = fs::read(&last).unwrap();
+            let file = File::options().write(true).open(last).unwrap();
+            let is_batch = |at: &usize| bytes[*at..].starts_with(&0x4253_6d31_u32.to_le_bytes());
+            let batches: Vec<_> = (0..bytes.len()).filter(is_batch).collect();
+            let [.., before, last] = batches[..] else { panic!("{batches:?}") };
+            file.write_all_at(&vec![0; last - before], before as u64).unwrap();
+        },
+        says: "is damaged at byte",
+    },
+];
+
+/// Guards against missing or foreign parts that are accepted, and against a repaired folder that comes back
+/// with its old identity or counts as new.
+#[test]
+fn damage_is_refused_until_repair_makes_a_new_identity() {
+    for Damage { name, make, says } in DAMAGES {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path();
+        let old = run(path, STEPS).identity;
+        assert!(matches!(repair(path), Err(StorageError::NotDamaged { .. })), "{name}");
+        make(path);
+        for attempt in 0..2 {
+            let e = open(path).err().unwrap_or_else(|| panic!("{name}: attempt {attempt}"));
+            assert!(e.to_string().contains(says), "{name}: {e}");
+        }
+        let set_aside = repair(path).unwrap();
+        assert!(!files(&set_aside, "").is_empty(), "{name}");
+        let recovered = run(path, &STEPS[..2]);
+        assert_ne!(recovered.identity, old, "{name}");
+        assert!(!recovered.new, "{name}");
+        assert_eq!(Model::of(&recovered), Model::default(), "{name}");
+        assert!(matches!(repair(path), Err(StorageError::NotDamaged { .. })), "{name}");
+    }
+}
+
+/// Guards against an interrupted repair or creation that brings the old identity back.
+#[test]
+fn interrupted_repair_and_creation_are_ended() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path();
+    let old = run(path, STEPS).identity;
+    let set_aside = path.join("set-aside");
+    fs::create_dir(&set_aside).unwrap();
+    fs::rename(path.join("identity"), set_aside.join("identity")).unwrap();
+    assert!(matches!(open(path), Err(StorageError::Missing { .. })));
+    repair(path).unwrap();
+    assert!(set_aside.join("identity").exists(), "the second repair removed what the first moved");
+    let second = run(path, &[]);
+    assert!(!second.new && second.identity != old);
+    fs::remove_file(path.join("identity")).unwrap();
+    fs::write(path.join("identity.tmp"), "").unwrap();
+    let third = run(path, &[]);
+    assert!(third.identity != second.identity, "an identity that may be unknown came back");
+    assert!(files(path, "identity.tmp").is_empty(), "the leftover stays");
+}
+
+/// Guards against a disk that cannot read a file being taken for an empty one.
+#[test]
+fn unreadable_file_is_damage() {
+    let folder = tempfile::tempdir().unwrap();
+    run(folder.path(), STEPS);
+    let mut ops = FileOps::system();
+    ops.read = Box::new(|_| Err(std::io::Error::from_raw_os_error(5)));
+    let refused = open_small(folder.path(), ops).err().unwrap();
+    assert!(matches!(refused, StorageError::Damaged { .. }), "{refused}");
+}
