--- /dev/null
+++ b/crates/store/src/consensus/handlers/install_snapshot.rs
@@ -0,0 +1,38 @@
+use masticstair_core::message::SnapshotMeta;
+use std::rc::Rc;
+
+use crate::consensus::shared::Shared;
+use crate::consensus::snapshot::Snapshot;
+use crate::consensus::{RestoreError, StorageFault};
+
+/// Replaces the replicated state and the log before the snapshot's index; entries after it stay when
+/// the log agrees with the snapshot.
+pub(crate) fn install_snapshot(
+    shared: &Shared,
+    meta: SnapshotMeta,
+    data: Box<[u8]>,
+) -> Result<(), RestoreError> {
+    if let Err(e) = (shared.machine.borrow_mut().restore)(&data) {
+        // A state that was restored in part must not answer or vote.
+        shared.fail(StorageFault(e.to_string().into()));
+        return Err(e);
+    }
+    let mut state = shared.state.borrow_mut();
+    if state.log.term_at(meta.index) == Some(meta.term) {
+        state.log.compact(meta.index);
+    } else {
+        state.log.reset(meta.index, meta.term, meta.voters.clone());
+    }
+    let index = meta.index;
+    let snapshot = Rc::new(Snapshot { meta, data });
+    state.snapshot = Some(snapshot.clone());
+    state.unsaved_snapshot = Some(snapshot);
+    state.commit = index;
+    state.applied = index;
+    state.applied_size = 0;
+    drop(state);
+    shared.pending.borrow_mut().drop_through(index);
+    shared.signals.changed.notify();
+    shared.signals.applied.notify();
+    Ok(())
+}
--- /dev/null
+++ b/crates/store/src/consensus/handlers/snapshot.rs
@@ -0,0 +1,65 @@
+use masticstair_core::id::LogIndex;
+use masticstair_core::message::{SnapshotChunk, SnapshotReply};
+use masticstair_core::unit::ByteCount;
+
+use super::follow_leader::follow_leader;
+use super::install_snapshot::install_snapshot;
+use crate::consensus::AnswerError;
+use crate::consensus::incoming_snapshot::IncomingSnapshot;
+use crate::consensus::shared::Shared;
+
+/// The largest piece.
+const MAX_CHUNK: ByteCount = ByteCount::new(64 << 10);
+
+/// Answers a piece of a snapshot; the answer to the last one follows the sync of the whole snapshot.
+pub(crate) async fn snapshot(
+    shared: &Shared,
+    chunk: SnapshotChunk,
+) -> Result<SnapshotReply, AnswerError> {
+    shared.check_serving()?;
+    check_size(ByteCount::new(chunk.data.len() as u64), MAX_CHUNK)?;
+    check_size(ByteCount::new(chunk.meta.size), shared.cfg.max_snapshot)?;
+    let (term, index, size) = (chunk.term, chunk.meta.index, chunk.meta.size);
+    if let Err(current) = follow_leader(shared, term, chunk.leader) {
+        return Ok(SnapshotReply { term: current, next_offset: 0 });
+    }
+    let (next_offset, version) = {
+        let mut state = shared.state.borrow_mut();
+        let held = index <= state.commit;
+        let next_offset = if held { size } else { collect(&mut state.incoming, &chunk) };
+        (next_offset, state.hard_version)
+    };
+    shared.signals.changed.notify();
+    install_when_complete(shared, index)?;
+    shared.hard_state_durable(version).await?;
+    // The whole size is the acknowledgement of the snapshot, also when this piece is not the last.
+    let is_durable = next_offset < size || shared.log_durable(index, term).await?;
+    let term = shared.state.borrow().hard.term;
+    Ok(SnapshotReply { term, next_offset: if is_durable { next_offset } else { 0 } })
+}
+
+/// Adds a piece to the snapshot that it belongs to and returns the offset that is expected next.
+fn collect(incoming: &mut Option<IncomingSnapshot>, chunk: &SnapshotChunk) -> u64 {
+    let current = incoming.take().filter(|i| i.belongs(chunk));
+    incoming.insert(current.unwrap_or_else(|| IncomingSnapshot::new(chunk))).add(chunk)
+}
+
+fn install_when_complete(shared: &Shared, index: LogIndex) -> Result<(), AnswerError> {
+    let incoming = {
+        let mut state = shared.state.borrow_mut();
+        if index <= state.commit || !state.incoming.as_ref().is_some_and(|i| i.is_complete()) {
+            return Ok(());
+        }
+        state.incoming.take()
+    };
+    let Some(incoming) = incoming else { return Ok(()) };
+    let (meta, data) = incoming.finish();
+    Ok(install_snapshot(shared, meta, data)?)
+}
+
+fn check_size(size: ByteCount, limit: ByteCount) -> Result<(), AnswerError> {
+    if size > limit {
+        return Err(AnswerError::TooLarge { size, limit });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/store/src/consensus/log.rs
@@ -0,0 +1,215 @@
+use masticstair_core::id::{LogIndex, Term};
+use masticstair_core::message::{EntryPayload, LogEntry, VoterSet};
+use std::collections::VecDeque;
+
+use super::recovered::Recovered;
+use super::unsynced::Unsynced;
+
+/// Counted for each entry beside its payload.
+const ENTRY_OVERHEAD: usize = 48;
+
+/// The log in memory: a base that stands for all earlier entries, and the entries after it.
+#[derive(Debug, Default)]
+pub(crate) struct Log {
+    base_index: LogIndex,
+    base_term: Term,
+    entries: VecDeque<LogEntry>,
+    /// The voter sets by the index that brought them; the first one is in force at the base.
+    voters: Vec<(LogIndex, VoterSet)>,
+    /// The first entry that storage has not been given.
+    write_from: Option<LogIndex>,
+    /// Every entry up to this one is synced.
+    synced: LogIndex,
+    /// Rises when the whole log is replaced, so that a write begun earlier does not count.
+    epoch: u64,
+}
+
+/// Returns the index after `index`.
+pub(crate) fn next(index: LogIndex) -> LogIndex {
+    LogIndex::new(index.get() + 1)
+}
+
+/// Returns the index before `index`, or 0.
+pub(crate) fn prev(index: LogIndex) -> LogIndex {
+    LogIndex::new(index.get().saturating_sub(1))
+}
+
+/// Returns the size of an entry in memory.
+pub(crate) fn size_of(entry: &LogEntry) -> usize {
+    ENTRY_OVERHEAD
+        + match &entry.payload {
+            EntryPayload::Noop => 0,
+            EntryPayload::Command(data) => data.len(),
+            EntryPayload::Voters(set) => set.all().count() * 128,
+        }
+}
+
+impl Log {
+    /// Builds the log from what storage held. Entries after a snapshot that have a lower term than the
+    /// snapshot were cut by it and are dropped.
+    pub(crate) fn recover(recovered: Recovered) -> Self {
+        let mut log = Self::default();
+        if let Some((meta, _)) = recovered.snapshot {
+            log.reset(meta.index, meta.term, meta.voters);
+        }
+        for entry in recovered.entries {
+            if entry.index <= log.last_index() {
+                continue;
+            }
+            if entry.index != next(log.last_index()) || entry.term < log.last_term() {
+                break;
+            }
+            log.push(entry);
+        }
+        log.write_from = None;
+        log.synced = log.last_index();
+        log
+    }
+
+    /// The index before the first entry in memory.
+    pub(crate) fn base_index(&self) -> LogIndex {
+        self.base_index
+    }
+
+    /// The index of the last entry, 0 when there is none.
+    pub(crate) fn last_index(&self) -> LogIndex {
+        LogIndex::new(self.base_index.get() + self.entries.len() as u64)
+    }
+
+    /// The term of the last entry.
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    /// The last entry that is synced with everything before it.
+    pub(crate) fn synced(&self) -> LogIndex {
+        self.synced
+    }
+
+    /// Returns the term of an entry, or `None` when the entry is not in memory.
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.entry(index).map(|e| e.term)
+    }
+
+    /// Returns an entry that is in memory.
+    pub(crate) fn entry(&self, index: LogIndex) -> Option<&LogEntry> {
+        let at = index.get().checked_sub(self.base_index.get() + 1)?;
+        self.entries.get(usize::try_from(at).ok()?)
+    }
+
+    /// Copies entries from `from` to `to` until their size reaches `limit`, at least one.
+    pub(crate) fn slice(&self, from: LogIndex, to: LogIndex, limit: u64) -> Vec<LogEntry> {
+        let mut size = 0;
+        let mut slice = Vec::new();
+        let mut index = from;
+        while let Some(entry) = self.entry(index).filter(|e| e.index <= to) {
+            size += size_of(entry) as u64;
+            if size > limit && !slice.is_empty() {
+                break;
+            }
+            slice.push(entry.clone());
+            index = next(index);
+        }
+        slice
+    }
+
+    /// Returns the size of the entries from `from` to `to`.
+    pub(crate) fn size_between(&self, from: LogIndex, to: LogIndex) -> u64 {
+        let skip = from.get().saturating_sub(self.base_index.get() + 1) as usize;
+        let range = self.entries.iter().skip(skip).take_while(|e| e.index <= to);
+        range.map(|e| size_of(e) as u64).sum()
+    }
+
+    /// Returns the highest index up to which the entries can be dropped so that `keep` bytes before
+    /// `index` stay.
+    pub(crate) fn index_keeping(&self, index: LogIndex, keep: u64) -> LogIndex {
+        let mut kept = 0;
+        let mut at = index;
+        while let Some(entry) = self.entry(at) {
+            kept += size_of(entry) as u64;
+            if kept > keep {
+                break;
+            }
+            at = prev(at);
+        }
+        at
+    }
+
+    /// The voters in force: those of the last set in the log, committed or not.
+    pub(crate) fn voters(&self) -> VoterSet {
+        self.voters.last().map(|(_, set)| set.clone()).unwrap_or_default()
+    }
+
+    /// The index that brought the voters in force, 0 when there are none.
+    pub(crate) fn voters_index(&self) -> LogIndex {
+        self.voters.last().map_or(LogIndex::default(), |(index, _)| *index)
+    }
+
+    /// The voters as of an entry.
+    pub(crate) fn voters_at(&self, index: LogIndex) -> VoterSet {
+        let found = self.voters.iter().rev().find(|(i, _)| *i <= index);
+        found.map(|(_, set)| set.clone()).unwrap_or_default()
+    }
+
+    /// Appends an entry that follows the last one.
+    pub(crate) fn push(&mut self, entry: LogEntry) {
+        debug_assert_eq!(entry.index, next(self.last_index()));
+        if let EntryPayload::Voters(set) = &entry.payload {
+            self.voters.push((entry.index, (**set).clone()));
+        }
+        self.write_from = Some(self.write_from.map_or(entry.index, |f| f.min(entry.index)));
+        self.entries.push_back(entry);
+    }
+
+    /// Drops every entry from `from` on.
+    pub(crate) fn truncate(&mut self, from: LogIndex) {
+        let keep = from.get().saturating_sub(self.base_index.get() + 1) as usize;
+        self.entries.truncate(keep);
+        self.voters.retain(|(index, _)| *index < from || *index <= self.base_index);
+        self.synced = self.synced.min(prev(from));
+        self.write_from = self.write_from.filter(|f| *f < from);
+    }
+
+    /// Drops the entries up to `to` from memory.
+    pub(crate) fn compact(&mut self, to: LogIndex) {
+        let Some(term) = self.term_at(to) else { return };
+        let drop = (to.get() - self.base_index.get()) as usize;
+        let voters = self.voters.iter().rposition(|(index, _)| *index <= to);
+        self.voters.drain(..voters.unwrap_or(0));
+        self.entries.drain(..drop);
+        (self.base_index, self.base_term) = (to, term);
+        self.write_from =
+            self.write_from.map(|f| f.max(next(to))).filter(|f| *f <= self.last_index());
+    }
+
+    /// Replaces the whole log by a snapshot that is not synced yet.
+    pub(crate) fn reset(&mut self, index: LogIndex, term: Term, voters: VoterSet) {
+        let epoch = self.epoch + 1;
+        *self = Self { base_index: index, base_term: term, epoch, ..Self::default() };
+        self.voters.push((index, voters));
+    }
+
+    /// Takes the entries that storage has not been given.
+    pub(crate) fn take_unsynced(&mut self) -> Unsynced {
+        let entries = match self.write_from.take() {
+            Some(from) => self.slice(from, self.last_index(), u64::MAX),
+            None => Vec::new(),
+        };
+        Unsynced { epoch: self.epoch, last: self.last_index(), entries }
+    }
+
+    /// Notes that the entries up to `last` of a `take_unsynced` are synced.
+    pub(crate) fn note_synced(&mut self, epoch: u64, last: LogIndex) {
+        if epoch == self.epoch {
+            self.synced = self.write_from.map_or(last, |f| last.min(prev(f)));
+        }
+    }
+
+    /// Notes that a snapshot of everything up to `index` is synced.
+    pub(crate) fn note_snapshot(&mut self, index: LogIndex) {
+        self.synced = self.synced.max(index);
+    }
+}
--- a/crates/store/src/consensus/mod.rs
+++ b/crates/store/src/consensus/mod.rs
@@ -1,1 +1,67 @@
 //! The replicated log: elections, replication, membership changes and reads.
+//!
+//! A `Node` is one replica. Its state in memory is changed by plain functions and brought to storage by
+//! one task; whoever has to answer after a sync waits for that task. The rules of the protocol are in
+//! `rules`, the tasks in `tasks`, the answers to other replicas in `handlers` and the requests of the
+//! host in `requests`.
+
+mod answer_error;
+mod config;
+mod handlers;
+mod incoming_snapshot;
+mod leading;
+mod link_error;
+mod log;
+mod node;
+mod node_parts;
+mod node_status;
+mod peer_link;
+mod pending;
+mod progress;
+mod progress_mode;
+mod propose_error;
+mod read_error;
+mod recovered;
+mod refusal;
+mod replica_state;
+mod requests;
+mod restore_error;
+mod role;
+mod rules;
+mod shared;
+mod signal;
+mod signals;
+mod snapshot;
+mod start_error;
+mod state_machine;
+mod storage;
+mod storage_fault;
+mod tasks;
+mod transfer_error;
+mod unsaved;
+mod unsynced;
+mod voter_status;
+
+pub use answer_error::AnswerError;
+pub use config::Config;
+pub use link_error::LinkError;
+pub use node::Node;
+pub use node_parts::NodeParts;
+pub use node_status::NodeStatus;
+pub use peer_link::{Call, PeerLink};
+pub use propose_error::ProposeError;
+pub use read_error::ReadError;
+pub use recovered::Recovered;
+pub use refusal::Refusal;
+pub use restore_error::RestoreError;
+pub use role::Role;
+pub use rules::{
+    ChangeError, FormationAnswer, FormationDecision, MemberView, MembershipView, decide_formation,
+    plan_change,
+};
+pub use start_error::StartError;
+pub use state_machine::{Apply, Query, Restore, StateMachine};
+pub use storage::{Saved, Storage};
+pub use storage_fault::StorageFault;
+pub use transfer_error::TransferError;
+pub use voter_status::VoterStatus;
--- /dev/null
+++ b/crates/store/src/consensus/node.rs
@@ -0,0 +1,194 @@
+use masticstair_core::id::{LogIndex, Term};
+use masticstair_core::message::{
+    AppendReply, AppendRequest, Replica, SnapshotChunk, SnapshotReply, VoteReply, VoteRequest,
+    VoterSet,
+};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::log::Log;
+use super::pending::Pending;
+use super::replica_state::ReplicaState;
+use super::shared::Shared;
+use super::signals::Signals;
+use super::snapshot::Snapshot;
+use super::{
+    AnswerError, ChangeError, Config, FormationAnswer, NodeParts, NodeStatus, ProposeError,
+    ReadError, StartError, TransferError, handlers, requests, tasks,
+};
+
+/// A replica of the log. Its tasks run on the thread that started it; clones are handles to the same
+/// replica.
+#[derive(Clone)]
+pub struct Node {
+    shared: Rc<Shared>,
+}
+
+impl Node {
+    /// Restores the replica from what storage held and starts its tasks on the runtime of this thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the recovered snapshot cannot be restored or the timings contradict each
+    /// other.
+    pub fn start(mut parts: NodeParts) -> Result<Self, StartError> {
+        check_timings(&parts.cfg)?;
+        let mut snapshot = None;
+        if let Some((meta, data)) = &parts.recovered.snapshot {
+            (parts.machine.restore)(data)?;
+            let data = data.clone();
+            snapshot = Some(Rc::new(Snapshot { meta: meta.clone(), data }));
+        }
+        let hard = parts.recovered.hard_state;
+        let log = Log::recover(parts.recovered);
+        let state = ReplicaState::new(hard, log, snapshot, Instant::now());
+        let shared = Rc::new(Shared {
+            me: parts.me,
+            cfg: parts.cfg,
+            state: RefCell::new(state),
+            machine: RefCell::new(parts.machine),
+            pending: RefCell::new(Pending::default()),
+            storage: parts.storage,
+            signals: Signals::default(),
+            connect: parts.connect,
+            links: RefCell::new(BTreeMap::new()),
+            announced: RefCell::new(BTreeMap::new()),
+            last_task: Cell::new(0),
+            log: parts.log,
+        });
+        monoio::spawn(tasks::persist(shared.clone()));
+        monoio::spawn(tasks::apply(shared.clone()));
+        monoio::spawn(tasks::elect(shared.clone()));
+        monoio::spawn(tasks::manage_membership(shared.clone()));
+        Ok(Self { shared })
+    }
+
+    /// Proposes an encoded command and returns the reply of the replicated state.
+    ///
+    /// # Errors
+    ///
+    /// `NotProposed` when the command was never appended to a log; `Unknown` when it was, and no reply
+    /// came within `limit`.
+    pub async fn propose(
+        &self,
+        command: Box<[u8]>,
+        limit: Duration,
+    ) -> Result<Box<[u8]>, ProposeError> {
+        requests::propose(&self.shared, command, limit).await
+    }
+
+    /// Answers an encoded query from a state that contains every command acknowledged before the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when this replica does not lead or no quorum confirms it within `limit`.
+    pub async fn read(&self, query: &[u8], limit: Duration) -> Result<Box<[u8]>, ReadError> {
+        requests::read(&self.shared, query, limit).await
+    }
+
+    /// Appends a change of the voters; `status` shows when it is committed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rule that forbids the change now.
+    pub fn change_voters(&self, set: VoterSet) -> Result<(), ChangeError> {
+        requests::change_voters(&self.shared, set)
+    }
+
+    /// Tells a leader of a replica that is reachable, so that it is added as a learner when it is not a
+    /// member. To be repeated while the replica lives.
+    pub fn announce(&self, replica: Replica) {
+        let at = Instant::now();
+        self.shared.announced.borrow_mut().insert(replica.host.clone(), (replica, at));
+    }
+
+    /// Hands the leadership to another voter, before a shutdown, and waits until this replica no longer
+    /// leads.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when this replica does not lead, has no successor, or the successor does not
+    /// lead within `limit`.
+    pub async fn transfer(&self, limit: Duration) -> Result<(), TransferError> {
+        requests::transfer(&self.shared, limit).await
+    }
+
+    /// Writes the first voters, as `decide_formation` told, and waits for the sync.
+    ///
+    /// # Errors
+    ///
+    /// Returns `AlreadyFormed` when the log is not empty or the term has passed.
+    pub async fn form(&self, set: VoterSet, term: Term) -> Result<(), ChangeError> {
+        requests::form(&self.shared, set, term).await
+    }
+
+    /// Returns what this replica answers while the group is being formed.
+    pub fn formation_answer(&self) -> FormationAnswer {
+        requests::formation_answer(&self.shared)
+    }
+
+    /// Returns the state for status pages and metrics.
+    pub fn status(&self) -> NodeStatus {
+        requests::status(&self.shared)
+    }
+
+    /// Waits until the replicated state of this node contains an entry; returns false when the node is
+    /// stopped before.
+    pub async fn wait_applied(&self, index: LogIndex) -> bool {
+        loop {
+            let seen = self.shared.signals.applied.version();
+            if self.shared.state.borrow().applied >= index {
+                return true;
+            }
+            if self.shared.is_stopped() {
+                return false;
+            }
+            self.shared.signals.applied.after(seen).await;
+        }
+    }
+
+    /// Answers a request for a vote.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the node is stopped or storage failed.
+    pub async fn vote(&self, req: VoteRequest) -> Result<VoteReply, AnswerError> {
+        handlers::vote(&self.shared, req).await
+    }
+
+    /// Answers an append or a heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the node is stopped, storage failed, or the entries are not valid.
+    pub async fn append(&self, req: AppendRequest) -> Result<AppendReply, AnswerError> {
+        handlers::append(&self.shared, req).await
+    }
+
+    /// Answers a piece of a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the node is stopped, storage failed, or the piece is too large.
+    pub async fn snapshot(&self, chunk: SnapshotChunk) -> Result<SnapshotReply, AnswerError> {
+        handlers::snapshot(&self.shared, chunk).await
+    }
+
+    /// Ends the tasks. Proposals in progress end as `Unknown`.
+    pub fn stop(&self) {
+        self.shared.state.borrow_mut().stopped = true;
+        self.shared.pending.borrow_mut().clear();
+        self.shared.signals.notify_all();
+    }
+}
+
+fn check_timings(cfg: &Config) -> Result<(), StartError> {
+    let (min, max) = (cfg.election_min.get(), cfg.election_max.get());
+    let heartbeat = cfg.heartbeat.get();
+    if min >= max || heartbeat == 0 || heartbeat * 2 > min {
+        return Err(StartError::Timings { min, max, heartbeat });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/store/src/consensus/node_status.rs
@@ -0,0 +1,29 @@
+use masticstair_core::id::{LogIndex, Term};
+use masticstair_core::message::Replica;
+
+use super::{Role, StorageFault, VoterStatus};
+
+/// The state of a node for status pages and metrics.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NodeStatus {
+    /// This replica.
+    pub me: Replica,
+    /// Its role.
+    pub role: Role,
+    /// Its term.
+    pub term: Term,
+    /// The leader of the term, when known.
+    pub leader: Option<Replica>,
+    /// The last entry of its log.
+    pub last: LogIndex,
+    /// The commit index.
+    pub commit: LogIndex,
+    /// The last entry that its replicated state contains.
+    pub applied: LogIndex,
+    /// The last entry that its snapshot contains; 0 without a snapshot.
+    pub snapshot: LogIndex,
+    /// The voters and learners of the set in force.
+    pub members: Vec<VoterStatus>,
+    /// The fault that made it stop acknowledging.
+    pub fault: Option<StorageFault>,
+}
--- /dev/null
+++ b/crates/store/src/consensus/propose_error.rs
@@ -0,0 +1,18 @@
+use masticstair_core::id::LogIndex;
+use thiserror::Error;
+
+use super::Refusal;
+
+/// How a proposal can end without a reply.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum ProposeError {
+    /// The command is not in the log of any replica and never will be.
+    #[error("not proposed: {0}")]
+    NotProposed(Refusal),
+    /// The command was appended to the log of a leader and may be committed now or later.
+    #[error("outcome unknown: no reply for the command at index {index}")]
+    Unknown {
+        /// Where the command was appended.
+        index: LogIndex,
+    },
+}
--- /dev/null
+++ b/crates/store/src/consensus/requests/change.rs
@@ -0,0 +1,19 @@
+use masticstair_core::message::{EntryPayload, VoterSet};
+use std::rc::Rc;
+
+use crate::consensus::ChangeError;
+use crate::consensus::rules::check_change;
+use crate::consensus::shared::Shared;
+use crate::consensus::tasks::{membership_view, spawn_peers};
+
+/// Appends a change of the voters when the rules allow it.
+pub(crate) fn change_voters(shared: &Rc<Shared>, set: VoterSet) -> Result<(), ChangeError> {
+    let Some(view) = membership_view(shared) else {
+        return Err(ChangeError::NotLeader { leader: shared.state.borrow().leader_replica() });
+    };
+    check_change(&view, &set)?;
+    shared.state.borrow_mut().append_own(EntryPayload::Voters(Box::new(set)));
+    spawn_peers(shared);
+    shared.signals.changed.notify();
+    Ok(())
+}
--- /dev/null
+++ b/crates/store/src/consensus/requests/propose.rs
@@ -0,0 +1,58 @@
+use futures_channel::oneshot;
+use masticstair_core::id::LogIndex;
+use masticstair_core::message::EntryPayload;
+use masticstair_core::unit::ByteCount;
+use std::time::Duration;
+
+use crate::consensus::shared::Shared;
+use crate::consensus::{ProposeError, Refusal};
+
+/// Appends a command to the leader's log and waits until it is applied here.
+pub(crate) async fn propose(
+    shared: &Shared,
+    command: Box<[u8]>,
+    limit: Duration,
+) -> Result<Box<[u8]>, ProposeError> {
+    check(shared, &command).map_err(ProposeError::NotProposed)?;
+    let (index, reply) = append(shared, command);
+    match monoio::time::timeout(limit, reply).await {
+        Ok(Ok(reply)) => Ok(reply),
+        Ok(Err(_)) | Err(_) => Err(ProposeError::Unknown { index }),
+    }
+}
+
+/// Refuses a command that is not going to be appended.
+fn check(shared: &Shared, command: &[u8]) -> Result<(), Refusal> {
+    let (size, limit) = (ByteCount::new(command.len() as u64), shared.cfg.max_command);
+    if size > limit {
+        return Err(Refusal::TooLarge { size, limit });
+    }
+    let state = shared.state.borrow();
+    if state.stopped {
+        return Err(Refusal::Stopped);
+    }
+    if let Some(fault) = &state.fault {
+        return Err(Refusal::Storage(fault.clone()));
+    }
+    let Some(leading) = &state.leading else {
+        return Err(Refusal::NotLeader { leader: state.leader_replica() });
+    };
+    if leading.transferring {
+        return Err(Refusal::Transferring);
+    }
+    let (held, limit) = (ByteCount::new(leading.uncommitted), shared.cfg.max_uncommitted);
+    if held.get() + size.get() > limit.get() {
+        return Err(Refusal::Full { held, limit });
+    }
+    Ok(())
+}
+
+/// From here on the command may reach another replica, so its outcome is unknown until it is applied.
+fn append(shared: &Shared, command: Box<[u8]>) -> (LogIndex, oneshot::Receiver<Box<[u8]>>) {
+    let mut state = shared.state.borrow_mut();
+    let index = state.append_own(EntryPayload::Command(command));
+    let reply = shared.pending.borrow_mut().add(index, state.hard.term);
+    drop(state);
+    shared.signals.changed.notify();
+    (index, reply)
+}
--- /dev/null
+++ b/crates/store/src/consensus/rules/advance_commit.rs
@@ -0,0 +1,19 @@
+use masticstair_core::id::{LogIndex, ReplicaId, Term};
+use masticstair_core::message::VoterSet;
+
+use super::quorum_index;
+
+/// Returns the new commit index of a leader when it rises.
+///
+/// Only entries of the leader's own term are committed by count: an entry of an earlier term that a
+/// quorum holds can still be overwritten by a later leader.
+pub(crate) fn advance_commit(
+    set: &VoterSet,
+    term: Term,
+    commit: LogIndex,
+    matched: impl Fn(ReplicaId) -> LogIndex,
+    term_at: impl Fn(LogIndex) -> Option<Term>,
+) -> Option<LogIndex> {
+    let reached = quorum_index(set, matched);
+    (reached > commit && term_at(reached) == Some(term)).then_some(reached)
+}
--- /dev/null
+++ b/crates/store/src/consensus/rules/check_append.rs
@@ -0,0 +1,54 @@
+use masticstair_core::id::{LogIndex, Term};
+use masticstair_core::message::AppendRequest;
+
+use super::{AppendVerdict, AppendView};
+
+/// Checks the entries of an append against the log.
+pub(crate) fn check_append(view: &AppendView<'_>, req: &AppendRequest) -> AppendVerdict {
+    if !is_consecutive(req) {
+        return AppendVerdict::Malformed;
+    }
+    if req.prev_index > view.last {
+        return AppendVerdict::Mismatch { retry_from: LogIndex::new(view.last.get() + 1) };
+    }
+    if !agrees(view, req.prev_index, req.prev_term) {
+        return match req.prev_index <= view.commit {
+            true => AppendVerdict::Diverged { at: req.prev_index },
+            false => AppendVerdict::Mismatch { retry_from: start_of_term(view, req.prev_index) },
+        };
+    }
+    let held = |index, term| index <= view.last && agrees(view, index, term);
+    let first_new = req.entries.iter().position(|e| !held(e.index, e.term));
+    let new_from = first_new.unwrap_or(req.entries.len());
+    match req.entries.get(new_from) {
+        Some(e) if e.index <= view.commit => AppendVerdict::Diverged { at: e.index },
+        _ => AppendVerdict::Accept { new_from },
+    }
+}
+
+/// Tells whether the entries follow each other and none is newer than the leader's term.
+fn is_consecutive(req: &AppendRequest) -> bool {
+    let mut before = (req.prev_index.get(), req.prev_term);
+    req.entries.iter().all(|e| {
+        let follows = e.index.get() == before.0 + 1 && e.term >= before.1 && e.term <= req.term;
+        before = (e.index.get(), e.term);
+        follows
+    })
+}
+
+/// Tells whether the log holds an entry of this term; entries up to the base are committed and agree.
+fn agrees(view: &AppendView<'_>, index: LogIndex, term: Term) -> bool {
+    index < view.base || (view.term_at)(index) == Some(term)
+}
+
+/// Returns the first index in memory that has the term of `index`: the leader skips that whole term.
+fn start_of_term(view: &AppendView<'_>, index: LogIndex) -> LogIndex {
+    let term = (view.term_at)(index);
+    let mut first = index;
+    while first.get() > view.commit.get() + 1
+        && (view.term_at)(LogIndex::new(first.get() - 1)) == term
+    {
+        first = LogIndex::new(first.get() - 1);
+    }
+    first
+}
--- /dev/null
+++ b/crates/store/src/consensus/shared.rs
@@ -0,0 +1,149 @@
+use masticstair_core::id::{HostId, LogIndex, ReplicaId, Term};
+use masticstair_core::message::Replica;
+use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use super::pending::Pending;
+use super::replica_state::ReplicaState;
+use super::rules::advance_commit;
+use super::signals::Signals;
+use super::{AnswerError, Config, PeerLink, Role, StateMachine, Storage, StorageFault};
+
+/// What the tasks of a node share. No borrow of a cell is held over an await.
+pub(crate) struct Shared {
+    /// This replica.
+    pub(crate) me: Replica,
+    /// Timings and bounds.
+    pub(crate) cfg: Config,
+    /// The state in memory.
+    pub(crate) state: RefCell<ReplicaState>,
+    /// The replicated state.
+    pub(crate) machine: RefCell<StateMachine>,
+    /// Proposals that wait for their entry to be applied.
+    pub(crate) pending: RefCell<Pending>,
+    /// Durable storage; used by the persist task only.
+    pub(crate) storage: Storage,
+    /// Wakes the tasks.
+    pub(crate) signals: Signals,
+    /// Makes the way to a replica.
+    pub(crate) connect: Box<dyn Fn(&Replica) -> PeerLink>,
+    /// The ways in use.
+    pub(crate) links: RefCell<BTreeMap<ReplicaId, Rc<PeerLink>>>,
+    /// Replicas that announced themselves, by host, with the time of the last announcement.
+    pub(crate) announced: RefCell<BTreeMap<HostId, (Replica, Instant)>>,
+    /// Numbers the replication tasks.
+    pub(crate) last_task: Cell<u64>,
+    /// Receives changes of role and faults.
+    pub(crate) log: Logger,
+}
+
+impl Shared {
+    /// Returns the way to a replica.
+    pub(crate) fn link(&self, replica: &Replica) -> Rc<PeerLink> {
+        let mut links = self.links.borrow_mut();
+        links.entry(replica.id).or_insert_with(|| Rc::new((self.connect)(replica))).clone()
+    }
+
+    /// Tells whether the node was stopped.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.state.borrow().stopped
+    }
+
+    /// Returns an error when messages must not be answered.
+    pub(crate) fn check_serving(&self) -> Result<(), AnswerError> {
+        let state = self.state.borrow();
+        match &state.fault {
+            _ if state.stopped => Err(AnswerError::Stopped),
+            Some(fault) => Err(fault.clone().into()),
+            None => Ok(()),
+        }
+    }
+
+    /// Gives up the leadership or the candidacy and moves to `term` when it is higher.
+    pub(crate) fn step_down(&self, term: Term, reason: &str) {
+        let mut state = self.state.borrow_mut();
+        let role = state.role;
+        state.follow(term, None);
+        if role == Role::Leader {
+            state.timer = Instant::now();
+        }
+        if role != Role::Follower {
+            info!(self.log, "stepped down"; "role" => %role, "term" => %term, "reason" => reason);
+        }
+        drop(state);
+        self.signals.notify_all();
+    }
+
+    /// Stops acknowledging after a fault and gives up the leadership.
+    pub(crate) fn fail(&self, fault: StorageFault) {
+        warn!(self.log, "stopped acknowledging"; "fault" => %fault);
+        let mut state = self.state.borrow_mut();
+        let term = state.hard.term;
+        state.fault.get_or_insert(fault);
+        drop(state);
+        // The node takes no more entries, so it will not learn how these proposals end.
+        self.pending.borrow_mut().clear();
+        self.step_down(term, "fault");
+    }
+
+    /// Commits what a quorum has synced; a leader that is voted out steps down once that is committed.
+    pub(crate) fn advance_commit(&self) {
+        let mut state = self.state.borrow_mut();
+        let Some(leading) = &state.leading else { return };
+        let set = state.log.voters();
+        let matched = |id: ReplicaId| match id == self.me.id {
+            true => state.log.synced(),
+            false => leading.progress.get(&id).map_or(LogIndex::default(), |p| p.matched),
+        };
+        let term_at = |index| state.log.term_at(index);
+        let Some(commit) = advance_commit(&set, state.hard.term, state.commit, matched, term_at)
+        else {
+            return;
+        };
+        state.raise_commit(commit);
+        let is_voted_out = !set.is_voter(self.me.id) && state.log.voters_index() <= commit;
+        let term = state.hard.term;
+        drop(state);
+        self.signals.committed.notify();
+        if is_voted_out {
+            self.step_down(term, "voted out");
+        }
+    }
+
+    /// Waits until a version of the hard state is synced.
+    pub(crate) async fn hard_state_durable(&self, version: u64) -> Result<(), AnswerError> {
+        loop {
+            let seen = self.signals.durable.version();
+            self.check_serving()?;
+            if self.state.borrow().hard_durable >= version {
+                return Ok(());
+            }
+            self.signals.durable.after(seen).await;
+        }
+    }
+
+    /// Waits until the log is synced up to an index; returns false when the term ended before.
+    pub(crate) async fn log_durable(
+        &self,
+        index: LogIndex,
+        term: Term,
+    ) -> Result<bool, AnswerError> {
+        loop {
+            let seen = self.signals.durable.version();
+            self.check_serving()?;
+            let (current, synced) = self.term_and_synced();
+            if current != term || synced >= index {
+                return Ok(current == term);
+            }
+            self.signals.durable.after(seen).await;
+        }
+    }
+
+    fn term_and_synced(&self) -> (Term, LogIndex) {
+        let state = self.state.borrow();
+        (state.hard.term, state.log.synced())
+    }
+}
--- /dev/null
+++ b/crates/store/src/consensus/signal.rs
@@ -0,0 +1,44 @@
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::task::{Poll, Waker};
+
+/// Wakes every waiting task of the thread when something changed.
+///
+/// A waiter reads the version, checks its condition and waits for a later version, so that no change
+/// between the check and the wait is missed.
+#[derive(Debug, Default)]
+pub(crate) struct Signal {
+    version: Cell<u64>,
+    /// At most one waker for each waiting task.
+    wakers: RefCell<Vec<Waker>>,
+}
+
+impl Signal {
+    /// Returns the number of notifications so far.
+    pub(crate) fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    /// Wakes all waiting tasks.
+    pub(crate) fn notify(&self) {
+        self.version.set(self.version.get() + 1);
+        for waker in self.wakers.take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits for a notification after the one that had the version `seen`.
+    pub(crate) async fn after(&self, seen: u64) {
+        poll_fn(|cx| {
+            if self.version.get() != seen {
+                return Poll::Ready(());
+            }
+            let mut wakers = self.wakers.borrow_mut();
+            if !wakers.iter().any(|w| w.will_wake(cx.waker())) {
+                wakers.push(cx.waker().clone());
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/store/src/consensus/tasks/membership.rs
@@ -0,0 +1,81 @@
+use masticstair_core::id::ReplicaId;
+use masticstair_core::message::EntryPayload;
+use slog::info;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::lead::spawn_peers;
+use crate::consensus::Role;
+use crate::consensus::replica_state::ReplicaState;
+use crate::consensus::rules::{MemberView, MembershipView, plan_change};
+use crate::consensus::shared::Shared;
+
+/// Proposes changes of the voters while this replica leads, at most one in each tick.
+pub(crate) async fn manage_membership(shared: Rc<Shared>) {
+    let tick = shared.cfg.heartbeat.duration() * 2;
+    while !shared.is_stopped() {
+        let seen = shared.signals.role.version();
+        if shared.state.borrow().role != Role::Leader {
+            shared.signals.role.after(seen).await;
+            continue;
+        }
+        update_goals(&shared);
+        forget_old_announcements(&shared);
+        if let Some(set) = membership_view(&shared).as_ref().and_then(plan_change) {
+            let (voters, learners) = (set.voters.len(), set.learners.len());
+            info!(shared.log, "changes the voters"; "voters" => voters, "learners" => learners);
+            shared.state.borrow_mut().append_own(EntryPayload::Voters(Box::new(set)));
+            spawn_peers(&shared);
+            shared.signals.changed.notify();
+        }
+        monoio::time::sleep(tick).await;
+    }
+}
+
+/// Returns what the leader knows of the members; `None` when this replica does not lead.
+pub(crate) fn membership_view(shared: &Shared) -> Option<MembershipView> {
+    let state = shared.state.borrow();
+    state.leading.as_ref()?;
+    let set = state.log.voters();
+    let members = set.all().filter_map(|r| member(shared, &state, r.id)).collect();
+    let announced = shared.announced.borrow().values().map(|(r, _)| r.clone()).collect();
+    let voters_index = state.log.voters_index();
+    Some(MembershipView {
+        leader: shared.me.id,
+        set,
+        in_progress: (voters_index > state.commit).then_some(voters_index),
+        term_committed: state.is_term_committed(),
+        members,
+        announced,
+        live_within: shared.cfg.election_max.duration(),
+        replace_after: shared.cfg.replace_after.duration(),
+        target_voters: shared.cfg.target_voters.get() as usize,
+        max_learners: shared.cfg.max_learners.get() as usize,
+    })
+}
+
+fn member(shared: &Shared, state: &ReplicaState, id: ReplicaId) -> Option<MemberView> {
+    if id == shared.me.id {
+        let replica = shared.me.clone();
+        return Some(MemberView { replica, silent_for: Duration::ZERO, caught_up: true });
+    }
+    let p = state.leading.as_ref()?.progress.get(&id)?;
+    let (replica, silent_for) = (p.replica.clone(), p.last_answer.elapsed());
+    Some(MemberView { replica, silent_for, caught_up: p.caught_up })
+}
+
+fn update_goals(shared: &Shared) {
+    let mut state = shared.state.borrow_mut();
+    let commit = state.commit;
+    if let Some(leading) = &mut state.leading {
+        leading.progress.values_mut().for_each(|p| p.update_goal(commit));
+    }
+}
+
+/// Forgets replicas that have not announced themselves for the time after which a voter counts as lost.
+fn forget_old_announcements(shared: &Shared) {
+    let now = Instant::now();
+    let limit = shared.cfg.replace_after.duration();
+    let mut announced = shared.announced.borrow_mut();
+    announced.retain(|_, (_, at)| now.saturating_duration_since(*at) <= limit);
+}
--- /dev/null
+++ b/crates/store/src/consensus/unsaved.rs
@@ -0,0 +1,23 @@
+use masticstair_core::message::HardState;
+use std::rc::Rc;
+
+use super::snapshot::Snapshot;
+use super::unsynced::Unsynced;
+
+/// The next work of the persist task, written in the order of the fields.
+#[derive(Debug)]
+pub(crate) struct Unsaved {
+    /// The hard state and its version.
+    pub(crate) hard: Option<(u64, HardState)>,
+    /// A snapshot.
+    pub(crate) snapshot: Option<Rc<Snapshot>>,
+    /// Entries of the log.
+    pub(crate) entries: Unsynced,
+}
+
+impl Unsaved {
+    /// Tells whether there is nothing to write.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.hard.is_none() && self.snapshot.is_none() && self.entries.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/store/src/consensus/voter_status.rs
@@ -0,0 +1,16 @@
+use masticstair_core::id::LogIndex;
+use masticstair_core::message::Replica;
+use std::time::Duration;
+
+/// A voter or a learner on a status page.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VoterStatus {
+    /// The replica.
+    pub replica: Replica,
+    /// Whether it has a vote.
+    pub voter: bool,
+    /// The last entry that it acknowledged; known to the leader only.
+    pub matched: Option<LogIndex>,
+    /// The time since its last answer; known to the leader only.
+    pub silent_for: Option<Duration>,
+}
--- /dev/null
+++ b/crates/store/tests/consensus_common/cluster.rs
@@ -0,0 +1,179 @@
+use masticstair_core::message::{Replica, VoterSet};
+use masticstair_store::consensus::{Config, Node, NodeParts, ProposeError, Role};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::disk::Disk;
+use super::fabric::Fabric;
+use super::ledger::Ledger;
+use super::machine::machine;
+use super::member::Member;
+use super::path::Path;
+use super::{FIRST_TERM, eventually, replica};
+
+/// All hosts on one runtime.
+pub struct Cluster {
+    pub cfg: Config,
+    pub fabric: Rc<Fabric>,
+    pub ledger: Ledger,
+    pub members: RefCell<Vec<Member>>,
+    pub seed: u64,
+}
+
+impl Cluster {
+    /// Starts `voters` hosts that formed a group, and `spares` hosts with empty disks.
+    pub async fn start(cfg: Config, voters: usize, spares: usize, seed: u64) -> Rc<Self> {
+        let members = (0..voters + spares).map(|host| Member {
+            replica: replica(host, 0),
+            life: 0,
+            disk: Disk::new(seed + host as u64),
+            node: None,
+        });
+        let cluster = Rc::new(Self {
+            cfg,
+            fabric: Fabric::new(seed),
+            ledger: Ledger::default(),
+            members: RefCell::new(members.collect()),
+            seed,
+        });
+        (0..voters + spares).for_each(|host| cluster.boot(host));
+        let first = (0..voters).map(|host| replica(host, 0)).collect();
+        let set = VoterSet { voters: first, ..VoterSet::default() };
+        cluster.node(0).unwrap().form(set, FIRST_TERM).await.unwrap();
+        cluster
+    }
+
+    pub fn replica(&self, host: usize) -> Replica {
+        self.members.borrow()[host].replica.clone()
+    }
+
+    pub fn disk(&self, host: usize) -> Rc<Disk> {
+        self.members.borrow()[host].disk.clone()
+    }
+
+    pub fn node(&self, host: usize) -> Option<Node> {
+        self.members.borrow()[host].node.clone()
+    }
+
+    pub fn hosts(&self) -> usize {
+        self.members.borrow().len()
+    }
+
+    /// Starts the process of a host from its disk.
+    pub fn boot(&self, host: usize) {
+        let mut members = self.members.borrow_mut();
+        let member = &mut members[host];
+        if member.node.is_some() {
+            return;
+        }
+        let node = Node::start(NodeParts {
+            me: member.replica.clone(),
+            cfg: self.cfg.clone(),
+            recovered: member.disk.recovered(),
+            storage: member.disk.open(),
+            machine: machine(self.ledger.clone()),
+            connect: self.fabric.connect(member.replica.id),
+            log: slog::Logger::root(slog::Discard, slog::o!()),
+        })
+        .unwrap();
+        self.fabric.plug(member.replica.id, node.clone());
+        member.node = Some(node);
+    }
+
+    /// Kills the process of a host.
+    pub fn kill(&self, host: usize) {
+        let mut members = self.members.borrow_mut();
+        let member = &mut members[host];
+        let Some(node) = member.node.take() else { return };
+        self.fabric.unplug(member.replica.id);
+        member.disk.crash();
+        node.stop();
+    }
+
+    /// Kills the process of a host and empties its disk; the host has a new replica from then on.
+    pub fn lose_disk(&self, host: usize) {
+        self.kill(host);
+        let mut members = self.members.borrow_mut();
+        let member = &mut members[host];
+        member.life += 1;
+        member.replica = replica(host, member.life);
+        member.disk = Disk::new(self.seed + 100 * u64::from(member.life) + host as u64);
+    }
+
+    /// Sets the paths between two groups of hosts, in both directions.
+    pub fn split(&self, left: &[usize], right: &[usize], path: Path) {
+        for (a, b) in left.iter().flat_map(|a| right.iter().map(move |b| (*a, *b))) {
+            self.set_path(a, b, path);
+            self.set_path(b, a, path);
+        }
+    }
+
+    pub fn set_path(&self, from: usize, to: usize, path: Path) {
+        self.fabric.set(self.replica(from).id, self.replica(to).id, path);
+    }
+
+    /// Lets every running host announce itself to every other one, as gossip does.
+    pub fn announce_all(&self) {
+        let members = self.members.borrow();
+        let running: Vec<_> = members.iter().filter_map(|m| Some((m, m.node.as_ref()?))).collect();
+        for (member, _) in &running {
+            running.iter().for_each(|(_, node)| node.announce(member.replica.clone()));
+        }
+    }
+
+    /// Returns the running host that leads the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let status = |host| Some((self.node(host)?.status(), host));
+        let all = (0..self.hosts()).filter_map(status);
+        let leaders = all.filter(|(s, _)| s.role == Role::Leader);
+        leaders.max_by_key(|(s, _)| s.term).map(|(_, host)| host)
+    }
+
+    /// Waits for a leader that a quorum follows: it has committed everything in its log.
+    pub async fn settled_leader(&self) -> usize {
+        let mut found = 0;
+        eventually("a leader that has committed its log", || {
+            let Some(host) = self.leader() else { return false };
+            found = host;
+            self.node(host).is_some_and(|n| n.status().commit == n.status().last)
+        })
+        .await;
+        found
+    }
+
+    /// Proposes a command on a host.
+    pub async fn propose(&self, host: usize, command: u64) -> Result<u64, ProposeError> {
+        let node = self.node(host).expect("the host runs");
+        let limit = Duration::from_secs(2);
+        let reply = node.propose(command.to_le_bytes().into(), limit).await?;
+        Ok(super::machine::decode(&reply))
+    }
+
+    /// Proposes a command on whichever host leads until one attempt is acknowledged.
+    pub async fn propose_until_done(&self, command: u64) {
+        for attempt in 0..400 {
+            if let Some(host) = self.leader()
+                && self.propose(host, command + (attempt << 32)).await.is_ok()
+            {
+                return;
+            }
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("command {command} was not acknowledged in 400 attempts");
+    }
+
+    /// Waits until all running members of the leader's set have applied what the leader committed.
+    pub async fn converged(&self) {
+        let host = self.settled_leader().await;
+        let commit = self.node(host).unwrap().status().commit;
+        eventually("every member has applied the commit index", || {
+            let Some(leader) = self.leader().and_then(|h| self.node(h)) else { return false };
+            let members = leader.status().members;
+            let is_member = |n: &Node| members.iter().any(|m| m.replica.id == n.status().me.id);
+            let nodes = (0..self.hosts()).filter_map(|h| self.node(h));
+            nodes.filter(is_member).all(|n| n.status().applied >= commit)
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/store/tests/consensus_common/machine.rs
@@ -0,0 +1,45 @@
+use masticstair_store::consensus::{RestoreError, StateMachine};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use super::ledger::Ledger;
+
+/// The applied commands with their indexes.
+type Applied = Rc<RefCell<Vec<(u64, u64)>>>;
+
+/// Returns a replicated state that holds every command. A command is a number of 8 bytes and optional
+/// padding; its low byte is the key that it claims. The reply tells how many commands claimed the key
+/// before. A query answers all commands.
+pub fn machine(ledger: Ledger) -> StateMachine {
+    let applied: Applied = Rc::default();
+    let (a, q, s, r) = (applied.clone(), applied.clone(), applied.clone(), applied);
+    let restored = ledger.clone();
+    StateMachine {
+        apply: Box::new(move |index, command| {
+            let command = decode(command);
+            ledger.note(index.get(), command);
+            let mut applied = a.borrow_mut();
+            let before = applied.iter().filter(|(_, c)| c & 0xff == command & 0xff).count();
+            applied.push((index.get(), command));
+            (before as u64).to_le_bytes().into()
+        }),
+        query: Box::new(move |_| q.borrow().iter().flat_map(|(_, c)| c.to_le_bytes()).collect()),
+        snapshot: Box::new(move || {
+            let pair = |(i, c): &(u64, u64)| [i.to_le_bytes(), c.to_le_bytes()].concat();
+            s.borrow().iter().flat_map(pair).collect()
+        }),
+        restore: Box::new(move |data| {
+            if !data.len().is_multiple_of(16) {
+                return Err(RestoreError("size is not a multiple of 16".into()));
+            }
+            let pairs = data.chunks(16).map(|c| (decode(&c[..8]), decode(&c[8..])));
+            *r.borrow_mut() = pairs.inspect(|(i, c)| restored.note(*i, *c)).collect();
+            Ok(())
+        }),
+    }
+}
+
+/// Returns the number at the start of a command or an answer.
+pub fn decode(bytes: &[u8]) -> u64 {
+    u64::from_le_bytes(bytes[..8].try_into().unwrap())
+}
--- /dev/null
+++ b/crates/store/tests/consensus_common/member.rs
@@ -0,0 +1,13 @@
+use masticstair_core::message::Replica;
+use masticstair_store::consensus::Node;
+use std::rc::Rc;
+
+use super::disk::Disk;
+
+/// A host of the cluster: its present replica, disk and, while the process runs, node.
+pub struct Member {
+    pub replica: Replica,
+    pub life: u8,
+    pub disk: Rc<Disk>,
+    pub node: Option<Node>,
+}
--- /dev/null
+++ b/crates/store/tests/consensus_common/mod.rs
@@ -0,0 +1,58 @@
+//! A cluster of nodes on one runtime, with links and disks that fail on request.
+#![allow(dead_code, reason = "each test file uses a part of the cluster")]
+
+pub mod cluster;
+pub mod disk;
+pub mod fabric;
+pub mod ledger;
+pub mod machine;
+pub mod member;
+pub mod path;
+
+use masticstair_core::id::{ReplicaId, Term};
+use masticstair_core::message::Replica;
+use masticstair_core::unit::{ByteCount, Millis, Slots};
+use masticstair_store::consensus::Config;
+use std::time::Duration;
+
+/// Timings a fifth of the defaults, so that a case takes a second.
+pub fn fast_config() -> Config {
+    Config {
+        election_min: Millis::new(60),
+        election_max: Millis::new(120),
+        heartbeat: Millis::new(10),
+        call_timeout: Millis::new(60),
+        snapshot_timeout: Millis::new(300),
+        replace_after: Millis::new(400),
+        target_voters: Slots::new(3),
+        compact_above: ByteCount::new(1 << 20),
+        keep_tail: ByteCount::new(1 << 10),
+        ..Config::default()
+    }
+}
+
+/// Returns the replica `life` of host `host`; hosts spread over three data centres.
+pub fn replica(host: usize, life: u8) -> Replica {
+    let mut bytes = [0; 16];
+    (bytes[0], bytes[15]) = (life, host as u8 + 1);
+    Replica {
+        id: ReplicaId::from_bytes(bytes),
+        host: format!("h{host}").parse().unwrap(),
+        data_centre: format!("dc{}", host % 3).parse().unwrap(),
+    }
+}
+
+/// Waits until `check` holds; fails after 10 s, far above any bound of the protocol, so that a busy machine
+/// does not fail the test.
+pub async fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    for _ in 0..5_000 {
+        if check() {
+            return;
+        }
+        monoio::time::sleep(Duration::from_millis(2)).await;
+    }
+    panic!("not within 10 s: {what}");
+}
+
+/// The term of the first entry of a group.
+pub const FIRST_TERM: Term = Term::new(1);
