Add the member table and the endpoint table

Cause: no host knows which other hosts and which endpoints there are. Records of endpoints merge by incarnation, leaving and sequence; the observer holds the lease, other hosts take over when it is gone. Digests compare two tables by bucket hashes. A refutation is a number of its own, because a higher incarnation says that a process and its run-once claims are gone. Conclusion: the gossip task can use these tables.

--- a/crates/policy/src/endpoint_table/endpoint_record.rs
+++ b/crates/policy/src/endpoint_table/endpoint_record.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 
 use super::{EndpointState, Sequence, ServedModel};
+use crate::membership::{RecordKey, RecordSummary, version_hash};
 use masticstair_core::bundle::StageKind;
 use masticstair_core::id::{DataCentreId, EndpointId, HostId, Incarnation, PoolName};
 use masticstair_core::unit::Slots;
@@ -57,6 +58,17 @@
             && self.models == other.models
     }
 
+    /// Returns the record's line in a digest.
+    pub fn summary(&self) -> RecordSummary {
+        let version = version_hash(&[
+            &self.incarnation.get().to_le_bytes(),
+            &self.sequence.get().to_le_bytes(),
+            &[self.state as u8],
+            self.observer.as_str().as_bytes(),
+        ]);
+        RecordSummary { key: RecordKey::of_endpoint(self.id.as_str()), version }
+    }
+
     fn order(&self, other: &Self) -> Ordering {
         self.incarnation
             .cmp(&other.incarnation)
--- /dev/null
+++ b/crates/policy/src/endpoint_table/table.rs
@@ -0,0 +1,253 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::limits::{ENDPOINTS_LIMIT, LEASE, RENEWAL, TAKEOVER_RENEWALS};
+use super::{
+    AnnounceError, Announcement, EndpointEntry, EndpointRecord, EndpointState, EndpointView, Lease,
+    LoadReport, ObserverState, Sequence,
+};
+use masticstair_core::id::{EndpointId, HostId, Incarnation};
+use masticstair_core::unit::Timestamp;
+
+/// The endpoints that a host knows: those that announce themselves to it, and those of its peers.
+#[derive(Clone, Debug)]
+pub struct EndpointTable {
+    /// This host.
+    local: HostId,
+    /// At most `ENDPOINTS_LIMIT`.
+    entries: BTreeMap<EndpointId, EndpointEntry>,
+    /// When `tick` last ran.
+    ticked: Option<Timestamp>,
+}
+
+impl EndpointTable {
+    /// Makes an empty table of a host.
+    pub fn new(local: HostId) -> Self {
+        Self { local, entries: BTreeMap::new(), ticked: None }
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, id: &EndpointId) -> Option<&EndpointEntry> {
+        self.entries.get(id)
+    }
+
+    /// Returns every endpoint, also those that are gone.
+    pub fn iter(&self) -> impl Iterator<Item = &EndpointEntry> {
+        self.entries.values()
+    }
+
+    /// Returns the endpoints that may get new work.
+    pub fn views(
+        &self,
+        now: Timestamp,
+        observer: impl Fn(&HostId) -> ObserverState,
+    ) -> Vec<EndpointView> {
+        let usable = self.entries.values().filter(|e| e.is_usable(now));
+        usable
+            .map(|e| EndpointView {
+                record: e.record.clone(),
+                confirmed: observer(&e.record.observer) == ObserverState::Alive,
+                load: e.load.clone(),
+            })
+            .collect()
+    }
+
+    /// Takes an announcement or a renewal of an endpoint; tells whether its record changed.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an incarnation that is over and an endpoint beyond the bound of the table.
+    pub fn announce(
+        &mut self,
+        now: Timestamp,
+        announcement: Announcement,
+    ) -> Result<bool, AnnounceError> {
+        let Some(entry) = self.entries.get_mut(&announcement.id) else {
+            return self.insert_announced(now, announcement);
+        };
+        check_incarnation(entry, announcement.incarnation)?;
+        if is_left(entry, announcement.incarnation) {
+            if announcement.leaving {
+                return Ok(false);
+            }
+            let (id, incarnation) = (announcement.id, announcement.incarnation);
+            return Err(AnnounceError::Left { id, incarnation });
+        }
+        let lease = Lease::renew(now, entry.lease);
+        entry.lease = Some(lease);
+        let record = record_of(announcement, &self.local, entry.record.sequence.next());
+        let same = record.state == entry.record.state && record.same_announcement(&entry.record);
+        let takeover = entry.record.observer != self.local
+            && (entry.orphaned.is_some() || lease.streak >= TAKEOVER_RENEWALS);
+        if same && !takeover {
+            return Ok(false);
+        }
+        replace(entry, now, record);
+        entry.lease = Some(lease);
+        Ok(true)
+    }
+
+    /// Marks an endpoint as leaving because it says so; tells whether its record changed.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an incarnation that is over and an endpoint that is not known.
+    pub fn leave(
+        &mut self,
+        now: Timestamp,
+        id: &EndpointId,
+        incarnation: Incarnation,
+    ) -> Result<bool, AnnounceError> {
+        let entry =
+            self.entries.get_mut(id).ok_or_else(|| AnnounceError::Unknown { id: id.clone() })?;
+        check_incarnation(entry, incarnation)?;
+        if is_left(entry, incarnation) {
+            return Ok(false);
+        }
+        let mut record = (*entry.record).clone();
+        record.incarnation = incarnation;
+        record.state = EndpointState::Leaving;
+        record.sequence = record.sequence.next();
+        record.observer = self.local.clone();
+        replace(entry, now, record);
+        Ok(true)
+    }
+
+    /// Merges the record that another host sent; tells whether it replaced what was known.
+    pub fn merge(&mut self, now: Timestamp, record: EndpointRecord) -> bool {
+        let full = self.entries.len() >= ENDPOINTS_LIMIT;
+        match self.entries.get_mut(&record.id) {
+            Some(entry) if record.supersedes(&entry.record) => {
+                replace(entry, now, record);
+                true
+            }
+            Some(_) => false,
+            None if full => false,
+            None => {
+                self.entries.insert(record.id.clone(), new_entry(now, record, None));
+                true
+            }
+        }
+    }
+
+    /// Notes a load report of an endpoint that is known.
+    pub fn note_load(&mut self, now: Timestamp, report: LoadReport) {
+        if let Some(entry) = self.entries.get_mut(&report.endpoint) {
+            entry.load = Some((report, now));
+        }
+    }
+
+    /// Ends leases, takes over from observers that are gone, and forgets old records. Returns the
+    /// endpoints whose record this host changed.
+    pub fn tick(
+        &mut self,
+        now: Timestamp,
+        observer: impl Fn(&HostId) -> ObserverState,
+    ) -> Vec<EndpointId> {
+        self.extend_leases_after_pause(now);
+        self.entries.retain(|_, e| !e.is_forgettable(now));
+        let mut changed = Vec::new();
+        for entry in self.entries.values_mut() {
+            let orphaned = observer(&entry.record.observer) == ObserverState::Gone;
+            entry.orphaned = orphaned.then(|| entry.orphaned.unwrap_or(now));
+            if let Some(state) = next_state(entry, now, &self.local) {
+                let mut record = (*entry.record).clone();
+                record.state = state;
+                record.sequence = record.sequence.next();
+                record.observer = self.local.clone();
+                changed.push(record.id.clone());
+                replace(entry, now, record);
+            }
+        }
+        changed
+    }
+
+    /// Renews the leases when this process was paused: the renewals of that time still wait in its sockets.
+    fn extend_leases_after_pause(&mut self, now: Timestamp) {
+        let last = self.ticked.replace(now).unwrap_or(now);
+        if now.since(last) < RENEWAL {
+            return;
+        }
+        for lease in self.entries.values_mut().filter_map(|e| e.lease.as_mut()) {
+            if lease.is_valid(last) {
+                lease.renewed = now;
+            }
+        }
+    }
+
+    fn insert_announced(
+        &mut self,
+        now: Timestamp,
+        announcement: Announcement,
+    ) -> Result<bool, AnnounceError> {
+        if self.entries.len() >= ENDPOINTS_LIMIT {
+            return Err(AnnounceError::Full { limit: ENDPOINTS_LIMIT });
+        }
+        let record = record_of(announcement, &self.local, Sequence::default().next());
+        let lease = Some(Lease::renew(now, None));
+        self.entries.insert(record.id.clone(), new_entry(now, record, lease));
+        Ok(true)
+    }
+}
+
+/// Decides whether this host has to change a record: the lease that it holds for a ready endpoint ended,
+/// or it hears from an endpoint that nobody else vouches for.
+fn next_state(entry: &EndpointEntry, now: Timestamp, local: &HostId) -> Option<EndpointState> {
+    let valid = entry.lease.is_some_and(|l| l.is_valid(now));
+    let own = entry.record.observer == *local;
+    match entry.record.state {
+        EndpointState::Leaving => None,
+        EndpointState::Expired => valid.then_some(EndpointState::Ready),
+        EndpointState::Ready if own => {
+            // Without a lease, the record is from an earlier life of this host, or this host took it over
+            // from news; the endpoint gets the time of a lease to announce itself.
+            let since = entry.lease.map_or(entry.changed, |l| l.renewed.max(entry.changed));
+            (!valid && now.since(since) >= LEASE).then_some(EndpointState::Expired)
+        }
+        EndpointState::Ready => (valid && entry.orphaned.is_some()).then_some(EndpointState::Ready),
+    }
+}
+
+fn check_incarnation(entry: &EndpointEntry, announced: Incarnation) -> Result<(), AnnounceError> {
+    let known = entry.record.incarnation;
+    if announced < known {
+        let id = entry.record.id.clone();
+        return Err(AnnounceError::Outdated { id, announced, known });
+    }
+    Ok(())
+}
+
+fn is_left(entry: &EndpointEntry, incarnation: Incarnation) -> bool {
+    entry.record.state == EndpointState::Leaving && entry.record.incarnation == incarnation
+}
+
+fn replace(entry: &mut EndpointEntry, now: Timestamp, record: EndpointRecord) {
+    if record.incarnation != entry.record.incarnation {
+        // Both are of the process that is over.
+        entry.load = None;
+        entry.lease = None;
+    }
+    entry.record = Arc::new(record);
+    entry.changed = now;
+    entry.orphaned = None;
+}
+
+fn new_entry(now: Timestamp, record: EndpointRecord, lease: Option<Lease>) -> EndpointEntry {
+    EndpointEntry { record: Arc::new(record), changed: now, lease, orphaned: None, load: None }
+}
+
+fn record_of(a: Announcement, observer: &HostId, sequence: Sequence) -> EndpointRecord {
+    EndpointRecord {
+        id: a.id,
+        incarnation: a.incarnation,
+        state: if a.leaving { EndpointState::Leaving } else { EndpointState::Ready },
+        sequence,
+        observer: observer.clone(),
+        address: a.address,
+        pool: a.pool,
+        kind: a.kind,
+        data_centre: a.data_centre,
+        capacity: a.capacity,
+        models: a.models,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/membership/digest.rs
@@ -0,0 +1,84 @@
+//! Digests of the records of a host, for anti-entropy.
+//!
+//! A host sends the hashes of its records by bucket. The other one answers with its own hashes and with
+//! summaries of its records in the buckets that differ. The first then sends what is newer on its side
+//! and asks for the rest.
+
+use std::collections::BTreeMap;
+
+use super::{RecordKey, RecordSummary};
+
+/// The fewest and most buckets of a digest.
+const MIN_BUCKETS: usize = 16;
+const MAX_BUCKETS: usize = 512;
+
+/// What two hosts have to exchange, as seen by the host that began.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Difference {
+    /// Records that the other host has in another version, or that only it has.
+    pub wants: Vec<RecordKey>,
+    /// Records that the other host has in another version, or does not have.
+    pub offers: Vec<RecordKey>,
+}
+
+/// Returns how many buckets a digest of this many records has: about one for two records.
+pub fn bucket_count(records: usize) -> usize {
+    (records / 2).next_power_of_two().clamp(MIN_BUCKETS, MAX_BUCKETS)
+}
+
+/// Hashes records by bucket; `count` is a power of two.
+pub fn buckets(records: &[RecordSummary], count: usize) -> Vec<u32> {
+    let mut hashes = vec![0; count];
+    for record in records {
+        hashes[bucket_of(record.key, count)] ^= mix(record);
+    }
+    hashes
+}
+
+/// Hashes all records to one number that is not 0.
+pub fn table_hash(records: &[RecordSummary]) -> u64 {
+    let hash = records
+        .iter()
+        .fold(0, |hash, r| hash ^ (r.key.get() ^ u64::from(r.version)).wrapping_mul(ODD_FACTOR));
+    hash.max(1)
+}
+
+/// Returns the records of the buckets whose hashes differ.
+pub fn differing(
+    records: &[RecordSummary],
+    own: &[u32],
+    other: &[u32],
+    limit: usize,
+) -> Vec<RecordSummary> {
+    if own.len() != other.len() || own.is_empty() {
+        return Vec::new();
+    }
+    let differs = |r: &&RecordSummary| {
+        let bucket = bucket_of(r.key, own.len());
+        own[bucket] != other[bucket]
+    };
+    records.iter().filter(differs).take(limit).copied().collect()
+}
+
+/// Compares the records of the buckets that differ.
+pub fn compare(own: &[RecordSummary], other: &[RecordSummary]) -> Difference {
+    let own: BTreeMap<_, _> = own.iter().map(|r| (r.key, r.version)).collect();
+    let other: BTreeMap<_, _> = other.iter().map(|r| (r.key, r.version)).collect();
+    let missing = |a: &BTreeMap<RecordKey, u32>, b: &BTreeMap<RecordKey, u32>| {
+        a.iter().filter(|(k, v)| b.get(k) != Some(*v)).map(|(k, _)| *k).collect()
+    };
+    Difference { wants: missing(&other, &own), offers: missing(&own, &other) }
+}
+
+/// An odd number with well spread bits; 2^64 divided by the golden ratio.
+const ODD_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
+fn bucket_of(key: RecordKey, count: usize) -> usize {
+    // The high bits are the better mixed ones of a product.
+    (key.get() >> 32) as usize % count
+}
+
+fn mix(record: &RecordSummary) -> u32 {
+    let hash = (record.key.get() ^ u64::from(record.version)).wrapping_mul(ODD_FACTOR);
+    (hash >> 32) as u32
+}
--- a/crates/policy/src/membership/host_record.rs
+++ b/crates/policy/src/membership/host_record.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use super::{HostState, Refutation};
+use super::{HostState, RecordKey, RecordSummary, Refutation, version_hash};
 use masticstair_core::id::{DataCentreId, HostId, Incarnation};
 
 /// What one host knows of another.
@@ -28,4 +28,15 @@
     pub fn supersedes(&self, other: &Self) -> bool {
         self > other
     }
+
+    /// Returns the record's line in a digest.
+    pub fn summary(&self) -> RecordSummary {
+        let version = version_hash(&[
+            &self.incarnation.get().to_le_bytes(),
+            &self.refutation.get().to_le_bytes(),
+            &[self.state as u8],
+            self.address.to_string().as_bytes(),
+        ]);
+        RecordSummary { key: RecordKey::of_host(self.host.as_str()), version }
+    }
 }
--- /dev/null
+++ b/crates/policy/src/membership/member_table.rs
@@ -0,0 +1,149 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::limits::HOSTS_LIMIT;
+use super::{HostRecord, HostState, Member, MergeOutcome, ProbeHealth};
+use masticstair_core::id::{HostId, Incarnation};
+use masticstair_core::unit::Timestamp;
+
+/// The hosts that one host knows, itself included.
+///
+/// Records change as in Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process
+/// Group Membership Protocol" (2002).
+#[derive(Clone, Debug)]
+pub struct MemberTable {
+    /// This host; always in `members`.
+    local: HostId,
+    /// At most `HOSTS_LIMIT`.
+    members: BTreeMap<HostId, Member>,
+    /// How well this host gets answers itself.
+    pub health: ProbeHealth,
+}
+
+impl MemberTable {
+    /// Makes a table that contains only this host.
+    pub fn new(now: Timestamp, local: HostRecord) -> Self {
+        let host = local.host.clone();
+        let member =
+            Member { record: Arc::new(local), changed: now, heard: None, suspect_until: None };
+        Self {
+            local: host.clone(),
+            members: BTreeMap::from([(host, member)]),
+            health: ProbeHealth::default(),
+        }
+    }
+
+    /// Returns the id of this host.
+    pub fn local(&self) -> &HostId {
+        &self.local
+    }
+
+    /// Returns a host.
+    pub fn get(&self, host: &HostId) -> Option<&Member> {
+        self.members.get(host)
+    }
+
+    /// Returns every host, this one included.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns the live hosts but this one.
+    pub fn live_peers(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|m| m.is_live() && m.record.host != self.local)
+    }
+
+    /// Returns the number of live hosts, this one included.
+    pub fn live_count(&self) -> usize {
+        self.members.values().filter(|m| m.is_live()).count()
+    }
+
+    /// Notes a message from a host, which does not clear a suspicion: only a refutation does.
+    pub fn note_heard(&mut self, now: Timestamp, host: &HostId) {
+        if let Some(member) = self.members.get_mut(host) {
+            member.heard = Some(now);
+        }
+    }
+
+    /// Merges the record that another host sent.
+    pub fn merge(&mut self, now: Timestamp, record: HostRecord) -> MergeOutcome {
+        if record.host == self.local {
+            return self.merge_local(now, &record);
+        }
+        let known = self.members.get(&record.host);
+        let wanted = match known {
+            Some(member) => record.supersedes(&member.record),
+            None => self.members.len() < HOSTS_LIMIT,
+        };
+        if !wanted {
+            return MergeOutcome::Unchanged;
+        }
+        let heard = known.and_then(|m| m.heard);
+        self.put(now, record, heard);
+        MergeOutcome::Changed
+    }
+
+    /// Suspects a live host that answers no probes; tells whether that is a change.
+    pub fn suspect(&mut self, now: Timestamp, host: &HostId) -> bool {
+        self.change(now, host, HostState::Alive, HostState::Suspect)
+    }
+
+    /// Marks this host as leaving.
+    pub fn leave(&mut self, now: Timestamp) {
+        if let Some(member) = self.members.get(&self.local) {
+            let record = HostRecord { state: HostState::Left, ..(*member.record).clone() };
+            self.put(now, record, None);
+        }
+    }
+
+    /// Turns suspicions that were not refuted in time into failures and forgets old records. Returns the
+    /// hosts that failed.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<HostId> {
+        self.members.retain(|_, m| !m.is_forgettable(now));
+        let due = |m: &&Member| m.suspect_until.is_some_and(|until| until <= now);
+        let mut failed: Vec<HostId> =
+            self.members.values().filter(due).map(|m| m.record.host.clone()).collect();
+        failed.retain(|host| self.change(now, host, HostState::Suspect, HostState::Failed));
+        failed
+    }
+
+    /// Answers what others say of this host: refutes a suspicion or failure of this life.
+    fn merge_local(&mut self, now: Timestamp, record: &HostRecord) -> MergeOutcome {
+        let Some(own) = self.members.get(&self.local).map(|m| m.record.clone()) else {
+            return MergeOutcome::Unchanged;
+        };
+        if record.incarnation > own.incarnation {
+            return MergeOutcome::Superseded(record.incarnation);
+        }
+        if own.state == HostState::Left || !record.supersedes(&own) {
+            return MergeOutcome::Unchanged;
+        }
+        let refutation = record.refutation.next();
+        self.put(now, HostRecord { refutation, ..(*own).clone() }, None);
+        MergeOutcome::Refuted
+    }
+
+    fn change(&mut self, now: Timestamp, host: &HostId, from: HostState, to: HostState) -> bool {
+        let Some(member) = self.members.get(host) else { return false };
+        if member.record.state != from || *host == self.local {
+            return false;
+        }
+        let heard = member.heard;
+        let record = HostRecord { state: to, ..(*member.record).clone() };
+        self.put(now, record, heard);
+        true
+    }
+
+    fn put(&mut self, now: Timestamp, record: HostRecord, heard: Option<Timestamp>) {
+        let suspect_until = (record.state == HostState::Suspect && record.host != self.local)
+            .then(|| now.plus(self.health.suspicion()));
+        let host = record.host.clone();
+        let member = Member { record: Arc::new(record), changed: now, heard, suspect_until };
+        self.members.insert(host, member);
+    }
+
+    /// Returns the life of this process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.members.get(&self.local).map(|m| m.record.incarnation).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/membership/news_key.rs
@@ -0,0 +1,10 @@
+use masticstair_core::id::{EndpointId, HostId};
+
+/// A record that changed.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum NewsKey {
+    /// The record of a host.
+    Host(HostId),
+    /// The record of an endpoint.
+    Endpoint(EndpointId),
+}
--- a/crates/policy/src/membership/record_key.rs
+++ b/crates/policy/src/membership/record_key.rs
@@ -38,6 +38,11 @@
     }
 }
 
+/// Hashes the version of a record to the short form of digests.
+pub(crate) fn version_hash(fields: &[&[u8]]) -> u32 {
+    (stable_hash(fields) >> 32) as u32
+}
+
 /// Hashes some fields to a value that is the same on every host; each field ends with its length.
 fn stable_hash(fields: &[&[u8]]) -> u64 {
     let mut hash = FNV_OFFSET;
--- /dev/null
+++ b/crates/policy/src/membership/tests.rs
@@ -0,0 +1,214 @@
+use super::digest::{bucket_count, buckets, compare, differing, table_hash};
+use super::limits::{FAILED_RETENTION, LEFT_RETENTION, SUSPICION};
+use super::*;
+use masticstair_core::id::{HostId, Incarnation};
+use masticstair_core::unit::Timestamp;
+use proptest::prelude::*;
+use std::time::Duration;
+
+const START: Timestamp = Timestamp::new(1_000_000);
+
+fn record(host: &str, incarnation: u64, refutation: u32, state: HostState) -> HostRecord {
+    HostRecord {
+        host: host.parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        refutation: Refutation::new(refutation),
+        state,
+        address: "127.0.0.1:7000".parse().unwrap(),
+        data_centre: "dc-1".parse().unwrap(),
+    }
+}
+
+fn host(name: &str) -> HostId {
+    name.parse().unwrap()
+}
+
+fn table() -> MemberTable {
+    let mut table = MemberTable::new(START, record("a", 5, 0, HostState::Alive));
+    table.merge(START, record("b", 5, 0, HostState::Alive));
+    table
+}
+
+/// Guards against older news that replaces newer news, and against a state that cannot be refuted.
+#[test]
+fn newer_records_replace_older_ones() {
+    use HostState::{Alive, Failed, Left, Suspect};
+    struct Case {
+        name: &'static str,
+        news: HostRecord,
+        outcome: MergeOutcome,
+    }
+    let cases = [
+        Case { name: "same", news: record("b", 5, 0, Alive), outcome: MergeOutcome::Unchanged },
+        Case {
+            name: "suspicion",
+            news: record("b", 5, 0, Suspect),
+            outcome: MergeOutcome::Changed,
+        },
+        Case { name: "refutation", news: record("b", 5, 1, Alive), outcome: MergeOutcome::Changed },
+        Case { name: "left", news: record("b", 5, 0, Left), outcome: MergeOutcome::Changed },
+        Case {
+            name: "failure of an earlier life",
+            news: record("b", 4, 9, Failed),
+            outcome: MergeOutcome::Unchanged,
+        },
+        Case { name: "restart", news: record("b", 6, 0, Alive), outcome: MergeOutcome::Changed },
+        Case { name: "new host", news: record("c", 1, 0, Alive), outcome: MergeOutcome::Changed },
+        Case {
+            name: "suspicion of this host",
+            news: record("a", 5, 0, Suspect),
+            outcome: MergeOutcome::Refuted,
+        },
+        Case {
+            name: "failure of this host",
+            news: record("a", 5, 3, Failed),
+            outcome: MergeOutcome::Refuted,
+        },
+        Case {
+            name: "earlier life of this host",
+            news: record("a", 4, 9, Failed),
+            outcome: MergeOutcome::Unchanged,
+        },
+        Case {
+            name: "later life of this host",
+            news: record("a", 6, 0, Alive),
+            outcome: MergeOutcome::Superseded(Incarnation::new(6)),
+        },
+    ];
+    for case in cases {
+        let mut table = table();
+        let news = case.news.clone();
+        assert_eq!(table.merge(START, case.news), case.outcome, "{}", case.name);
+        if case.outcome == MergeOutcome::Refuted {
+            let own = &table.get(&host("a")).unwrap().record;
+            assert!(own.supersedes(&news) && own.state == Alive, "{}", case.name);
+            assert_eq!(own.incarnation, Incarnation::new(5), "{}", case.name);
+        }
+    }
+}
+
+/// Guards against failures that are declared too early, too late, or in spite of a refutation.
+#[test]
+fn suspicions_become_failures_unless_refuted() {
+    let mut table = table();
+    assert!(table.suspect(START, &host("b")));
+    assert!(!table.suspect(START, &host("b")), "one suspicion");
+    assert!(!table.suspect(START, &host("a")), "not of itself");
+    let almost = START.plus(SUSPICION - Duration::from_millis(1));
+    assert!(table.expire(almost).is_empty());
+    let mut refuted = table.clone();
+    refuted.merge(almost, record("b", 5, 1, HostState::Alive));
+    assert!(refuted.expire(START.plus(SUSPICION * 2)).is_empty());
+    assert_eq!(table.expire(START.plus(SUSPICION)), [host("b")]);
+    assert_eq!(table.live_count(), 1);
+    table.expire(START.plus(SUSPICION + FAILED_RETENTION));
+    assert!(table.get(&host("b")).is_none());
+}
+
+/// Guards against a table that grows with every host that ever left.
+#[test]
+fn left_hosts_are_forgotten_after_their_retention() {
+    let mut table = table();
+    table.merge(START, record("b", 5, 0, HostState::Left));
+    table.expire(START.plus(LEFT_RETENTION - Duration::from_millis(1)));
+    assert_eq!(table.merge(START, record("b", 5, 0, HostState::Alive)), MergeOutcome::Unchanged);
+    table.expire(START.plus(LEFT_RETENTION));
+    assert!(table.get(&host("b")).is_none());
+}
+
+/// Guards against a host that cannot hear others and declares them all failed at the usual speed.
+#[test]
+fn hosts_that_miss_probes_lengthen_their_suspicions() {
+    struct Case {
+        name: &'static str,
+        misses: u32,
+        factor: u32,
+    }
+    let cases = [
+        Case { name: "healthy", misses: 0, factor: 1 },
+        Case { name: "two peers failed", misses: 2, factor: 1 },
+        Case { name: "one more", misses: 3, factor: 2 },
+        Case { name: "all", misses: 8, factor: 4 },
+    ];
+    for case in cases {
+        let mut health = ProbeHealth::default();
+        (0..case.misses).for_each(|_| health.note(false));
+        assert_eq!(health.suspicion(), SUSPICION * case.factor, "{}", case.name);
+        (0..8).for_each(|_| health.note(true));
+        assert_eq!(health.suspicion(), SUSPICION, "{} recovered", case.name);
+    }
+}
+
+/// Guards against news that is sent for ever, back to its source, or never.
+#[test]
+fn news_is_passed_on_about_log2_times() {
+    let mut queue = NewsQueue::default();
+    let key = NewsKey::Host(host("b"));
+    queue.push(key.clone(), Some(host("c")));
+    assert!(queue.take(&host("c"), 8, |_| true).is_empty(), "not back to its source");
+    assert!(queue.take(&host("d"), 8, |_| false).is_empty(), "does not fit");
+    let mut sent = 0;
+    while !queue.take(&host("d"), 8, |_| true).is_empty() {
+        sent += 1;
+    }
+    assert_eq!(sent, 4);
+    assert!(queue.is_empty());
+    queue.push(key.clone(), None);
+    (0..4).for_each(|_| queue.note_known(&key));
+    assert!(queue.take(&host("d"), 8, |_| true).is_empty(), "others have it already");
+}
+
+fn summaries() -> impl Strategy<Value = Vec<RecordSummary>> {
+    let summary = (0u64..64, 0u32..3);
+    prop::collection::btree_map(summary.prop_map(|s| s.0), 0u32..3, 0..48).prop_map(|records| {
+        let key = |k: u64| RecordKey::of_host(&format!("h{k}"));
+        records.into_iter().map(|(k, version)| RecordSummary { key: key(k), version }).collect()
+    })
+}
+
+fn any_record() -> impl Strategy<Value = HostRecord> {
+    let states = [HostState::Alive, HostState::Suspect, HostState::Failed, HostState::Left];
+    (prop::sample::select(vec!["b", "c"]), 0u64..3, 0u32..3, prop::sample::select(states.to_vec()))
+        .prop_map(|(host, incarnation, refutation, state)| {
+            record(host, incarnation, refutation, state)
+        })
+}
+
+fn records_of(table: &MemberTable) -> Vec<HostRecord> {
+    table.iter().map(|m| (*m.record).clone()).collect()
+}
+
+proptest! {
+    /// Guards against tables that depend on the order or number of the messages.
+    #[test]
+    fn merge_is_commutative_associative_and_idempotent(
+        (records, shuffled) in prop::collection::vec(any_record(), 0..12)
+            .prop_flat_map(|r| (Just(r.clone()), Just(r).prop_shuffle())),
+    ) {
+        let merged = |records: &[HostRecord]| {
+            let mut table = MemberTable::new(START, record("a", 1, 0, HostState::Alive));
+            for record in records {
+                table.merge(START, record.clone());
+            }
+            records_of(&table)
+        };
+        let once = merged(&records);
+        prop_assert_eq!(&once, &merged(&shuffled));
+        prop_assert_eq!(&once, &merged(&[&records[..], &shuffled[..]].concat()));
+    }
+
+    /// Guards against a digest that misses a difference, or finds one where there is none.
+    #[test]
+    fn digests_find_exactly_the_difference(a in summaries(), b in summaries()) {
+        let count = bucket_count(a.len().max(b.len()));
+        let (own, other) = (buckets(&a, count), buckets(&b, count));
+        let full = compare(&a, &b);
+        let partial = compare(
+            &differing(&a, &own, &other, usize::MAX),
+            &differing(&b, &other, &own, usize::MAX),
+        );
+        prop_assert_eq!(&full, &partial);
+        let same = full == digest::Difference::default();
+        prop_assert_eq!(same, table_hash(&a) == table_hash(&b));
+    }
+}
