--- /dev/null
+++ b/crates/host/src/control/bundles.rs
@@ -0,0 +1,79 @@
+//! Puts revisions in force: from the own replica, or verified from another host.
+
+use futures_util::FutureExt;
+use masticstair_core::bundle::Bundle;
+use masticstair_core::prelude::*;
+use masticstair_store::state::{Answer, InForce};
+use slog::{info, warn};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use crate::membership::{BundleHooks, Membership};
+use crate::state::{BundleInForce, HostState};
+
+/// Makes the hooks through which other hosts fetch the bundle in force and this one gets theirs.
+pub(super) fn hooks(state: &Arc<HostState>) -> Rc<BundleHooks> {
+    let (serving, installing) = (state.clone(), state.clone());
+    Rc::new(BundleHooks {
+        content: Box::new(move |revision| serving.in_force.signed(revision)),
+        install: Box::new(move |_, bytes| {
+            let installed = install_fetched(&installing, &bytes);
+            std::future::ready(installed).boxed_local()
+        }),
+    })
+}
+
+/// Puts a revision of the own replica in force; the quorum has accepted it.
+pub(super) fn install_committed(state: &HostState, membership: &Membership, in_force: InForce) {
+    let revision = in_force.revision.revision;
+    match install(state, in_force) {
+        Ok(()) => membership.publish_revision(revision),
+        Err(e) => {
+            warn!(state.log, "committed bundle refused"; "revision" => %revision, "reason" => %e)
+        }
+    }
+}
+
+fn install_fetched(state: &HostState, bytes: &[u8]) -> Result<(), Box<str>> {
+    let in_force = match Answer::decode(bytes) {
+        Ok(Answer::InForce(Some(in_force))) => *in_force,
+        Ok(_) => return Err("the peer sent something else than a bundle".into()),
+        Err(e) => return Err(e.to_string().into()),
+    };
+    verify(state, &in_force)?;
+    install(state, in_force)
+}
+
+/// Checks the signatures against the signers in force here, and against the operators of the settings,
+/// which a host without a bundle has.
+fn verify(state: &HostState, in_force: &InForce) -> Result<(), Box<str>> {
+    let digest = Sha256Digest::of(in_force.content.as_bytes());
+    if digest != in_force.revision.digest {
+        return Err("the content does not fit the digest that was signed".into());
+    }
+    let (entry, deployment) = (&in_force.revision, &state.cfg.deployment);
+    let current = state.in_force.get();
+    let by_bundle = current.is_some_and(|c| entry.verify(deployment, &c.bundle.signers).is_ok());
+    if by_bundle {
+        return Ok(());
+    }
+    entry.verify(deployment, &state.cfg.operators).map_err(|e| e.to_string().into())
+}
+
+fn install(state: &HostState, in_force: InForce) -> Result<(), Box<str>> {
+    let revision = in_force.revision.revision;
+    if state.in_force.get().is_some_and(|c| c.revision >= revision) {
+        return Ok(());
+    }
+    let bundle: Bundle = in_force
+        .content
+        .parse()
+        .map_err(|e: masticstair_core::toml_reader::FieldErrors| e.to_string().into_boxed_str())?;
+    let percent = bundle.limits.retry_percent;
+    let signed: Arc<[u8]> = Answer::InForce(Some(Box::new(in_force))).encode().into();
+    if state.in_force.advance(BundleInForce { revision, bundle, signed }) {
+        state.traffic.with_budget(|budget| budget.set_percent(percent));
+        info!(state.log, "bundle in force"; "revision" => %revision);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/host/src/control/discovery.rs
@@ -0,0 +1,32 @@
+//! Tells the leader of replicas that are reachable, so that lost voters are replaced.
+
+use masticstair_core::message::Replica;
+use masticstair_net::peer::GroupId;
+use masticstair_store::consensus::{Node, Role};
+use std::time::Duration;
+
+use super::context::ControlContext;
+
+/// How often the leader looks for replicas.
+const INTERVAL: Duration = Duration::from_secs(2);
+/// How long a host may take to answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Asks the live hosts for their replica while this one leads.
+pub(super) async fn discover_replicas(cx: ControlContext, node: Node) {
+    loop {
+        monoio::time::sleep(INTERVAL).await;
+        if node.status().role != Role::Leader {
+            continue;
+        }
+        for host in &cx.membership.snapshot().hosts {
+            let Some(peer) = &host.peer else { continue };
+            let Ok(answer) = peer.formation(GroupId::FIRST, ANSWER_LIMIT).await else { continue };
+            if let Some(id) = answer.replica {
+                let (host, data_centre) =
+                    (host.record.host.clone(), host.record.data_centre.clone());
+                node.announce(Replica { id, host, data_centre });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/control/formation.rs
@@ -0,0 +1,56 @@
+//! Forms the first group of voters, once, when the folders of all initial voters are new.
+
+use masticstair_core::message::Replica;
+use masticstair_core::prelude::*;
+use masticstair_net::peer::GroupId;
+use masticstair_store::consensus::{FormationAnswer, FormationDecision, Node, decide_formation};
+use slog::{info, warn};
+use std::time::Duration;
+
+use super::context::ControlContext;
+
+/// The wait between attempts.
+const ATTEMPT_INTERVAL: Duration = Duration::from_millis(300);
+/// How long an initial voter may take to answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Runs until this replica has a log, or is to receive it from a leader.
+pub(super) async fn form_group(cx: ControlContext, node: Node) {
+    let initial = cx.state.cfg.initial_voters.clone();
+    loop {
+        let own = node.formation_answer();
+        if !own.new {
+            return;
+        }
+        let me = own.replica.clone();
+        let mut answers = vec![own];
+        for host in initial.iter().filter(|h| **h != me.host) {
+            answers.extend(ask(&cx, host).await);
+        }
+        match decide_formation(&me, &initial, &answers) {
+            FormationDecision::Form { voters, term } => {
+                let count = voters.voters.len();
+                match node.form(*voters, term).await {
+                    Ok(()) => info!(cx.state.log, "group formed"; "voters" => count),
+                    Err(e) => warn!(cx.state.log, "group not formed"; "reason" => %e),
+                }
+            }
+            FormationDecision::Join => return,
+            FormationDecision::Wait => {}
+        }
+        monoio::time::sleep(ATTEMPT_INTERVAL).await;
+    }
+}
+
+/// Asks an initial voter for its folder; `None` when it does not answer or has none.
+async fn ask(cx: &ControlContext, host: &HostId) -> Option<FormationAnswer> {
+    let record = cx.membership.host(host)?;
+    let client = cx.peers.client(&record);
+    let answer = client.formation(GroupId::FIRST, ANSWER_LIMIT).await.ok()?;
+    let replica = Replica {
+        id: answer.replica?,
+        host: host.clone(),
+        data_centre: record.data_centre.clone(),
+    };
+    Some(FormationAnswer { replica, new: answer.new, term: answer.term })
+}
--- /dev/null
+++ b/crates/host/src/control/handlers.rs
@@ -0,0 +1,81 @@
+//! Answers the calls of peers that concern the replicated log.
+
+use futures_util::FutureExt;
+use masticstair_core::message::{AppendRequest, SnapshotChunk, VoteRequest};
+use masticstair_net::peer::{
+    CallRefused, FormationAnswer, GroupId, Handler, InGroup, PeerHandlers, Proposal, ProposeReply,
+    ReadQuery, ReadReply,
+};
+use masticstair_store::consensus::{Node, ProposeError, ReadError, Refusal};
+use std::fmt::Display;
+use std::future::Future;
+
+/// Sets the handlers of the replicated log for a host with a replica.
+pub(super) fn install(handlers: &mut PeerHandlers, node: &Node) {
+    handlers.vote =
+        handler(
+            node,
+            |node, req: InGroup<VoteRequest>| async move { node.vote(req.message).await },
+        );
+    handlers.append =
+        handler(
+            node,
+            |node, req: InGroup<AppendRequest>| async move { node.append(req.message).await },
+        );
+    handlers.snapshot = handler(node, |node, req: InGroup<SnapshotChunk>| async move {
+        node.snapshot(req.message).await
+    });
+    handlers.propose = handler(node, |node, req: InGroup<Proposal>| async move {
+        let proposal = req.message;
+        let reply = node.propose(proposal.command, proposal.budget).await;
+        Ok::<_, CallRefused>(propose_reply(reply))
+    });
+    handlers.read = handler(node, |node, req: InGroup<ReadQuery>| async move {
+        let query = req.message;
+        let answer = node.read(&query.query, query.budget).await;
+        Ok::<_, CallRefused>(read_reply(answer))
+    });
+    handlers.formation = handler(node, |node, _group: GroupId| async move {
+        let answer = node.formation_answer();
+        Ok::<_, CallRefused>(FormationAnswer {
+            new: answer.new,
+            replica: Some(answer.replica.id),
+            term: answer.term,
+        })
+    });
+}
+
+fn handler<Request: 'static, Reply: 'static, F, E: Display>(
+    node: &Node,
+    answer: impl Fn(Node, Request) -> F + 'static,
+) -> Handler<Request, Reply>
+where
+    F: Future<Output = Result<Reply, E>> + 'static,
+{
+    let node = node.clone();
+    Box::new(move |_caller, req| {
+        let answer = answer(node.clone(), req);
+        async move { answer.await.map_err(|e| CallRefused::new(e.to_string())) }.boxed_local()
+    })
+}
+
+fn propose_reply(reply: Result<Box<[u8]>, ProposeError>) -> ProposeReply {
+    match reply {
+        Ok(reply) => ProposeReply::Applied(reply),
+        Err(ProposeError::NotProposed(Refusal::NotLeader { leader })) => {
+            ProposeReply::Redirect(leader.map(|l| l.host))
+        }
+        Err(ProposeError::NotProposed(refusal)) => {
+            ProposeReply::NotProposed(refusal.to_string().into())
+        }
+        Err(e @ ProposeError::Unknown { .. }) => ProposeReply::Unknown(e.to_string().into()),
+    }
+}
+
+fn read_reply(answer: Result<Box<[u8]>, ReadError>) -> ReadReply {
+    match answer {
+        Ok(answer) => ReadReply::Answer(answer),
+        Err(ReadError::NotLeader { leader }) => ReadReply::Redirect(leader.map(|l| l.host)),
+        Err(e @ ReadError::TimedOut(_)) => ReadReply::Failed(e.to_string().into()),
+    }
+}
--- /dev/null
+++ b/crates/host/src/control/links.rs
@@ -0,0 +1,56 @@
+//! The way from this replica to another one.
+
+use futures_util::FutureExt;
+use masticstair_core::message::Replica;
+use masticstair_net::peer::{GroupId, PeerClient, PeerError};
+use masticstair_store::consensus::{Call, Config, LinkError, PeerLink};
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use crate::membership::{Membership, PeerPool};
+
+/// Makes links that look up the address of the replica's host for each call, since a host that is
+/// replaced comes back under another address.
+pub(super) fn connect(
+    membership: Arc<Membership>,
+    peers: Rc<PeerPool>,
+    cfg: &Config,
+) -> Box<dyn Fn(&Replica) -> PeerLink> {
+    let call_limit = cfg.call_timeout.duration();
+    let snapshot_limit = cfg.snapshot_timeout.duration();
+    Box::new(move |replica| {
+        let lookup = {
+            let (membership, peers) = (membership.clone(), peers.clone());
+            let host = replica.host.clone();
+            Rc::new(move || membership.host(&host).map(|record| peers.client(&record)))
+        };
+        let [a, b, c] = [lookup.clone(), lookup.clone(), lookup];
+        let group = GroupId::FIRST;
+        PeerLink {
+            vote: Box::new(move |req| {
+                call(a(), async move |peer| peer.vote(group, req, call_limit).await)
+            }),
+            append: Box::new(move |req| {
+                call(b(), async move |peer| peer.append(group, req, call_limit).await)
+            }),
+            snapshot: Box::new(move |chunk| {
+                call(c(), async move |peer| peer.snapshot(group, chunk, snapshot_limit).await)
+            }),
+        }
+    })
+}
+
+fn call<T: 'static, F>(
+    peer: Option<PeerClient>,
+    send: impl FnOnce(PeerClient) -> F + 'static,
+) -> Call<T>
+where
+    F: Future<Output = Result<T, PeerError>> + 'static,
+{
+    async move {
+        let peer = peer.ok_or_else(|| LinkError::Failed("the host is not known".into()))?;
+        send(peer).await.map_err(|e| LinkError::Failed(e.to_string().into()))
+    }
+    .boxed_local()
+}
--- /dev/null
+++ b/crates/host/src/control/node_start.rs
@@ -0,0 +1,92 @@
+//! Starts the replica of a host with a data folder.
+
+use masticstair_core::message::Replica;
+use masticstair_store::consensus::{Config, Node, NodeParts, RestoreError, StateMachine};
+use masticstair_store::state::{ReplicatedState, StateClosures};
+use masticstair_store::storage::{self, StorageError, StorageHandle};
+use slog::warn;
+use std::cell::RefCell;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use super::bundles::install_committed;
+use super::{ControlStartError, links, storage_adapter};
+use crate::membership::{Membership, PeerPool};
+use crate::state::HostState;
+
+pub(super) fn start_node(
+    state: &Arc<HostState>,
+    membership: &Arc<Membership>,
+    peers: &Rc<PeerPool>,
+    folder: &Path,
+) -> Result<(Node, StorageHandle), ControlStartError> {
+    let (handle, found) = open_or_repair(state, folder)?;
+    let cfg = Config::default();
+    let me = Replica {
+        id: found.identity,
+        host: state.cfg.host.clone(),
+        data_centre: state.cfg.data_centre.clone(),
+    };
+    let node = Node::start(NodeParts {
+        me,
+        connect: links::connect(membership.clone(), peers.clone(), &cfg),
+        cfg,
+        recovered: storage_adapter::recovered(found),
+        storage: storage_adapter::storage(handle.clone()),
+        machine: state_machine(state, membership),
+        log: state.log.clone(),
+    })?;
+    Ok((node, handle))
+}
+
+/// Opens the data folder. A damaged one is set aside, and the host joins again as another replica, which
+/// the others bring up to date.
+fn open_or_repair(
+    state: &HostState,
+    folder: &Path,
+) -> Result<(StorageHandle, storage::Recovered), ControlStartError> {
+    match storage::open(folder) {
+        Err(e @ (StorageError::Damaged { .. } | StorageError::Missing { .. })) => {
+            let kept = storage::repair(folder)?;
+            warn!(state.log, "damaged data folder set aside"; "reason" => %e, "kept" => %kept.display());
+            Ok(storage::open(folder)?)
+        }
+        opened => Ok(opened?),
+    }
+}
+
+/// Makes the replicated state; each new revision is put in force on this host.
+fn state_machine(state: &Arc<HostState>, membership: &Arc<Membership>) -> StateMachine {
+    let operators = state.cfg.operators.clone().into();
+    let replicated = ReplicatedState::new(state.cfg.deployment.clone(), operators);
+    let replicated = Rc::new(RefCell::new(replicated));
+    let StateClosures { mut apply, query, snapshot, mut restore } = StateClosures::new(&replicated);
+    let [a, b] = [replicated.clone(), replicated];
+    let [on_apply, on_restore] = [(); 2].map(|()| {
+        let (state, membership) = (state.clone(), membership.clone());
+        move |replicated: &RefCell<ReplicatedState>| {
+            let in_force = replicated.borrow().in_force();
+            if let Some(in_force) = in_force {
+                install_committed(&state, &membership, in_force);
+            }
+        }
+    });
+    StateMachine {
+        apply: Box::new(move |index, command| {
+            let before = a.borrow().revision();
+            let reply = apply(index, command);
+            if a.borrow().revision() > before {
+                on_apply(&a);
+            }
+            reply
+        }),
+        query,
+        snapshot,
+        restore: Box::new(move |bytes| {
+            restore(bytes).map_err(|e| RestoreError(e.to_string().into()))?;
+            on_restore(&b);
+            Ok(())
+        }),
+    }
+}
--- a/crates/host/src/daemon/run.rs
+++ b/crates/host/src/daemon/run.rs
@@ -1,4 +1,3 @@
-use masticstair_core::prelude::*;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use slog::{info, warn};
@@ -8,20 +7,18 @@
 use std::time::Instant;
 use thiserror::Error;
 
-use super::{SignedBundleError, StartError, load_signed_bundle, start_workers};
+use super::{StartError, start_workers};
+use crate::control::{ControlStartError, start_control};
 use crate::settings::Settings;
-use crate::state::{BundleInForce, HostState};
+use crate::state::HostState;
 use crate::telemetry::json_logger;
 
-/// The revision of a bundle file, which no log has numbered.
-const FILE_REVISION: Revision = Revision::new(1);
-
 /// The reason for which a host ended.
 #[derive(Debug, Error)]
 pub enum RunError {
-    /// The bundle file is refused.
+    /// The control thread did not start.
     #[error(transparent)]
-    Bundle(#[from] SignedBundleError),
+    Control(#[from] ControlStartError),
     /// The threads did not start.
     #[error(transparent)]
     Start(#[from] StartError),
@@ -43,12 +40,10 @@
         warn!(log, "settings"; "warning" => warning.as_ref());
     }
     let state = Arc::new(HostState::new(cfg, log.clone()));
-    if let Some(file) = &state.cfg.bundle_file {
-        let bundle = load_signed_bundle(file, &state.cfg.deployment, &state.cfg.operators)?;
-        state.in_force.advance(BundleInForce { revision: FILE_REVISION, bundle });
-    }
+    let control = start_control(&state)?;
     let workers = start_workers(&state)?;
-    info!(log, "started"; "listen" => workers.addr.to_string(), "workers" => state.cfg.workers);
+    info!(log, "started"; "listen" => workers.addr.to_string(),
+        "peer_listen" => control.peer_addr.to_string(), "workers" => state.cfg.workers);
     let first = signals.forever().next();
     info!(log, "shutdown begins"; "signal" => first, "in_flight" => state.drain.in_flight());
     let watched = state.clone();
@@ -62,6 +57,7 @@
     let left = Instant::now();
     thread::sleep(state.cfg.drain_notice.duration());
     workers.stop();
+    control.stop();
     info!(log, "stopped"; "drain_ms" => left.elapsed().as_millis() as u64);
     Ok(())
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon that runs on every entry host of masticstair.
 
+pub mod control;
 pub mod daemon;
 pub mod http_api;
 pub mod membership;
--- a/crates/host/src/request/accept.rs
+++ b/crates/host/src/request/accept.rs
@@ -1,7 +1,7 @@
 //! Checks of a caller's request, each with a problem document that names the field.
 
 use http::header::{ACCEPT, AUTHORIZATION};
-use masticstair_core::bundle::{Account, Pipeline};
+use masticstair_core::bundle::{Account, Pipeline, StageKind};
 use masticstair_core::endpoint_api::{DEADLINE_HEADER, TRACEPARENT_HEADER};
 use masticstair_core::id::TraceParent;
 use masticstair_core::prelude::*;
@@ -33,6 +33,8 @@
         Problem::not_run(400, "body-malformed", format!("the body is not JSON: {e}"))
             .with_field("body")
     })?;
+    let streamable = pipeline.stages.last().is_some_and(|s| s.kind == StageKind::Generate);
+    let stream = streamable && wants_stream(req);
     Ok(CallerRequest {
         id: RequestId::random(),
         config,
@@ -43,7 +45,7 @@
         key,
         body_digest: Sha256Digest::of(&req.body),
         body,
-        stream: wants_stream(req),
+        stream,
         trace: read_trace(state, req),
     })
 }
--- a/crates/host/src/request/attempt.rs
+++ b/crates/host/src/request/attempt.rs
@@ -39,7 +39,7 @@
     let state = &cx.cx.state;
     let now = state.clock.now();
     let (pool, model) = (&cx.stage.pool, cx.stage.model.as_ref());
-    let candidates = state.endpoints.ready(now, pool, model);
+    let candidates = state.candidates(pool, model);
     let start = CallStart {
         key: cx.key,
         pipeline: &cx.caller.pipeline.name,
@@ -50,9 +50,9 @@
     };
     let started = state.traffic.begin_call(&start);
     let (position, guard) = started.ok_or_else(|| StageError::NoEndpoint(pool.clone()))?;
-    let (id, entry) = &candidates[position];
+    let record = &candidates[position].record;
     Ok(StartedAttempt {
-        target: Target { id: id.clone(), addr: entry.announcement.address },
+        target: Target { id: record.id.clone(), addr: record.address },
         span: Span::start(stage_span.context, "attempt", now),
         guard,
     })
--- /dev/null
+++ b/crates/host/src/request/run_once_stage.rs
@@ -0,0 +1,299 @@
+//! Runs a stage that must not be repeated: claimed in the replicated log, sent once, its outcome recorded.
+
+use masticstair_core::endpoint_api::{RunResponse, Usage};
+use masticstair_core::prelude::*;
+use masticstair_policy::estimate::CallEnd;
+use masticstair_policy::run_once::{
+    CallKey, Claim, Claimant, FoundCall, RecordedAnswer, RunOnceCommand, RunOnceReply,
+};
+use serde_json::{Value, json};
+use slog::warn;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::attempt::{StartedAttempt, call_whole, start_attempt};
+use super::attempt_error::AttemptError;
+use super::run_stage::{count_attempt, decide};
+use super::stage_context::StageContext;
+use super::stage_error::StageError;
+use crate::control::{ControlError, ControlHandle};
+use crate::state::HostState;
+use crate::telemetry::Span;
+use masticstair_store::state::{Command, Reply};
+
+/// How long a claim may take at the most; a new leader is elected within this time.
+const CLAIM_LIMIT: Duration = Duration::from_secs(2);
+/// How long one attempt to record an outcome may take.
+const RECORD_LIMIT: Duration = Duration::from_secs(3);
+/// How often recording an outcome is tried; the record stays claimed after that.
+const RECORD_ATTEMPTS: u32 = 20;
+/// How long after its deadline a claim counts as orphaned.
+const ORPHAN_MARGIN: Millis = Millis::new(5_000);
+
+/// What the call of a stage and its record are known by.
+#[derive(Clone)]
+struct CallRecord {
+    control: ControlHandle,
+    call: CallKey,
+    request: RequestId,
+}
+
+/// Runs the stage, or answers from the record of an earlier request under the same key.
+///
+/// The future must run to its end: a request that is dropped after the send would leave no outcome.
+pub(super) async fn run_once_stage(cx: &StageContext<'_>) -> Result<RunResponse, StageError> {
+    let state = &cx.cx.state;
+    let refuse = |problem| Err(StageError::Refused(problem));
+    let Some(control) = state.control.get().cloned() else { return refuse(no_log()) };
+    let Some(key) = cx.caller.key.clone() else { return refuse(no_log()) };
+    let call = CallKey { account: cx.caller.account.id.clone(), key };
+    let record = CallRecord { control, call, request: cx.caller.id };
+    let span = Span::start(cx.trace, "claim", state.clock.now());
+    let claimed = claim(cx, &record).await;
+    span.end(&state.log, state.clock.now(), cx.caller.id, cx.stage.name.as_str());
+    match claimed {
+        Ok(RunOnceReply::Granted) => send_once(cx, record).await,
+        Ok(RunOnceReply::Found(found)) => answer_found(cx, &record, found),
+        Ok(RunOnceReply::BodyConflict) => refuse(body_conflict()),
+        Ok(RunOnceReply::KeyExpired) => refuse(key_expired()),
+        Ok(RunOnceReply::Full(bound)) => {
+            refuse(Problem::not_run(503, "records-full", bound.to_string()).with_retry_after(30))
+        }
+        Ok(other) => refuse(Problem::not_run(500, "claim-refused", format!("{other:?}"))),
+        Err(ControlError::NotProposed(reason)) => refuse(no_quorum(&reason)),
+        Err(ControlError::Unknown(reason)) => {
+            // The claim may be granted later, but only this task could send the call, and it ends here.
+            monoio::spawn(release(state.clone(), record));
+            refuse(no_quorum(&reason))
+        }
+    }
+}
+
+async fn claim(cx: &StageContext<'_>, record: &CallRecord) -> Result<RunOnceReply, ControlError> {
+    let state = &cx.cx.state;
+    let deadline = cx.time_left();
+    let claim = Claim {
+        call: record.call.clone(),
+        body: cx.caller.body_digest,
+        request: record.request,
+        claimant: Claimant {
+            host: state.cfg.host.clone(),
+            incarnation: state.incarnation,
+            deadline,
+            proposed_at: state.clock.wall(),
+        },
+    };
+    let command = Command::RunOnce(RunOnceCommand::Claim(Box::new(claim)));
+    // Half of the time is left for the call itself.
+    let limit = CLAIM_LIMIT.min(deadline.duration() / 2);
+    run_once_reply(record.control.propose(&command, limit).await?)
+}
+
+/// Sends the call. Only a connection that was never made allows another endpoint.
+async fn send_once(cx: &StageContext<'_>, record: CallRecord) -> Result<RunResponse, StageError> {
+    let state = &cx.cx.state;
+    let span = Span::start(cx.trace, "stage", state.clock.now());
+    let mut tried = Vec::new();
+    let result = loop {
+        if state.clock.now() >= cx.caller.deadline {
+            break Err(give_up(cx, &record, StageError::Deadline(cx.stage.name.clone())));
+        }
+        let attempt = match start_attempt(cx, span, &tried, false) {
+            Ok(attempt) => attempt,
+            Err(error) => break Err(give_up(cx, &record, error)),
+        };
+        tried.push(attempt.target.id.clone());
+        let error = match send_attempt(cx, attempt).await {
+            Ok(answer) => {
+                let kept = serde_json::to_vec(&answer.output).unwrap_or_default();
+                record_outcome(cx, finish(&record, &kept)).await;
+                break Ok(answer);
+            }
+            Err(error) => error,
+        };
+        if error.may_have_run() || matches!(error, AttemptError::Refused { .. }) {
+            break Err(settle_failure(cx, &record, &error).await);
+        }
+        match decide(cx, &error, tried.len()) {
+            Ok(after) => monoio::time::sleep(after).await,
+            Err(error) => break Err(give_up(cx, &record, error)),
+        }
+    };
+    span.end(&state.log, state.clock.now(), cx.caller.id, cx.stage.name.as_str());
+    result
+}
+
+async fn send_attempt(
+    cx: &StageContext<'_>,
+    attempt: StartedAttempt,
+) -> Result<RunResponse, AttemptError> {
+    let state = &cx.cx.state;
+    let result = call_whole(cx, &attempt).await;
+    let StartedAttempt { target, span, guard } = attempt;
+    span.end(&state.log, state.clock.now(), cx.caller.id, target.id.as_str());
+    guard.end(match &result {
+        Ok(answer) => CallEnd::Success(answer.usage.output_tokens),
+        Err(_) => CallEnd::Failure,
+    });
+    count_attempt(cx, result.as_ref().ok().map(|answer| answer.usage));
+    result
+}
+
+/// Nothing was sent and nothing will be: releases the claim and says so.
+fn give_up(cx: &StageContext<'_>, record: &CallRecord, error: StageError) -> StageError {
+    monoio::spawn(release(cx.cx.state.clone(), record.clone()));
+    let problem = Problem::not_run(503, "call-not-sent", error.to_string());
+    StageError::Refused(problem.with_retry_after(1))
+}
+
+/// Records a failure by the endpoint's own word, or that the outcome is unknown.
+async fn settle_failure(
+    cx: &StageContext<'_>,
+    record: &CallRecord,
+    error: &AttemptError,
+) -> StageError {
+    let (stage, detail) = (cx.stage.name.clone(), error.to_string());
+    let (call, request) = (record.call.clone(), record.request);
+    if let AttemptError::Refused { ran: false, .. } = error {
+        let answer = RecordedAnswer::Kept(detail.as_bytes().into());
+        let command = RunOnceCommand::Fail { call, request, answer };
+        record_outcome(cx, (record.control.clone(), command)).await;
+        return StageError::Failed(stage, detail.into());
+    }
+    let command = RunOnceCommand::ReportOrphaned { call, request };
+    record_outcome(cx, (record.control.clone(), command)).await;
+    StageError::Unknown(stage, detail.into())
+}
+
+fn finish(record: &CallRecord, answer: &[u8]) -> (ControlHandle, RunOnceCommand) {
+    let (call, request) = (record.call.clone(), record.request);
+    let answer = RecordedAnswer::Kept(answer.into());
+    (record.control.clone(), RunOnceCommand::Finish { call, request, answer })
+}
+
+/// Records an outcome. Waits until the deadline at the most and goes on in the background after that: the
+/// outcome is true whether it is recorded or not.
+async fn record_outcome(
+    cx: &StageContext<'_>,
+    (control, command): (ControlHandle, RunOnceCommand),
+) {
+    let state = cx.cx.state.clone();
+    let recording = monoio::spawn(propose_until_recorded(state, control, command));
+    let left = cx.time_left().duration();
+    // Dropping the handle leaves the task running.
+    let _ = monoio::time::timeout(left, recording).await;
+}
+
+async fn release(state: Arc<HostState>, record: CallRecord) {
+    let command = RunOnceCommand::Release {
+        call: record.call,
+        request: record.request,
+        proposed_at: state.clock.wall(),
+    };
+    propose_until_recorded(state, record.control, command).await;
+}
+
+async fn propose_until_recorded(
+    state: Arc<HostState>,
+    control: ControlHandle,
+    command: RunOnceCommand,
+) {
+    let command = Command::RunOnce(command);
+    for _ in 0..RECORD_ATTEMPTS {
+        match control.propose(&command, RECORD_LIMIT).await {
+            Ok(_) => return,
+            // Every command of this table may be applied twice, so an unknown outcome is tried again.
+            Err(_) => monoio::time::sleep(RECORD_LIMIT / 10).await,
+        }
+    }
+    warn!(state.log, "outcome of a run-once call not recorded"; "command" => format!("{command:?}"));
+}
+
+/// Answers from the record of an earlier request under the same key.
+fn answer_found(
+    cx: &StageContext<'_>,
+    record: &CallRecord,
+    found: FoundCall,
+) -> Result<RunResponse, StageError> {
+    match found {
+        FoundCall::Done(answer) => {
+            cx.replayed.set(true);
+            Ok(RunResponse {
+                request_id: cx.caller.id,
+                attempt_id: cx.new_attempt(),
+                output: recorded_output(&answer),
+                usage: Usage::default(),
+            })
+        }
+        FoundCall::Failed(answer) => {
+            cx.replayed.set(true);
+            let detail = match answer {
+                RecordedAnswer::Kept(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+                RecordedAnswer::Omitted { .. } => "the endpoint said that it failed".to_owned(),
+            };
+            Err(StageError::Failed(cx.stage.name.clone(), detail.into()))
+        }
+        FoundCall::Running { request, claimant } => {
+            if is_orphaned(&cx.cx.state, &claimant) {
+                let command = RunOnceCommand::ReportOrphaned { call: record.call.clone(), request };
+                let (state, control) = (cx.cx.state.clone(), record.control.clone());
+                monoio::spawn(propose_until_recorded(state, control, command));
+                return Err(StageError::Refused(outcome_unknown()));
+            }
+            Err(StageError::Refused(still_running(request)))
+        }
+        FoundCall::Unknown | FoundCall::Released => Err(StageError::Refused(outcome_unknown())),
+    }
+}
+
+fn recorded_output(answer: &RecordedAnswer) -> Value {
+    match answer {
+        RecordedAnswer::Kept(bytes) => serde_json::from_slice(bytes).unwrap_or_default(),
+        RecordedAnswer::Omitted { digest, length } => {
+            json!({ "answer_not_kept": { "sha256": digest, "length": length } })
+        }
+    }
+}
+
+/// A record that is called orphaned too early only turns unknown until its claimant reports the result.
+fn is_orphaned(state: &HostState, claimant: &Claimant) -> bool {
+    let late = claimant.proposed_at.get() + claimant.deadline.get() + ORPHAN_MARGIN.get();
+    state.is_host_gone(&claimant.host, claimant.incarnation) || state.clock.wall().get() > late
+}
+
+fn run_once_reply(reply: Reply) -> Result<RunOnceReply, ControlError> {
+    match reply {
+        Reply::RunOnce(reply) => Ok(reply),
+        other => Err(ControlError::Unknown(format!("unexpected reply {other:?}").into())),
+    }
+}
+
+fn no_log() -> Problem {
+    let detail = "this host has no replicated log, which a call that must not be repeated needs";
+    Problem::not_run(503, "no-replicated-log", detail).with_retry_after(1)
+}
+
+fn no_quorum(reason: &str) -> Problem {
+    let detail = format!("{reason}; the request was not run, repeat it under the same key");
+    Problem::not_run(503, "no-quorum", detail).with_retry_after(1)
+}
+
+fn body_conflict() -> Problem {
+    let detail = "the key was used for a request with another body";
+    Problem::not_run(422, "key-conflict", detail).with_field("idempotency-key")
+}
+
+fn key_expired() -> Problem {
+    let detail = "the record of the key has expired; an earlier request under it may have run";
+    Problem::unknown(410, "key-expired", detail).with_field("idempotency-key")
+}
+
+fn outcome_unknown() -> Problem {
+    let detail = "an earlier request under the key may have run; it is not run again";
+    Problem::unknown(409, "outcome-unknown", detail)
+}
+
+fn still_running(request: RequestId) -> Problem {
+    let detail = format!("request {request} under the same key is still running");
+    Problem::unknown(409, "still-running", detail).with_retry_after(1)
+}
--- a/crates/host/src/request/run_pipeline.rs
+++ b/crates/host/src/request/run_pipeline.rs
@@ -1,6 +1,6 @@
 //! Runs the stages of a request in order under one deadline.
 
-use http::StatusCode;
+use http::{HeaderName, HeaderValue, StatusCode};
 use masticstair_core::bundle::StageKind;
 use masticstair_core::endpoint_api::Usage;
 use masticstair_core::id::TraceParent;
@@ -30,6 +30,8 @@
     input: Value,
     cost: Vec<StageCost>,
     next_attempt: Cell<u32>,
+    /// Whether the answer of a stage came from the record of an earlier request.
+    replayed: Cell<bool>,
 }
 
 impl Progress {
@@ -39,6 +41,7 @@
             input: caller.body.clone(),
             cost: Vec::new(),
             next_attempt: Cell::new(1),
+            replayed: Cell::new(false),
         }
     }
 
@@ -48,11 +51,26 @@
 }
 
 /// Runs the request and answers with one document.
+///
+/// A request with a call that must not be repeated runs to its end even when the caller has gone, so that
+/// the outcome of the call is recorded.
 pub(super) async fn whole_answer(
     cx: Rc<WorkerContext>,
     caller: CallerRequest,
     span: Span,
     in_flight: InFlight,
+) -> Response {
+    if caller.pipeline.is_idempotent() {
+        return run_whole(cx, caller, span, in_flight).await;
+    }
+    monoio::spawn(run_whole(cx, caller, span, in_flight)).await
+}
+
+async fn run_whole(
+    cx: Rc<WorkerContext>,
+    caller: CallerRequest,
+    span: Span,
+    in_flight: InFlight,
 ) -> Response {
     let mut progress = Progress::new(&caller);
     let count = caller.pipeline.stages.len();
@@ -61,7 +79,7 @@
         Err(error) => Err(error),
     };
     drop(in_flight);
-    match result {
+    let response = match result {
         Ok(output) => {
             finish(&cx, &caller, span, "complete");
             let (request_id, revision) = (caller.id, caller.config.revision);
@@ -69,7 +87,12 @@
             Response::json(StatusCode::OK, &answer)
         }
         Err(error) => Response::problem(&refuse(&cx, &caller, span, error)),
+    };
+    if !progress.replayed.get() {
+        return response;
     }
+    let name = HeaderName::from_static("idempotent-replayed");
+    response.with_header(name, HeaderValue::from_static("true"))
 }
 
 /// Runs the request and answers with server-sent events.
@@ -115,10 +138,19 @@
     stages.await.map_err(StreamError::Stage)?;
     let stage = &caller.pipeline.stages[last];
     let input = std::mem::take(&mut progress.input);
-    let next_attempt = &progress.next_attempt;
+    let (next_attempt, replayed) = (&progress.next_attempt, &progress.replayed);
     let (key, later) = (&progress.keys[last], &progress.keys[last + 1..]);
-    let stage_cx =
-        StageContext { cx, caller, stage, input: &input, key, later, trace, next_attempt };
+    let stage_cx = StageContext {
+        cx,
+        caller,
+        stage,
+        input: &input,
+        key,
+        later,
+        trace,
+        replayed,
+        next_attempt,
+    };
     check_time(&stage_cx).map_err(StreamError::Stage)?;
     let mut delivered = Delivered::default();
     let usage = stream_stage(&stage_cx, tx, &mut delivered).await?;
@@ -145,10 +177,19 @@
     let mut output = Value::Null;
     for (i, stage) in caller.pipeline.stages[..count].iter().enumerate() {
         let input = std::mem::take(&mut progress.input);
-        let next_attempt = &progress.next_attempt;
+        let (next_attempt, replayed) = (&progress.next_attempt, &progress.replayed);
         let (key, later) = (&progress.keys[i], &progress.keys[i + 1..]);
-        let stage_cx =
-            StageContext { cx, caller, stage, input: &input, key, later, trace, next_attempt };
+        let stage_cx = StageContext {
+            cx,
+            caller,
+            stage,
+            input: &input,
+            key,
+            later,
+            trace,
+            replayed,
+            next_attempt,
+        };
         check_time(&stage_cx)?;
         let answer = run_stage(&stage_cx).await?;
         if stage.kind == StageKind::Generate {
--- a/crates/host/src/request/run_stage.rs
+++ b/crates/host/src/request/run_stage.rs
@@ -12,6 +12,7 @@
 
 use super::attempt::{StartedAttempt, call_whole, start_attempt};
 use super::attempt_error::AttemptError;
+use super::run_once_stage::run_once_stage;
 use super::stage_context::StageContext;
 use super::stage_error::StageError;
 use crate::telemetry::Span;
@@ -19,7 +20,7 @@
 /// Runs a stage to its whole answer.
 pub(super) async fn run_stage(cx: &StageContext<'_>) -> Result<RunResponse, StageError> {
     if !cx.stage.idempotent {
-        return Err(StageError::Refused(no_replicated_log()));
+        return run_once_stage(cx).await;
     }
     let state = &cx.cx.state;
     let span = Span::start(cx.trace, "stage", state.clock.now());
@@ -153,9 +154,3 @@
     let usage = usage.unwrap_or_default();
     metrics.count_call(&cx.caller.pipeline.name, &cx.stage.name, outcome, usage);
 }
-
-/// A call that must not be repeated needs its durable record first.
-fn no_replicated_log() -> Problem {
-    let detail = "this host has no replicated log, which a call that must not be repeated needs";
-    Problem::not_run(503, "no-replicated-log", detail)
-}
--- a/crates/host/src/request/stage_context.rs
+++ b/crates/host/src/request/stage_context.rs
@@ -22,6 +22,8 @@
     pub(super) later: &'a [StageKey],
     /// The span of the request.
     pub(super) trace: TraceParent,
+    /// Whether the answer of a stage came from the record of an earlier request.
+    pub(super) replayed: &'a Cell<bool>,
     /// The number of the next attempt of the request; unique within the request.
     pub(super) next_attempt: &'a Cell<u32>,
 }
--- a/crates/host/src/settings/mod.rs
+++ b/crates/host/src/settings/mod.rs
@@ -2,13 +2,12 @@
 
 mod error;
 mod log_level;
-mod operator;
 mod read;
 
 pub use error::SettingsError;
 pub use log_level::{LogLevel, ParseLogLevelError};
-pub use operator::Operator;
 
+use masticstair_core::bundle::Signer;
 use masticstair_core::id::{DeploymentName, RegionId};
 use masticstair_core::prelude::*;
 use masticstair_core::toml_reader::read_document;
@@ -41,9 +40,7 @@
     /// The hosts that form the first group of voters; at most 7.
     pub initial_voters: Vec<HostId>,
     /// Whose signatures count before a bundle names signers.
-    pub operators: Vec<Operator>,
-    /// A signed bundle file for a host that runs alone.
-    pub bundle_file: Option<PathBuf>,
+    pub operators: Vec<Signer>,
     /// Bounds on what callers may send.
     pub bounds: ServerLimits,
     /// How long the load balancer is given to see that the host leaves.
--- a/crates/host/src/settings/read.rs
+++ b/crates/host/src/settings/read.rs
@@ -1,12 +1,13 @@
 //! Reads the tables of a settings file.
 
+use masticstair_core::bundle::Signer;
 use masticstair_core::prelude::*;
 use masticstair_core::toml_reader::TomlReader;
 use masticstair_net::http::server::ServerLimits;
 use std::collections::HashSet;
 use std::path::PathBuf;
 
-use super::{LogLevel, Operator, Settings};
+use super::{LogLevel, Settings};
 
 /// More voters than this slow down every commit and gain no failure that matters.
 const MAX_VOTERS: usize = 7;
@@ -23,7 +24,6 @@
     let data_folder = r.optional_text::<PathBuf>("data_folder");
     let initial_voters = r.texts::<HostId>("initial_voters");
     let operators = r.tables("operators", read_operator);
-    let bundle_file = r.optional_text::<PathBuf>("bundle_file");
     let bounds = r.table("bounds", read_bounds);
     let drain_notice = r.number_or("drain_notice_ms", 0..=600_000, 5_000);
     let log_level = r.text_or("log_level", LogLevel::Info);
@@ -41,7 +41,6 @@
         data_folder: data_folder?,
         initial_voters: initial_voters?,
         operators: operators?,
-        bundle_file: bundle_file?,
         bounds: bounds?,
         drain_notice: Millis::new(drain_notice?),
         log_level: log_level?,
@@ -59,14 +58,14 @@
     }
 }
 
-fn read_operator(r: &TomlReader<'_>) -> Option<Operator> {
+fn read_operator(r: &TomlReader<'_>) -> Option<Signer> {
     let name = r.text("name");
     let key = r.text("key");
     let may = r.texts("may");
     if may.as_ref().is_some_and(Vec::is_empty) {
         r.reject("may", "[]", "at least one of submit, sign-off and roll");
     }
-    Some(Operator { name: name?, key: key?, may: may?.into() })
+    Some(Signer { name: name?, key: key?, may: may?.into() })
 }
 
 fn read_bounds(r: &TomlReader<'_>) -> Option<ServerLimits> {
--- a/crates/host/src/state/bundle_in_force.rs
+++ b/crates/host/src/state/bundle_in_force.rs
@@ -10,6 +10,8 @@
     pub revision: Revision,
     /// The bundle.
     pub bundle: Bundle,
+    /// The bundle with its signatures, as other hosts get it.
+    pub signed: Arc<[u8]>,
 }
 
 /// The bundle in force on this host. A request keeps the one that it began with.
@@ -22,6 +24,12 @@
         self.0.read().clone()
     }
 
+    /// Returns the signed bundle of a revision, when it is the one in force.
+    pub fn signed(&self, revision: Revision) -> Option<Arc<[u8]>> {
+        let current = self.get()?;
+        (current.revision == revision).then(|| current.signed.clone())
+    }
+
     /// Puts a bundle in force, unless one of the same or a higher revision is. Tells whether it did.
     pub fn advance(&self, next: BundleInForce) -> bool {
         let mut current = self.0.write();
--- a/crates/host/src/state/mod.rs
+++ b/crates/host/src/state/mod.rs
@@ -3,16 +3,20 @@
 mod bundle_in_force;
 mod clock;
 mod drain;
-mod endpoint_directory;
 
 pub use bundle_in_force::{BundleInForce, InForce};
 pub use clock::Clock;
 pub use drain::{Drain, InFlight};
-pub use endpoint_directory::{AnnounceError, DirectoryEntry, ENDPOINT_LEASE, EndpointDirectory};
 
+use masticstair_core::id::ModelName;
+use masticstair_core::prelude::*;
 use masticstair_net::http::server::ConnectionCount;
+use masticstair_policy::endpoint_table::EndpointView;
 use slog::Logger;
+use std::sync::{Arc, OnceLock};
 
+use crate::control::ControlHandle;
+use crate::membership::Membership;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 use crate::traffic::Traffic;
@@ -23,16 +27,20 @@
     pub cfg: Settings,
     /// The logger.
     pub log: Logger,
+    /// The life of this process.
+    pub incarnation: Incarnation,
     /// The clock.
     pub clock: Clock,
     /// The metrics.
     pub metrics: Metrics,
     /// The bundle in force.
     pub in_force: InForce,
-    /// The endpoints that are known.
-    pub endpoints: EndpointDirectory,
     /// What the host observes of its traffic.
     pub traffic: Traffic,
+    /// The way to the replicated log, once the control thread runs.
+    pub control: OnceLock<ControlHandle>,
+    /// What is known of the other hosts, once the control thread runs.
+    pub membership: OnceLock<Arc<Membership>>,
     /// Requests in flight and whether the host leaves.
     pub drain: Drain,
     /// Open connections.
@@ -46,13 +54,33 @@
         Self {
             cfg,
             log,
+            incarnation: Incarnation::new(clock.wall().get()),
             clock,
             traffic: Traffic::new(clock),
             metrics: Metrics::default(),
             in_force: InForce::default(),
-            endpoints: EndpointDirectory::default(),
+            control: OnceLock::new(),
+            membership: OnceLock::new(),
             drain: Drain::default(),
             connections: ConnectionCount::default(),
         }
     }
+
+    /// Tells whether a process is known to have ended: its host is gone or has a later life.
+    pub fn is_host_gone(&self, host: &HostId, incarnation: Incarnation) -> bool {
+        let Some(membership) = self.membership.get() else { return false };
+        !membership.snapshot().is_live(host, incarnation)
+    }
+
+    /// Returns the endpoints of a pool that take new work and, for a stage with a model, hold it.
+    pub fn candidates(&self, pool: &PoolName, model: Option<&ModelName>) -> Vec<EndpointView> {
+        let Some(membership) = self.membership.get() else { return Vec::new() };
+        let snapshot = membership.snapshot();
+        let serves = |view: &&EndpointView| {
+            let record = &view.record;
+            let holds = |m: &ModelName| record.models.iter().any(|loaded| loaded.name == *m);
+            record.pool == *pool && model.is_none_or(holds)
+        };
+        snapshot.endpoints.iter().filter(serves).cloned().collect()
+    }
 }
--- a/crates/host/src/traffic/call_guard.rs
+++ b/crates/host/src/traffic/call_guard.rs
@@ -1,9 +1,9 @@
 use masticstair_core::prelude::*;
+use masticstair_policy::endpoint_table::EndpointView;
 use masticstair_policy::estimate::{CallEnd, CallNumber, Latency};
 use masticstair_policy::routing::RouteRequest;
 
 use super::{StageKey, Traffic};
-use crate::state::DirectoryEntry;
 
 /// A call that is to begin.
 pub struct CallStart<'a> {
@@ -14,7 +14,7 @@
     /// The data centre of this host.
     pub home: &'a DataCentreId,
     /// The endpoints of the pool.
-    pub candidates: &'a [(EndpointId, DirectoryEntry)],
+    pub candidates: &'a [EndpointView],
     /// The attempt.
     pub route: RouteRequest<'a>,
     /// A random number.
@@ -54,7 +54,7 @@
         let guard = CallGuard {
             traffic: self.clone(),
             key: start.key.clone(),
-            endpoint: start.candidates[position].0.clone(),
+            endpoint: start.candidates[position].record.id.clone(),
             number,
             started: now,
             ended: false,
--- a/crates/host/src/traffic/pool_traffic.rs
+++ b/crates/host/src/traffic/pool_traffic.rs
@@ -1,13 +1,13 @@
-use masticstair_core::endpoint_api::EndpointState;
 use masticstair_core::prelude::*;
 use masticstair_policy::breaker::PoolHealth;
+use masticstair_policy::endpoint_table::limits::LEASE;
+use masticstair_policy::endpoint_table::{EndpointState, EndpointView};
 use masticstair_policy::estimate::{CallEnd, CallNumber, Latency, PoolEstimate};
 use masticstair_policy::routing::{CandidateView, Choice, LoadReport, RouteRequest, choose};
 use std::collections::HashMap;
 use std::time::Duration;
 
 use super::endpoint_traffic::EndpointTraffic;
-use crate::state::DirectoryEntry;
 
 /// The round trip to an endpoint in another data centre before one is measured.
 const ASSUMED_ROUND_TRIP: Duration = Duration::from_millis(2);
@@ -27,14 +27,14 @@
         &mut self,
         now: Timestamp,
         home: &DataCentreId,
-        candidates: &[(EndpointId, DirectoryEntry)],
+        candidates: &[EndpointView],
         route: &RouteRequest<'_>,
         size: TokenCount,
         draw: Draw,
     ) -> Option<(usize, CallNumber, Latency)> {
         self.update_members(now, candidates);
         let choice = self.choose(now, home, candidates, route, size, draw)?;
-        let id = &candidates[choice.position].0;
+        let id = &candidates[choice.position].record.id;
         let endpoint = self.endpoints.get_mut(id)?;
         if choice.probe {
             endpoint.breaker.begin_probe(now);
@@ -82,30 +82,31 @@
         &self,
         now: Timestamp,
         home: &DataCentreId,
-        candidates: &[(EndpointId, DirectoryEntry)],
+        candidates: &[EndpointView],
         route: &RouteRequest<'_>,
         size: TokenCount,
         draw: Draw,
     ) -> Option<Choice> {
-        let views = candidates.iter().filter_map(|(id, entry)| {
-            let endpoint = self.endpoints.get(id)?;
-            let announcement = &entry.announcement;
-            let local = announcement.data_centre == *home;
+        let views = candidates.iter().filter_map(|candidate| {
+            let record = &candidate.record;
+            let endpoint = self.endpoints.get(&record.id)?;
+            let local = record.data_centre == *home;
             Some(CandidateView {
-                id,
+                id: &record.id,
                 round_trip: if local { Duration::ZERO } else { ASSUMED_ROUND_TRIP },
-                capacity: announcement.capacity,
+                capacity: record.capacity,
                 in_flight: endpoint.estimate.in_flight(),
-                report: announcement.load.map(|load| LoadReport {
-                    running: load.running,
-                    queued: load.queued,
-                    at: entry.announced,
+                report: candidate.load.as_ref().map(|(load, at)| LoadReport {
+                    running: Slots::new(load.running.into()),
+                    queued: Slots::new(load.queued.into()),
+                    at: *at,
                 }),
                 latency: endpoint.estimate.latency(now, size, &self.estimate).mean,
                 success: endpoint.estimate.success(now, &self.estimate),
                 gate: endpoint.breaker.gate(now),
-                leaving: announcement.state == EndpointState::Leaving,
-                lease_until: entry.expires,
+                leaving: record.state != EndpointState::Ready,
+                // The candidates are the endpoints whose lease runs now.
+                lease_until: now.plus(LEASE),
             })
         });
         let views: Vec<CandidateView<'_>> = views.collect();
@@ -113,8 +114,8 @@
     }
 
     /// Knows exactly the candidates and those that were candidates lately.
-    fn update_members(&mut self, now: Timestamp, candidates: &[(EndpointId, DirectoryEntry)]) {
-        for (id, _) in candidates {
+    fn update_members(&mut self, now: Timestamp, candidates: &[EndpointView]) {
+        for id in candidates.iter().map(|c| &c.record.id) {
             match self.endpoints.get_mut(id) {
                 Some(endpoint) => endpoint.seen = now,
                 None => {
--- a/crates/net/src/peer/wire/formation.rs
+++ b/crates/net/src/peer/wire/formation.rs
@@ -7,6 +7,7 @@
 /// Writes the answer.
 pub(crate) fn write_answer(mut out: formation_answer::Builder<'_>, answer: FormationAnswer) {
     out.set_new(answer.new);
+    out.set_term(answer.term.get());
     if let Some(replica) = answer.replica {
         out.set_replica(replica.as_bytes());
     }
@@ -19,6 +20,7 @@
     let replica = answer.get_replica()?;
     Ok(FormationAnswer {
         new: answer.get_new(),
+        term: answer.get_term().into(),
         replica: match replica.is_empty() {
             true => None,
             false => Some(read_replica("replica", Ok(replica))?),
