--- a/crates/store/src/consensus/node_status.rs
+++ b/crates/store/src/consensus/node_status.rs
@@ -24,6 +24,8 @@
     pub snapshot: LogIndex,
     /// The voters and learners of the set in force.
     pub members: Vec<VoterStatus>,
+    /// Whether the set in force is committed; until then a change is in progress.
+    pub members_committed: bool,
     /// The fault that made it stop acknowledging.
     pub fault: Option<StorageFault>,
 }
--- a/crates/store/src/consensus/requests/status.rs
+++ b/crates/store/src/consensus/requests/status.rs
@@ -20,6 +20,7 @@
         applied: state.applied,
         snapshot: state.snapshot.as_ref().map_or(LogIndex::default(), |s| s.meta.index),
         members: set.all().map(|r| member(shared, &state, r, set.is_voter(r.id))).collect(),
+        members_committed: state.log.voters_index() <= state.commit,
         fault: state.fault.clone(),
     }
 }
--- a/crates/store/tests/consensus_common/cluster.rs
+++ b/crates/store/tests/consensus_common/cluster.rs
@@ -24,7 +24,16 @@
 impl Cluster {
     /// Starts `voters` hosts that formed a group, and `spares` hosts with empty disks.
     pub async fn start(cfg: Config, voters: usize, spares: usize, seed: u64) -> Rc<Self> {
-        let members = (0..voters + spares).map(|host| Member {
+        let cluster = Self::start_empty(cfg, voters + spares, seed);
+        let first = (0..voters).map(|host| replica(host, 0)).collect();
+        let set = VoterSet { voters: first, ..VoterSet::default() };
+        cluster.node(0).unwrap().form(set, FIRST_TERM).await.unwrap();
+        cluster
+    }
+
+    /// Starts hosts with empty disks that formed no group.
+    pub fn start_empty(cfg: Config, hosts: usize, seed: u64) -> Rc<Self> {
+        let members = (0..hosts).map(|host| Member {
             replica: replica(host, 0),
             life: 0,
             disk: Disk::new(seed + host as u64),
@@ -37,10 +46,7 @@
             members: RefCell::new(members.collect()),
             seed,
         });
-        (0..voters + spares).for_each(|host| cluster.boot(host));
-        let first = (0..voters).map(|host| replica(host, 0)).collect();
-        let set = VoterSet { voters: first, ..VoterSet::default() };
-        cluster.node(0).unwrap().form(set, FIRST_TERM).await.unwrap();
+        (0..hosts).for_each(|host| cluster.boot(host));
         cluster
     }
 
@@ -122,6 +128,36 @@
         }
     }
 
+    /// Lets the hosts announce themselves until the cluster is dropped.
+    pub fn keep_announcing(self: &Rc<Self>) {
+        let cluster = Rc::downgrade(self);
+        monoio::spawn(async move {
+            while let Some(cluster) = cluster.upgrade() {
+                cluster.announce_all();
+                drop(cluster);
+                monoio::time::sleep(Duration::from_millis(20)).await;
+            }
+        });
+    }
+
+    /// Returns the hosts whose present replica is a voter in the leader's set.
+    pub fn voting_hosts(&self) -> Vec<usize> {
+        let Some(leader) = self.leader().and_then(|h| self.node(h)) else { return Vec::new() };
+        let members = leader.status().members;
+        let votes = |host: &usize| {
+            let id = self.replica(*host).id;
+            members.iter().any(|m| m.voter && m.replica.id == id)
+        };
+        (0..self.hosts()).filter(votes).collect()
+    }
+
+    /// Tells whether the present replica of every host votes and the set is committed, so that the group
+    /// tolerates another loss.
+    pub fn is_repaired(&self, voters: usize) -> bool {
+        let Some(leader) = self.leader().and_then(|h| self.node(h)) else { return false };
+        leader.status().members_committed && self.voting_hosts().len() == voters
+    }
+
     /// Returns the running host that leads the highest term.
     pub fn leader(&self) -> Option<usize> {
         let status = |host| Some((self.node(host)?.status(), host));
@@ -150,13 +186,15 @@
         Ok(super::machine::decode(&reply))
     }
 
-    /// Proposes a command on whichever host leads until one attempt is acknowledged.
-    pub async fn propose_until_done(&self, command: u64) {
+    /// Proposes a command on whichever host leads until one attempt is acknowledged. Each attempt is a
+    /// command of its own, numbered in the upper half; returns the acknowledged one.
+    pub async fn propose_until_done(&self, command: u64) -> u64 {
         for attempt in 0..400 {
+            let command = command + (attempt << 32);
             if let Some(host) = self.leader()
-                && self.propose(host, command + (attempt << 32)).await.is_ok()
+                && self.propose(host, command).await.is_ok()
             {
-                return;
+                return command;
             }
             monoio::time::sleep(Duration::from_millis(10)).await;
         }
@@ -165,6 +203,7 @@
 
     /// Waits until all running members of the leader's set have applied what the leader committed.
     pub async fn converged(&self) {
+        self.ledger.check();
         let host = self.settled_leader().await;
         let commit = self.node(host).unwrap().status().commit;
         eventually("every member has applied the commit index", || {
@@ -175,5 +214,6 @@
             nodes.filter(is_member).all(|n| n.status().applied >= commit)
         })
         .await;
+        self.ledger.check();
     }
 }
--- /dev/null
+++ b/crates/store/tests/consensus_common/history.rs
@@ -0,0 +1,69 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use super::ledger::Ledger;
+use super::write::Write;
+
+/// What the clients of a run saw.
+#[derive(Debug, Default)]
+pub struct History {
+    /// Acknowledged commands in the order of their acknowledgement.
+    pub acked: RefCell<Vec<Write>>,
+    /// Commands that ended as `NotProposed`.
+    pub refused: RefCell<Vec<u64>>,
+    /// How many commands ended as `Unknown`.
+    pub unknown: RefCell<usize>,
+    /// The answers to reads, each with the number of commands acknowledged and the longest answer given
+    /// before the read began.
+    pub reads: RefCell<Vec<(Vec<u64>, usize, usize)>>,
+}
+
+impl History {
+    /// Fails when what the clients saw does not fit the applied commands.
+    pub fn check(&self, ledger: &Ledger) {
+        ledger.check();
+        let commands = ledger.commands();
+        let mut positions = BTreeMap::new();
+        for (at, command) in commands.iter().enumerate() {
+            let before = positions.insert(*command, at);
+            assert_eq!(before, None, "command {command:#x} was applied twice");
+        }
+        for command in self.refused.borrow().iter() {
+            assert!(!positions.contains_key(command), "{command:#x} was refused and applied");
+        }
+        self.check_writes(&commands, &positions);
+        self.check_reads(&commands, &positions);
+    }
+
+    /// An acknowledged command is applied, its reply tells the state at its position, and it follows
+    /// every command acknowledged before it was sent.
+    fn check_writes(&self, commands: &[u64], positions: &BTreeMap<u64, usize>) {
+        let acked = self.acked.borrow();
+        let mut last = Vec::new();
+        for write in acked.iter() {
+            let Some(at) = positions.get(&write.command) else {
+                panic!("{write:?} was acknowledged and is lost");
+            };
+            let earlier = &commands[..*at];
+            let claims = earlier.iter().filter(|c| *c & 0xff == write.command & 0xff).count();
+            assert_eq!(write.reply, claims as u64, "{write:?} has a wrong reply");
+            let before = write.acked_before.checked_sub(1).map(|i| last[i]);
+            assert!(before.is_none_or(|b: usize| b < *at), "{write:?} precedes an earlier one");
+            last.push(last.last().copied().unwrap_or(0).max(*at));
+        }
+    }
+
+    /// An answer is a prefix of the applied commands that holds every command acknowledged before, and no
+    /// shorter than an earlier answer.
+    fn check_reads(&self, commands: &[u64], positions: &BTreeMap<u64, usize>) {
+        let acked = self.acked.borrow();
+        for (answer, acked_before, longest_before) in self.reads.borrow().iter() {
+            assert!(commands.starts_with(answer), "an answer is not a prefix of the log");
+            assert!(answer.len() >= *longest_before, "an answer is older than an earlier one");
+            for write in &acked[..*acked_before] {
+                let is_seen = positions[&write.command] < answer.len();
+                assert!(is_seen, "{write:?} is missing in an answer of {}", answer.len());
+            }
+        }
+    }
+}
--- a/crates/store/tests/consensus_common/ledger.rs
+++ b/crates/store/tests/consensus_common/ledger.rs
@@ -6,13 +6,24 @@
 #[derive(Clone, Default)]
 pub struct Ledger {
     applied: Rc<RefCell<BTreeMap<u64, u64>>>,
+    violations: Rc<RefCell<Vec<String>>>,
 }
 
 impl Ledger {
-    /// Notes an applied command; fails when another replica applied another one at this index.
+    /// Notes an applied command. Another command at this index is a violation, which `check` reports: a
+    /// panic here would end a task of a node.
     pub fn note(&self, index: u64, command: u64) {
         let first = *self.applied.borrow_mut().entry(index).or_insert(command);
-        assert_eq!(first, command, "replicas applied different commands at index {index}");
+        if first != command {
+            let text = format!("replicas applied {first:#x} and {command:#x} at index {index}");
+            self.violations.borrow_mut().push(text);
+        }
+    }
+
+    /// Fails when replicas applied different commands.
+    pub fn check(&self) {
+        let violations = self.violations.borrow();
+        assert!(violations.is_empty(), "{violations:?}");
     }
 
     /// Returns how often a command was applied.
--- a/crates/store/tests/consensus_common/machine.rs
+++ b/crates/store/tests/consensus_common/machine.rs
@@ -7,6 +7,9 @@
 /// The applied commands with their indexes.
 type Applied = Rc<RefCell<Vec<(u64, u64)>>>;
 
+/// The size of a command in a snapshot; padded, so that some thousand commands need several pieces.
+const RECORD: usize = 64;
+
 /// Returns a replicated state that holds every command. A command is a number of 8 bytes and optional
 /// padding; its low byte is the key that it claims. The reply tells how many commands claimed the key
 /// before. A query answers all commands.
@@ -25,14 +28,18 @@
         }),
         query: Box::new(move |_| q.borrow().iter().flat_map(|(_, c)| c.to_le_bytes()).collect()),
         snapshot: Box::new(move || {
-            let pair = |(i, c): &(u64, u64)| [i.to_le_bytes(), c.to_le_bytes()].concat();
-            s.borrow().iter().flat_map(pair).collect()
+            let record = |(i, c): &(u64, u64)| {
+                let mut record = [i.to_le_bytes(), c.to_le_bytes()].concat();
+                record.resize(RECORD, 0);
+                record
+            };
+            s.borrow().iter().flat_map(record).collect()
         }),
         restore: Box::new(move |data| {
-            if !data.len().is_multiple_of(16) {
-                return Err(RestoreError("size is not a multiple of 16".into()));
+            if !data.len().is_multiple_of(RECORD) {
+                return Err(RestoreError("size is not a multiple of 64".into()));
             }
-            let pairs = data.chunks(16).map(|c| (decode(&c[..8]), decode(&c[8..])));
+            let pairs = data.chunks(RECORD).map(|c| (decode(&c[..8]), decode(&c[8..])));
             *r.borrow_mut() = pairs.inspect(|(i, c)| restored.note(*i, *c)).collect();
             Ok(())
         }),
--- a/crates/store/tests/consensus_common/mod.rs
+++ b/crates/store/tests/consensus_common/mod.rs
@@ -4,10 +4,14 @@
 pub mod cluster;
 pub mod disk;
 pub mod fabric;
+pub mod fault;
+pub mod history;
 pub mod ledger;
 pub mod machine;
 pub mod member;
 pub mod path;
+pub mod plan;
+pub mod write;
 
 use masticstair_core::id::{ReplicaId, Term};
 use masticstair_core::message::Replica;
--- /dev/null
+++ b/crates/store/tests/consensus_history.rs
@@ -0,0 +1,167 @@
+//! Randomised runs with kills, cuts, restarts, disk faults and lost disks, checked from the clients' view.
+//!
+//! `MASTICSTAIR_HISTORIES` sets the number of runs and `MASTICSTAIR_FIRST_SEED` the first seed. The fault
+//! plan follows from the seed; the interleaving of tasks and real timers does not.
+#![allow(clippy::expect_used, clippy::unwrap_used, reason = "helpers of tests")]
+
+mod consensus_common;
+
+use consensus_common::cluster::Cluster;
+use consensus_common::fast_config;
+use consensus_common::history::History;
+use consensus_common::path::Path;
+use consensus_common::plan::Plan;
+use consensus_common::write::Write;
+use masticstair_core::unit::{ByteCount, Slots};
+use masticstair_store::consensus::{Config, ProposeError};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cell::Cell;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::rc::Rc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Runs at the same time; they mostly wait for timers.
+const THREADS: u64 = 20;
+
+/// How long a client waits for a command or a read.
+const LIMIT: Duration = Duration::from_millis(300);
+
+/// Guards against lost, repeated or contradicting commands and stale reads under combined failures.
+#[test]
+fn histories_are_linearizable() {
+    let count = number("MASTICSTAIR_HISTORIES", 200);
+    let first = number("MASTICSTAIR_FIRST_SEED", 1);
+    let next = AtomicU64::new(first);
+    let failed = Mutex::new(Vec::new());
+    let totals = Mutex::new([0usize; 4]);
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS.min(count) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= first + count {
+                        return;
+                    }
+                    match catch_unwind(AssertUnwindSafe(|| run(seed))) {
+                        Ok(counts) => {
+                            let mut totals = totals.lock().unwrap();
+                            totals.iter_mut().zip(counts).for_each(|(t, c)| *t += c);
+                        }
+                        Err(_) => {
+                            println!("seed {seed} failed with {:?}", Plan::new(seed));
+                            failed.lock().unwrap().push(seed);
+                        }
+                    }
+                }
+            });
+        }
+    });
+    let [acked, refused, unknown, reads] = totals.into_inner().unwrap();
+    println!(
+        "{count} histories: {acked} acknowledged, {refused} refused, {unknown} unknown, {reads} reads"
+    );
+    let failed = failed.into_inner().unwrap();
+    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+    assert!(acked as u64 >= count * 10, "too few acknowledged commands to tell anything: {acked}");
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name).map_or(default, |v| v.parse().unwrap())
+}
+
+/// Runs one history and returns the numbers of acknowledged, refused and unknown commands and of reads.
+fn run(seed: u64) -> [usize; 4] {
+    masticstair_net::runtime::block_on(async move {
+        let plan = Plan::new(seed);
+        let cfg = Config {
+            compact_above: ByteCount::new(2 << 10),
+            keep_tail: ByteCount::new(512),
+            target_voters: Slots::new(plan.voters as u32),
+            ..fast_config()
+        };
+        let c = Cluster::start(cfg, plan.voters, plan.spares, seed).await;
+        (0..c.hosts()).for_each(|host| c.disk(host).sync_delay.set(plan.sync_delay));
+        let all: Vec<_> = (0..c.hosts()).collect();
+        c.split(&all, &all, Path::Open(plan.link_delay));
+        c.keep_announcing();
+        let history = Rc::new(History::default());
+        let ends = Rc::new(Cell::new(false));
+        let clients: Vec<_> = (0..3)
+            .map(|n| monoio::spawn(client(c.clone(), history.clone(), ends.clone(), n, seed)))
+            .collect();
+        for (pause, fault) in &plan.faults {
+            monoio::time::sleep(*pause).await;
+            fault.strike(&c, plan.voters);
+        }
+        ends.set(true);
+        for client in clients {
+            client.await;
+        }
+        recover(&c).await;
+        history.check(&c.ledger);
+        let counts = [history.acked.borrow().len(), history.refused.borrow().len()];
+        let (unknown, reads) = (*history.unknown.borrow(), history.reads.borrow().len());
+        [counts[0], counts[1], unknown, reads]
+    })
+    .unwrap()
+}
+
+/// Ends all faults; the group must then commit again and every replica must catch up.
+async fn recover(c: &Rc<Cluster>) {
+    c.fabric.heal();
+    for host in 0..c.hosts() {
+        c.disk(host).fails.set(false);
+        c.disk(host).sync_delay.set(Duration::ZERO);
+        if c.node(host).is_some_and(|n| n.status().fault.is_some()) {
+            c.kill(host);
+        }
+        c.boot(host);
+    }
+    // The low byte claims a key that no client uses.
+    c.propose_until_done(0xff).await;
+    c.converged().await;
+}
+
+/// Proposes unique commands and reads until the faults end.
+async fn client(c: Rc<Cluster>, history: Rc<History>, ends: Rc<Cell<bool>>, n: u64, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed * 10 + n);
+    for sequence in 1.. {
+        if ends.get() {
+            return;
+        }
+        let any = rng.random_range(0..c.hosts());
+        let host = if rng.random_bool(0.8) { c.leader().unwrap_or(any) } else { any };
+        let command = (n + 1) << 56 | sequence << 8 | rng.random_range(0..8);
+        match rng.random_bool(0.3) {
+            true => read(&c, &history, host).await,
+            false => write(&c, &history, host, command).await,
+        }
+        monoio::time::sleep(Duration::from_millis(rng.random_range(0..10))).await;
+    }
+}
+
+async fn write(c: &Rc<Cluster>, history: &Rc<History>, host: usize, command: u64) {
+    let Some(node) = c.node(host) else { return };
+    let acked_before = history.acked.borrow().len();
+    match node.propose(command.to_le_bytes().into(), LIMIT).await {
+        Ok(reply) => {
+            let reply = consensus_common::machine::decode(&reply);
+            history.acked.borrow_mut().push(Write { command, reply, acked_before });
+        }
+        Err(ProposeError::NotProposed(_)) => history.refused.borrow_mut().push(command),
+        Err(ProposeError::Unknown { .. }) => *history.unknown.borrow_mut() += 1,
+    }
+}
+
+async fn read(c: &Rc<Cluster>, history: &Rc<History>, host: usize) {
+    let Some(node) = c.node(host) else { return };
+    let acked_before = history.acked.borrow().len();
+    let longest = history.reads.borrow().iter().map(|(a, _, _)| a.len()).max().unwrap_or(0);
+    if let Ok(answer) = node.read(&[], LIMIT).await {
+        let commands = answer.chunks(8).map(consensus_common::machine::decode).collect();
+        history.reads.borrow_mut().push((commands, acked_before, longest));
+    }
+}
--- /dev/null
+++ b/crates/store/tests/consensus_membership.rs
@@ -0,0 +1,327 @@
+//! Snapshots, changes of the voters, formation and replacement of lost hosts.
+#![allow(clippy::expect_used, clippy::unwrap_used, reason = "helpers of tests")]
+
+mod consensus_common;
+
+use consensus_common::cluster::Cluster;
+use consensus_common::path::Path;
+use consensus_common::{eventually, fast_config, replica};
+use futures_util::future::LocalBoxFuture;
+use masticstair_core::id::LogIndex;
+use masticstair_core::message::VoterSet;
+use masticstair_core::unit::ByteCount;
+use masticstair_store::consensus::{
+    ChangeError, Config, FormationDecision, Role, decide_formation,
+};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// One change or failure and what must hold after it.
+struct Case {
+    name: &'static str,
+    voters: usize,
+    spares: usize,
+    run: fn(Rc<Cluster>) -> LocalBoxFuture<'static, ()>,
+}
+
+#[test]
+fn group_changes_without_loss() {
+    let cases = [
+        Case {
+            name: "snapshot catch-up: a host behind the log's start gets a snapshot in pieces",
+            voters: 3,
+            spares: 0,
+            run: |c| Box::pin(snapshot_catch_up(c)),
+        },
+        Case {
+            name: "lossy snapshot: lost pieces are sent again",
+            voters: 3,
+            spares: 0,
+            run: |c| Box::pin(lossy_snapshot(c)),
+        },
+        Case {
+            name: "restart after compaction: snapshot and tail give the same state",
+            voters: 3,
+            spares: 0,
+            run: |c| Box::pin(restart_after_compaction(c)),
+        },
+        Case {
+            name: "snapshot over a contradicting tail: the tail does not come back",
+            voters: 3,
+            spares: 0,
+            run: |c| Box::pin(snapshot_over_tail(c)),
+        },
+        Case {
+            name: "disk lost: the host rejoins under a new id, the old one is voted out first",
+            voters: 3,
+            spares: 0,
+            run: |c| Box::pin(disk_lost(c)),
+        },
+        Case {
+            name: "second loss right after a repair: nothing is lost",
+            voters: 3,
+            spares: 0,
+            run: |c| Box::pin(second_loss(c)),
+        },
+        Case {
+            name: "host lost for good: a learner that has caught up replaces it",
+            voters: 3,
+            spares: 1,
+            run: |c| Box::pin(host_lost(c)),
+        },
+        Case {
+            name: "learner: never counts towards a quorum",
+            voters: 3,
+            spares: 2,
+            run: |c| Box::pin(learners_do_not_count(c)),
+        },
+        Case {
+            name: "change during a partition: a minority leader's change is undone",
+            voters: 5,
+            spares: 0,
+            run: |c| Box::pin(change_in_partition(c)),
+        },
+        Case {
+            name: "leader voted out: it steps down after the commit",
+            voters: 3,
+            spares: 0,
+            run: |c| Box::pin(leader_voted_out(c)),
+        },
+        Case {
+            name: "restored old disk: the replica catches up again",
+            voters: 3,
+            spares: 0,
+            run: |c| Box::pin(restored_disk(c)),
+        },
+    ];
+    for case in cases {
+        let began = Instant::now();
+        let run = async move {
+            let cluster = Cluster::start(config(), case.voters, case.spares, 7).await;
+            (case.run)(cluster).await;
+        };
+        println!("case: {}", case.name);
+        masticstair_net::runtime::block_on(run).unwrap();
+        println!("  took {} ms", began.elapsed().as_millis());
+    }
+}
+
+/// Compacts after some hundred commands.
+fn config() -> Config {
+    Config { compact_above: ByteCount::new(16 << 10), ..fast_config() }
+}
+
+/// Proposes many commands at a time.
+async fn fill(c: &Rc<Cluster>, commands: std::ops::Range<u64>) {
+    let leader = c.settled_leader().await;
+    let all: Vec<_> = commands.collect();
+    for batch in all.chunks(250) {
+        let proposals = batch.iter().map(|command| c.propose(leader, *command));
+        for reply in futures_util::future::join_all(proposals).await {
+            reply.unwrap();
+        }
+    }
+}
+
+/// Returns a follower of the leader.
+async fn follower(c: &Rc<Cluster>) -> usize {
+    (c.settled_leader().await + 1) % 3
+}
+
+async fn snapshot_catch_up(c: Rc<Cluster>) {
+    let behind = follower(&c).await;
+    fill(&c, 0..10).await;
+    c.kill(behind);
+    fill(&c, 10..3_000).await;
+    let leader = c.node(c.leader().unwrap()).unwrap().status();
+    assert!(leader.snapshot > LogIndex::new(2_000), "{leader:?}");
+    c.boot(behind);
+    c.converged().await;
+    let status = c.node(behind).unwrap().status();
+    assert!(status.snapshot >= leader.snapshot, "the host got the entries one by one");
+    assert!((0..3_000).all(|command| c.ledger.count(command) == 1));
+}
+
+async fn lossy_snapshot(c: Rc<Cluster>) {
+    let behind = follower(&c).await;
+    c.kill(behind);
+    fill(&c, 0..3_000).await;
+    c.split(&[behind], &[0, 1, 2], Path::Lossy(0.2));
+    c.boot(behind);
+    c.converged().await;
+}
+
+async fn restart_after_compaction(c: Rc<Cluster>) {
+    fill(&c, 0..1_000).await;
+    (0..3).for_each(|host| c.kill(host));
+    (0..3).for_each(|host| c.boot(host));
+    let leader = c.settled_leader().await;
+    let answer = c.node(leader).unwrap().read(&[], Duration::from_secs(2)).await.unwrap();
+    assert_eq!(answer.len(), 8 * 1_000);
+    c.converged().await;
+}
+
+async fn snapshot_over_tail(c: Rc<Cluster>) {
+    // The old leader appends commands that nobody else gets, while the others fill their log.
+    let old = c.settled_leader().await;
+    let rest: Vec<_> = (0..3).filter(|h| *h != old).collect();
+    c.split(&[old], &rest, Path::Silent);
+    let lost = (5_000..5_600).map(|command| c.propose(old, command));
+    let lost = futures_util::future::join_all(lost);
+    let work = async {
+        eventually("another host leads", || c.leader().is_some_and(|h| h != old)).await;
+        fill(&c, 0..400).await;
+    };
+    futures_util::future::join(lost, work).await;
+    c.fabric.heal();
+    c.converged().await;
+    // A restart must not bring the tail back, also when the disk kept it.
+    c.kill(old);
+    c.boot(old);
+    c.propose_until_done(9_000).await;
+    c.converged().await;
+    assert!((5_000..5_600).all(|command| c.ledger.count(command) == 0));
+}
+
+async fn disk_lost(c: Rc<Cluster>) {
+    c.keep_announcing();
+    let lost = follower(&c).await;
+    fill(&c, 0..1_000).await;
+    c.lose_disk(lost);
+    c.boot(lost);
+    eventually("the new replica votes", || c.voting_hosts().len() == 3).await;
+    let members = c.node(c.leader().unwrap()).unwrap().status().members;
+    assert!(members.iter().all(|m| m.replica.id != replica(lost, 0).id), "{members:?}");
+    c.converged().await;
+}
+
+async fn second_loss(c: Rc<Cluster>) {
+    c.keep_announcing();
+    let first = follower(&c).await;
+    fill(&c, 0..1_000).await;
+    c.lose_disk(first);
+    c.boot(first);
+    eventually("the new replica votes", || c.voting_hosts().len() == 3).await;
+    // The repair is complete once the change is committed: until then two of the voters are the quorum.
+    c.converged().await;
+    let second = c.leader().unwrap();
+    c.kill(second);
+    c.propose_until_done(2_000).await;
+    assert!((0..1_000).all(|command| c.ledger.count(command) == 1));
+    // The host comes back without its disk and is repaired in turn.
+    c.lose_disk(second);
+    c.boot(second);
+    eventually("all hosts vote again", || c.voting_hosts().len() == 3).await;
+    c.converged().await;
+}
+
+async fn host_lost(c: Rc<Cluster>) {
+    c.keep_announcing();
+    fill(&c, 0..100).await;
+    let lost = follower(&c).await;
+    let began = Instant::now();
+    c.kill(lost);
+    eventually("the spare votes", || c.voting_hosts().contains(&3)).await;
+    c.converged().await;
+    assert!(began.elapsed() >= c.cfg.replace_after.duration(), "replaced too early");
+    assert!(!c.voting_hosts().contains(&lost));
+    // The group of three tolerates another loss.
+    let next = c.leader().unwrap();
+    c.kill(next);
+    c.propose_until_done(1_000).await;
+}
+
+async fn learners_do_not_count(c: Rc<Cluster>) {
+    c.keep_announcing();
+    let leader = c.settled_leader().await;
+    let node = c.node(leader).unwrap();
+    eventually("both spares are learners", || node.status().members.len() == 5).await;
+    let others: Vec<_> = (0..3).filter(|h| *h != leader).collect();
+    others.iter().for_each(|host| c.kill(*host));
+    let result = c.propose(leader, 1).await;
+    assert!(result.is_err(), "{result:?}");
+    eventually("the leader steps down", || node.status().role != Role::Leader).await;
+    assert_eq!(c.ledger.count(1), 0);
+}
+
+async fn change_in_partition(c: Rc<Cluster>) {
+    let old = c.settled_leader().await;
+    let node = c.node(old).unwrap();
+    let other = (old + 1) % 5;
+    let rest: Vec<_> = (0..5).filter(|h| *h != old && *h != other).collect();
+    c.split(&[old, other], &rest, Path::Silent);
+    // The leader has not noticed the partition yet.
+    let removed = replica(rest[0], 0).id;
+    let voters = (0..5).map(|h| replica(h, 0)).filter(|r| r.id != removed).collect();
+    let set = VoterSet { voters, ..VoterSet::default() };
+    node.change_voters(set.clone()).unwrap();
+    assert!(matches!(node.change_voters(set), Err(ChangeError::InProgress(_))));
+    eventually("the majority elects", || c.leader().is_some_and(|h| rest.contains(&h))).await;
+    c.propose_until_done(1).await;
+    c.fabric.heal();
+    c.converged().await;
+    eventually("the change is undone", || {
+        (0..5).all(|h| c.node(h).unwrap().status().members.len() == 5)
+    })
+    .await;
+}
+
+async fn leader_voted_out(c: Rc<Cluster>) {
+    let old = c.settled_leader().await;
+    let node = c.node(old).unwrap();
+    let voters = (0..3).filter(|h| *h != old).map(|h| replica(h, 0)).collect();
+    node.change_voters(VoterSet { voters, ..VoterSet::default() }).unwrap();
+    eventually("another host leads", || c.leader().is_some_and(|h| h != old)).await;
+    assert_eq!(node.status().role, Role::Follower);
+    c.propose_until_done(1).await;
+    assert_eq!(c.voting_hosts().len(), 2);
+}
+
+async fn restored_disk(c: Rc<Cluster>) {
+    let host = follower(&c).await;
+    fill(&c, 0..50).await;
+    c.converged().await;
+    let copy = c.disk(host).recovered();
+    fill(&c, 50..100).await;
+    c.converged().await;
+    c.kill(host);
+    c.disk(host).restore(copy);
+    c.boot(host);
+    c.propose_until_done(1_000).await;
+    c.converged().await;
+}
+
+/// Guards against two first voter sets, and against a second group after a lost disk.
+#[test]
+fn group_forms_once() {
+    let run = async {
+        let c = Cluster::start_empty(fast_config(), 3, 7);
+        let initial: Vec<_> = (0..3).map(|h| replica(h, 0).host).collect();
+        let decide = |host: usize| {
+            let answers: Vec<_> =
+                (0..3).filter_map(|h| c.node(h)).map(|n| n.formation_answer()).collect();
+            decide_formation(&c.replica(host), &initial, &answers)
+        };
+        c.kill(2);
+        assert_eq!(decide(0), FormationDecision::Wait);
+        c.boot(2);
+        let decisions: Vec<_> = (0..3).map(&decide).collect();
+        assert_eq!(&decisions[1..], [FormationDecision::Wait, FormationDecision::Wait]);
+        let FormationDecision::Form { voters, term } = decisions[0].clone() else {
+            panic!("the first host does not form the group: {decisions:?}")
+        };
+        c.node(0).unwrap().form((*voters).clone(), term).await.unwrap();
+        let again = c.node(0).unwrap().form(*voters, term).await;
+        assert_eq!(again, Err(ChangeError::AlreadyFormed));
+        c.keep_announcing();
+        let first = c.propose_until_done(1).await;
+        c.converged().await;
+        c.lose_disk(0);
+        c.boot(0);
+        assert_eq!(decide(0), FormationDecision::Join);
+        eventually("the new replica votes", || c.voting_hosts().len() == 3).await;
+        c.propose_until_done(2).await;
+        assert_eq!(c.ledger.count(first), 1);
+    };
+    masticstair_net::runtime::block_on(run).unwrap();
+}
