--- a/crates/host/src/control/thread.rs
+++ b/crates/host/src/control/thread.rs
@@ -124,9 +124,10 @@
         protocol: ProtocolVersion::CURRENT,
     };
     let clock = state.clock;
+    let addr = reserve_addr(state.cfg.peer_listen)?;
     let membership = Membership::new(MembershipConfig {
         identity: identity.clone(),
-        address: state.cfg.peer_listen,
+        address: addr,
         data_centre: state.cfg.data_centre.clone(),
         seeds: state.cfg.seeds.clone().into(),
         clock: Box::new(move || clock.now()),
@@ -141,7 +142,6 @@
         handlers::install(&mut peer_handlers, &started);
         (node, storage) = (Some(started), Some(handle));
     }
-    let addr = state.cfg.peer_listen;
     let server = PeerServer::bind(addr, identity, peer_handlers)
         .map_err(|source| ControlStartError::Bind { addr, source })?;
     let peer_addr =
@@ -181,3 +181,12 @@
     let leader = node.as_ref().and_then(|n| n.leader.as_ref()).map(|l| l.host.clone());
     ControlStatus { node, leader: leader.or_else(|| cx.leader.host.borrow().clone()) }
 }
+
+/// Picks a free port when the address names none, since other hosts are told the address.
+fn reserve_addr(addr: SocketAddr) -> Result<SocketAddr, ControlStartError> {
+    if addr.port() != 0 {
+        return Ok(addr);
+    }
+    let bound = std::net::TcpListener::bind(addr).and_then(|listener| listener.local_addr());
+    bound.map_err(|source| ControlStartError::Bind { addr, source })
+}
--- a/crates/host/src/http_api/health.rs
+++ b/crates/host/src/http_api/health.rs
@@ -16,9 +16,9 @@
     if state.drain.is_leaving() {
         return unready("shutting down");
     }
-    match state.in_force.get() {
-        None => unready("no bundle in force"),
-        Some(config) => {
+    match state.serving() {
+        Err(e) => unready(&e.to_string()),
+        Ok(config) => {
             let text = format!("ready, revision {}\n", config.revision);
             Response::new(StatusCode::OK, "text/plain", text)
         }
--- a/crates/host/src/request/accept.rs
+++ b/crates/host/src/request/accept.rs
@@ -21,10 +21,9 @@
     pipeline: &str,
     req: &Request,
 ) -> Result<CallerRequest, Problem> {
-    let config = state.in_force.get().ok_or_else(|| {
-        Problem::not_run(503, "no-configuration", "this host has no bundle in force yet")
-            .with_retry_after(1)
-    })?;
+    let config = state
+        .serving()
+        .map_err(|e| Problem::not_run(503, "not-serving", e.to_string()).with_retry_after(1))?;
     let account = authenticate(&config, req)?.clone();
     let pipeline = find_pipeline(&config, pipeline)?.clone();
     let span = read_deadline(&pipeline, req)?;
--- a/crates/host/src/state/mod.rs
+++ b/crates/host/src/state/mod.rs
@@ -3,10 +3,12 @@
 mod bundle_in_force;
 mod clock;
 mod drain;
+mod serving;
 
 pub use bundle_in_force::{BundleInForce, InForce};
 pub use clock::Clock;
 pub use drain::{Drain, InFlight};
+pub use serving::NotServing;
 
 use masticstair_core::id::ModelName;
 use masticstair_core::prelude::*;
@@ -35,6 +37,7 @@
     pub metrics: Metrics,
     /// The bundle in force.
     pub in_force: InForce,
+    behind_since: serving::BehindSince,
     /// What the host observes of its traffic.
     pub traffic: Traffic,
     /// The way to the replicated log, once the control thread runs.
@@ -56,6 +59,7 @@
             log,
             incarnation: Incarnation::new(clock.wall().get()),
             clock,
+            behind_since: serving::BehindSince::default(),
             traffic: Traffic::new(clock),
             metrics: Metrics::default(),
             in_force: InForce::default(),
--- a/crates/host/tests/support/mod.rs
+++ b/crates/host/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use masticstair_core::prelude::*;
+use masticstair_host::control::{ControlThread, start_control};
 use masticstair_host::daemon::{Workers, start_workers};
 use masticstair_host::settings::Settings;
 use masticstair_host::state::{BundleInForce, HostState};
@@ -60,6 +61,7 @@
 /// A running host.
 pub struct TestHost {
     pub state: Arc<HostState>,
+    pub control: ControlThread,
     pub workers: Workers,
 }
 
@@ -73,10 +75,12 @@
         let cfg = Settings::parse(&text).unwrap();
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let state = Arc::new(HostState::new(cfg, log));
+        let control = start_control(&state).unwrap();
         let bundle = BUNDLE.parse().unwrap();
-        state.in_force.advance(BundleInForce { revision: Revision::new(7), bundle });
+        let (revision, signed) = (Revision::new(7), Arc::new([]));
+        state.in_force.advance(BundleInForce { revision, bundle, signed });
         let workers = start_workers(&state).unwrap();
-        Self { state, workers }
+        Self { state, control, workers }
     }
 
     pub fn addr(&self) -> SocketAddr {
@@ -87,9 +91,7 @@
     pub fn wait_for_endpoints(&self, pools: &[&str], count: usize) {
         let pools: Vec<PoolName> = pools.iter().map(|p| p.parse().unwrap()).collect();
         for _ in 0..200 {
-            let now = self.state.clock.now();
-            let known: usize =
-                pools.iter().map(|p| self.state.endpoints.ready(now, p, None).len()).sum();
+            let known: usize = pools.iter().map(|p| self.state.candidates(p, None).len()).sum();
             if known >= count {
                 return;
             }
