Roll the bundle of the demo through the replicated log

Cause: the demo put its bundle in force directly and its run-once calls were refused. Change: the demo's host is the only voter of its deployment; the bundle is submitted, signed off and rolled by the key of the examples; calls of plain services are checked for a second run.

--- a/crates/cli/src/demo/error.rs
+++ b/crates/cli/src/demo/error.rs
@@ -1,16 +1,27 @@
 use masticstair_core::toml_reader::FieldErrors;
+use masticstair_host::control::ControlStartError;
 use masticstair_host::daemon::StartError;
 use std::io;
 use thiserror::Error;
 
+use crate::operator::KeyError;
 use crate::trace::TraceError;
 
 /// The reason for which the demo ended without a report.
 #[derive(Debug, Error)]
 pub enum DemoError {
-    /// The bundle has errors.
+    /// The bundle cannot be read.
     #[error("the bundle of the demo is invalid:\n{0}")]
-    Bundle(#[from] FieldErrors),
+    Fields(#[from] FieldErrors),
+    /// The bundle was not put in force.
+    #[error("the bundle of the demo is refused: {0}")]
+    Bundle(Box<str>),
+    /// The key of the examples cannot be read.
+    #[error(transparent)]
+    Key(#[from] KeyError),
+    /// The control thread did not start.
+    #[error(transparent)]
+    Control(#[from] ControlStartError),
     /// The settings have errors.
     #[error("the settings of the demo are invalid:\n{0}")]
     Settings(FieldErrors),
--- a/crates/cli/src/demo/run.rs
+++ b/crates/cli/src/demo/run.rs
@@ -3,7 +3,7 @@
 use masticstair_net::runtime::block_on;
 use masticstair_standins::CallLog;
 use monoio::time::{Instant, sleep};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use super::DemoError;
 use super::deployment::{DEPLOYMENTS, Deployment};
 use super::endpoints::start_endpoints;
-use super::host::{DemoHost, start_host};
+use super::host::DemoHost;
 use crate::replay::{ReplayOptions, Report, replay};
 use crate::trace::{TraceRecord, parse_trace};
 
@@ -47,10 +47,9 @@
 fn run_deployment(deployment: Deployment, options: DemoOptions) -> Result<Report, DemoError> {
     let bundle: Bundle = deployment.bundle.parse()?;
     let records: Rc<[TraceRecord]> = parse_trace(deployment.trace)?.into();
-    let host = start_host(&deployment, bundle.clone())?;
+    let host = DemoHost::start(&deployment)?;
     let report = block_on(replay_deployment(deployment, &bundle, &host, records, options))?;
-    host.state.drain.leave();
-    host.workers.stop();
+    host.stop();
     report
 }
 
@@ -61,6 +60,7 @@
     records: Rc<[TraceRecord]>,
     options: DemoOptions,
 ) -> Result<Report, DemoError> {
+    host.roll_bundle(deployment.bundle).await?;
     let log = CallLog::default();
     let handles = start_endpoints(&deployment, bundle, host.workers.addr, &log)?;
     wait_for_endpoints(host, bundle, handles.len()).await?;
@@ -74,7 +74,10 @@
             eprintln!("{}: {sent} of {total} sent, {answered} answered", deployment.name);
         }
     });
-    Ok(Report::new(&records, &results.await))
+    let results = results.await;
+    let mut report = Report::new(&records, &results);
+    report.violations.extend(repeated_calls(&log));
+    Ok(report)
 }
 
 async fn wait_for_endpoints(
@@ -84,9 +87,8 @@
 ) -> Result<(), DemoError> {
     let started = Instant::now();
     loop {
-        let now = host.state.clock.now();
         let pools = bundle.pools.iter();
-        let known = pools.map(|p| host.state.endpoints.ready(now, &p.name, None).len()).sum();
+        let known = pools.map(|p| host.state.candidates(&p.name, None).len()).sum();
         if known == expected {
             return Ok(());
         }
@@ -98,3 +100,14 @@
         sleep(ANNOUNCE_POLL).await;
     }
 }
+
+/// Returns a line for each call that a service executed more than once for the same order.
+fn repeated_calls(log: &CallLog) -> Vec<Box<str>> {
+    let mut seen = HashSet::new();
+    let topic = |input: &serde_json::Value| input.get("topic").map(|t| t.to_string());
+    let repeated = log.records().into_iter().filter_map(|record| {
+        let topic = topic(&record.input)?;
+        (!seen.insert(topic.clone())).then(|| format!("call {topic} ran twice").into())
+    });
+    repeated.collect()
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod commands;
 pub mod demo;
+pub mod operator;
 pub mod options;
 pub mod replay;
 pub mod trace;
--- a/crates/net/tests/peer.rs
+++ b/crates/net/tests/peer.rs
@@ -67,7 +67,11 @@
     });
     handlers.gossip = Box::new(|_, message| Box::pin(async move { Ok(message) }));
     handlers.formation = Box::new(|_, _| {
-        let answer = FormationAnswer { new: true, replica: Some(ReplicaId::from_bytes([9; 16])) };
+        let answer = FormationAnswer {
+            new: true,
+            replica: Some(ReplicaId::from_bytes([9; 16])),
+            term: masticstair_core::id::Term::new(3),
+        };
         Box::pin(async move { Ok(answer) })
     });
     let server = PeerServer::bind("127.0.0.1:0".parse().unwrap(), local, handlers).unwrap();
