--- a/crates/store/examples/state_bench.rs
+++ b/crates/store/examples/state_bench.rs
@@ -37,7 +37,7 @@
 
 fn measure_run_once(records: u32) -> Result<()> {
     let mut state = new_state();
-    bring_into_force(&mut state, 0, &bundle_text("v1", &[&anna()], 5).into())?;
+    bring_into_force(&mut state, 0, &bundle_text("v1", &[&anna()], 5))?;
     let commands = |make: fn(u32) -> Result<Command>| -> Result<Vec<Box<[u8]>>> {
         (0..records).map(|i| Ok(make(i)?.encode())).collect()
     };
@@ -89,7 +89,7 @@
 }
 
 fn measure_bundle(accounts: usize) -> Result<()> {
-    let text: Box<str> = bundle_text("v1", &[&anna()], accounts).into();
+    let text = bundle_text("v1", &[&anna()], accounts);
     let started = Instant::now();
     text.parse::<Bundle>()?;
     let parse_ms = started.elapsed().as_secs_f64() * 1e3;
@@ -124,7 +124,7 @@
         let version = text.replacen("\"v0\"", &format!("\"v{i}\""), 1);
         let account = format!("account-{:05}", i * 577);
         let version = version.replacen(&account, &format!("changed-{i:05}"), 1);
-        bring_into_force(&mut state, i as u64, &version.into())?;
+        bring_into_force(&mut state, i as u64, &version)?;
     }
     let started = Instant::now();
     let snapshot = state.snapshot();
@@ -147,13 +147,9 @@
 }
 
 /// Submits, signs off and rolls a content; returns how long each command took in milliseconds.
-fn bring_into_force(
-    state: &mut ReplicatedState,
-    expected: u64,
-    text: &Box<str>,
-) -> Result<[f64; 3]> {
+fn bring_into_force(state: &mut ReplicatedState, expected: u64, text: &str) -> Result<[f64; 3]> {
     let digest = Sha256Digest::of(text.as_bytes());
-    let submit = BundleAction::Submit(text.clone());
+    let submit = BundleAction::Submit(text.into());
     let actions = [submit, BundleAction::SignOff(digest), BundleAction::Roll(digest)];
     let times = actions.map(|action| {
         let id = format!("{expected}-{}", action.right());
