--- a/crates/host/tests/support/mod.rs
+++ b/crates/host/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Starts a host for tests and talks to it as a caller would.
 
-#![allow(dead_code)]
+#![allow(clippy::unwrap_used, dead_code)]
 
 use masticstair_core::prelude::*;
 use masticstair_host::control::{ControlThread, start_control};
