Write versions without a copy

Cause: the encoding made a String of every version name, though the name is text already. Change: write the name itself. Conclusion: none beyond the shorter code.

--- a/crates/store/src/state/codec/bundle.rs
+++ b/crates/store/src/state/codec/bundle.rs
@@ -44,7 +44,7 @@
 }
 
 pub(crate) fn put_entry(w: &mut Writer, entry: &BundleEntry) {
-    w.text(&entry.version.to_string());
+    w.text(entry.version.as_str());
     put_digest(w, &entry.digest);
     put_header(w, &entry.submit);
     w.option(entry.pieces.as_ref(), |w, pieces| {
@@ -68,7 +68,7 @@
 
 pub(crate) fn put_revision(w: &mut Writer, entry: &RevisionEntry) {
     w.number(entry.revision.get());
-    w.text(&entry.version.to_string());
+    w.text(entry.version.as_str());
     put_digest(w, &entry.digest);
     w.list(entry.sign_offs.iter(), put_header);
     put_header(w, &entry.roll);
@@ -103,7 +103,7 @@
 }
 
 pub(crate) fn put_summary(w: &mut Writer, summary: &BundleSummary) {
-    w.text(&summary.version.to_string());
+    w.text(summary.version.as_str());
     put_digest(w, &summary.digest);
     w.text(summary.by.as_str());
     w.list(summary.signed_off_by.iter(), |w, name| w.text(name.as_str()));
--- a/crates/store/src/state/codec/bundle_reply.rs
+++ b/crates/store/src/state/codec/bundle_reply.rs
@@ -9,7 +9,7 @@
     match reply {
         BundleReply::Submitted { version, digest, by } => {
             w.byte(0);
-            w.text(&version.to_string());
+            w.text(version.as_str());
             put_digest(w, digest);
             w.text(by.as_str());
         }
@@ -79,7 +79,7 @@
         }
         BundleRefusal::VersionTaken { version, origin } => {
             w.byte(7);
-            w.text(&version.to_string());
+            w.text(version.as_str());
             put_origin(w, origin);
         }
         BundleRefusal::UnknownBundle(digest) => {
