--- a/crates/host/src/control/handlers.rs
+++ b/crates/host/src/control/handlers.rs
@@ -1,6 +1,7 @@
 //! Answers the calls of peers that concern the replicated log.
 
 use futures_util::FutureExt;
+use masticstair_core::id::Term;
 use masticstair_core::message::{AppendRequest, SnapshotChunk, VoteRequest};
 use masticstair_net::peer::{
     CallRefused, FormationAnswer, GroupId, Handler, InGroup, PeerHandlers, Proposal, ProposeReply,
@@ -45,6 +46,18 @@
     });
 }
 
+/// Sets the handlers of a host without a replica, which never leads.
+pub(super) fn install_without_replica(handlers: &mut PeerHandlers) {
+    handlers.propose =
+        Box::new(|_, _| std::future::ready(Ok(ProposeReply::Redirect(None))).boxed_local());
+    handlers.read =
+        Box::new(|_, _| std::future::ready(Ok(ReadReply::Redirect(None))).boxed_local());
+    handlers.formation = Box::new(|_, _| {
+        let answer = FormationAnswer { new: true, replica: None, term: Term::default() };
+        std::future::ready(Ok(answer)).boxed_local()
+    });
+}
+
 fn handler<Request: 'static, Reply: 'static, F, E: Display>(
     node: &Node,
     answer: impl Fn(Node, Request) -> F + 'static,
--- a/crates/host/src/control/thread.rs
+++ b/crates/host/src/control/thread.rs
@@ -141,6 +141,8 @@
         let (started, handle) = node_start::start_node(state, &membership, &peers, folder)?;
         handlers::install(&mut peer_handlers, &started);
         (node, storage) = (Some(started), Some(handle));
+    } else {
+        handlers::install_without_replica(&mut peer_handlers);
     }
     let server = PeerServer::bind(addr, identity, peer_handlers)
         .map_err(|source| ControlStartError::Bind { addr, source })?;
--- /dev/null
+++ b/crates/host/tests/support/cluster.rs
@@ -0,0 +1,205 @@
+//! Hosts as processes of their own, with endpoints and an operator in the test process.
+
+use ed25519_dalek::{Signer as _, SigningKey};
+use masticstair_core::id::DeploymentName;
+use masticstair_core::prelude::*;
+use masticstair_host::control::{ControlThread, start_control};
+use masticstair_host::settings::Settings;
+use masticstair_host::state::HostState;
+use masticstair_net::runtime::block_on;
+use masticstair_policy::bundle_history::{
+    BundleAction, BundleCommand, BundleReply, CommandSignature, SignedHeader, signed_text,
+};
+use masticstair_standins::CallLog;
+use masticstair_store::state::{Command, Reply};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+use super::endpoints::start_endpoints;
+use super::http::{HttpAnswer, get, post};
+
+/// Hosts of a cluster; the first three are the voters.
+pub const VOTERS: usize = 3;
+
+/// A host process.
+pub struct HostProcess {
+    pub addr: SocketAddr,
+    pub settings: std::path::PathBuf,
+    pub child: Option<Child>,
+}
+
+/// Running hosts.
+pub struct Cluster {
+    pub hosts: Vec<HostProcess>,
+    pub log: CallLog,
+    pub observer: Arc<HostState>,
+    _control: ControlThread,
+    key: SigningKey,
+    _folder: TempDir,
+}
+
+impl Cluster {
+    /// Starts `count` hosts in four data centres, puts the bundle in force and starts endpoints.
+    pub fn start(count: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let key = SigningKey::from_bytes(&[7; 32]);
+        let ports: Vec<(SocketAddr, SocketAddr)> =
+            (0..count).map(|_| (free_addr(), free_addr())).collect();
+        let seeds = format!("seeds = [\"{}\", \"{}\"]\n", ports[0].1, ports[1].1);
+        let operators = operators(&key);
+        let mut hosts = Vec::new();
+        for (i, (addr, peer)) in ports.iter().enumerate() {
+            let mut text = format!(
+                "deployment = \"t\"\nhost = \"h{i}\"\nregion = \"r\"\ndata_centre = \"dc{}\"\n\
+                 listen = \"{addr}\"\npeer_listen = \"{peer}\"\ndrain_notice_ms = 100\n\
+                 log_level = \"warning\"\n{seeds}",
+                i % 4
+            );
+            if i < VOTERS {
+                let data = folder.path().join(format!("data{i}"));
+                text.push_str("initial_voters = [\"h0\", \"h1\", \"h2\"]\n");
+                text.push_str(&format!("data_folder = {:?}\n", data.display().to_string()));
+            }
+            text.push_str(&operators);
+            let settings = folder.path().join(format!("h{i}.toml"));
+            std::fs::write(&settings, text).unwrap();
+            hosts.push(HostProcess { addr: *addr, settings, child: None });
+        }
+        let (observer, control) = start_observer(&seeds, &operators);
+        let log = CallLog::default();
+        let mut cluster = Self { hosts, log, observer, _control: control, key, _folder: folder };
+        (0..count).for_each(|i| cluster.start_host(i));
+        cluster.roll(super::BUNDLE, 0);
+        let addrs = cluster.hosts.iter().map(|h| h.addr).collect();
+        start_endpoints(addrs, cluster.log.clone());
+        (0..count).for_each(|i| cluster.wait_ready(i, 1, Duration::from_secs(10)));
+        cluster.wait_endpoints();
+        cluster
+    }
+
+    /// Starts a host process.
+    pub fn start_host(&mut self, i: usize) {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_masticstaird"));
+        command.arg("run").arg("--config").arg(&self.hosts[i].settings);
+        self.hosts[i].child = Some(command.stderr(Stdio::inherit()).spawn().unwrap());
+    }
+
+    /// Kills a host without notice.
+    pub fn kill(&mut self, i: usize) {
+        let mut child = self.hosts[i].child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Submits, signs off and rolls a bundle that builds on `expected`.
+    pub fn roll(&self, content: &str, expected: u64) {
+        let signer = "[[signers]]\nname = \"op\"\nkey = \"KEY\"\n\
+                      may = [\"submit\", \"sign-off\", \"roll\"]\n";
+        let signer = signer.replace("KEY", &hex::encode(self.key.verifying_key().as_bytes()));
+        let content = format!("{content}{signer}");
+        let digest = Sha256Digest::of(content.as_bytes());
+        let actions = [
+            BundleAction::Submit(content.into()),
+            BundleAction::SignOff(digest),
+            BundleAction::Roll(digest),
+        ];
+        for (step, action) in actions.into_iter().enumerate() {
+            let id = format!("c{expected}-{step}").parse().unwrap();
+            let (expected, name) = (Revision::new(expected), "op".parse().unwrap());
+            let deployment: DeploymentName = "t".parse().unwrap();
+            let text =
+                signed_text(&deployment, &id, expected, &name, action.right(), &action.digest());
+            let signature = self.key.sign(text.as_bytes()).to_bytes();
+            let signature = CommandSignature::from_bytes(signature);
+            let header = SignedHeader { id, expected, signer: name, signature };
+            let command = Command::Bundle(Box::new(BundleCommand { header, action }));
+            let control = self.observer.control.get().unwrap().clone();
+            let limit = Duration::from_secs(10);
+            let reply = block_on(async { control.propose(&command, limit).await }).unwrap();
+            match reply.unwrap() {
+                Reply::Bundle(BundleReply::Refused(refusal)) => panic!("refused: {refusal}"),
+                Reply::Bundle(_) => {}
+                other => panic!("unexpected reply {other:?}"),
+            }
+        }
+    }
+
+    /// Waits until a host serves under a revision.
+    pub fn wait_ready(&self, i: usize, revision: u64, limit: Duration) {
+        let started = Instant::now();
+        let expected = format!("revision {revision}\n");
+        let mut last = String::new();
+        while started.elapsed() < limit {
+            if let Some(answer) = get(self.hosts[i].addr, "/readyz") {
+                if answer.status == 200 && answer.body.ends_with(&expected) {
+                    return;
+                }
+                last = answer.body;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("host {i} is not ready under revision {revision} after {limit:?}: {last}");
+    }
+
+    /// Sends an order under a key.
+    pub fn order(&self, i: usize, key: &str, topic: &str) -> Option<HttpAnswer> {
+        let headers = [("idempotency-key", key)];
+        post(self.hosts[i].addr, "order", &headers, &format!("{{\"topic\":\"{topic}\"}}"))
+    }
+
+    /// Returns how often the service executed an order.
+    pub fn executions(&self, topic: &str) -> usize {
+        let records = self.log.records();
+        records.iter().filter(|r| r.input["topic"] == topic).count()
+    }
+
+    fn wait_endpoints(&self) {
+        for i in 0..self.hosts.len() {
+            let started = Instant::now();
+            while post(self.hosts[i].addr, "draft", &[], "{\"tokens\":1}")
+                .is_none_or(|a| a.status != 200)
+            {
+                assert!(started.elapsed() < Duration::from_secs(10), "host {i} has no endpoints");
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for host in &mut self.hosts {
+            if let Some(mut child) = host.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+/// Joins the cluster as a host that serves nobody, to send commands of the operator.
+fn start_observer(seeds: &str, operators: &str) -> (Arc<HostState>, ControlThread) {
+    let text = format!(
+        "deployment = \"t\"\nhost = \"observer\"\nregion = \"r\"\ndata_centre = \"dc9\"\n\
+         listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n{seeds}{operators}"
+    );
+    let cfg = Settings::parse(&text).unwrap();
+    let state = Arc::new(HostState::new(cfg, slog::Logger::root(slog::Discard, slog::o!())));
+    let control = start_control(&state).unwrap();
+    (state, control)
+}
+
+fn operators(key: &SigningKey) -> String {
+    let public = hex::encode(key.verifying_key().as_bytes());
+    format!(
+        "[[operators]]\nname = \"op\"\nkey = \"{public}\"\n\
+         may = [\"submit\", \"sign-off\", \"roll\"]\n"
+    )
+}
+
+fn free_addr() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
--- a/crates/host/tests/support/mod.rs
+++ b/crates/host/tests/support/mod.rs
@@ -2,6 +2,10 @@
 
 #![allow(clippy::unwrap_used, dead_code)]
 
+pub mod cluster;
+pub mod endpoints;
+pub mod http;
+
 use masticstair_core::prelude::*;
 use masticstair_host::control::{ControlThread, start_control};
 use masticstair_host::daemon::{Workers, start_workers};
--- a/crates/store/src/state/codec/bundle_reply.rs
+++ b/crates/store/src/state/codec/bundle_reply.rs
@@ -9,7 +9,7 @@
     match reply {
         BundleReply::Submitted { version, digest, by } => {
             w.byte(0);
-            w.text(&version.to_string());
+            w.text(version.as_str());
             put_digest(w, digest);
             w.text(by.as_str());
         }
@@ -79,7 +79,7 @@
         }
         BundleRefusal::VersionTaken { version, origin } => {
             w.byte(7);
-            w.text(&version.to_string());
+            w.text(version.as_str());
             put_origin(w, origin);
         }
         BundleRefusal::UnknownBundle(digest) => {
@@ -95,6 +95,10 @@
             put_digest(w, digest);
             w.number(next.get());
         }
+        BundleRefusal::ChangeMisfit(base) => {
+            w.byte(11);
+            put_digest(w, base);
+        }
     }
 }
 
@@ -120,6 +124,7 @@
         8 => BundleRefusal::UnknownBundle(get_digest(r)?),
         9 => BundleRefusal::ContentDropped(get_digest(r)?),
         10 => BundleRefusal::NotSignedOff { digest: get_digest(r)?, next: r.number()?.into() },
+        11 => BundleRefusal::ChangeMisfit(get_digest(r)?),
         tag => return Err(CodecError::Tag { what: "bundle refusal", tag }),
     })
 }
