--- a/crates/policy/src/bundle_history/mod.rs
+++ b/crates/policy/src/bundle_history/mod.rs
@@ -46,7 +46,6 @@
 pub use command_signature::{CommandSignature, SignatureError};
 pub use content_change::ContentChange;
 pub use content_part::ContentPart;
-pub use deployment_name::DeploymentName;
 pub use diff::diff_bundles;
 pub use entry::BundleEntry;
 pub use masticstair_core::id::DeploymentName;
