Measure the decisions and tune admission

Attainment under faults, bursts and a hot account was not known.

The example policy_bench runs five scenes in virtual time beside round robin with plain retries. The limit now moves towards the wanted one by half the way in the latency of a call, and counts inflation by time. The view of the queue counts what is served before a request instead of the whole share.

--- /dev/null
+++ b/crates/policy/examples/policy_bench/engine.rs
@@ -0,0 +1,42 @@
+use crate::scene::Fault;
+use std::collections::VecDeque;
+
+/// An engine with a few parallel slots and a queue, as an approximation of continuous batching.
+pub struct Engine {
+    pub speed: f64,
+    pub slots: u32,
+    pub fault: Fault,
+    pub running: Vec<usize>,
+    pub queue: VecDeque<usize>,
+}
+
+impl Engine {
+    /// Takes a call; true when it starts at once.
+    pub fn arrive(&mut self, call: usize) -> bool {
+        let starts = self.running.len() < self.slots as usize;
+        if starts {
+            self.running.push(call)
+        } else {
+            self.queue.push_back(call)
+        }
+        starts
+    }
+
+    /// Removes a call and returns the one that starts in its place.
+    pub fn leave(&mut self, call: usize) -> Option<usize> {
+        self.queue.retain(|&c| c != call);
+        let before = self.running.len();
+        self.running.retain(|&c| c != call);
+        if self.running.len() == before {
+            return None;
+        }
+        let next = self.queue.pop_front()?;
+        self.running.push(next);
+        Some(next)
+    }
+
+    /// Returns the factor on the time of a call at speed 1.
+    pub fn slowness(&self) -> f64 {
+        (if self.fault == Fault::Slow { 10.0 } else { 1.0 }) / self.speed
+    }
+}
--- /dev/null
+++ b/crates/policy/examples/policy_bench/tally.rs
@@ -0,0 +1,82 @@
+use crate::fate::Fate;
+use crate::scene::{ACCOUNTS, DEADLINE_US, Scene, capacity};
+
+/// A request and what became of it.
+pub struct Answer {
+    pub account: usize,
+    pub arrived_us: u64,
+    pub fate: Fate,
+}
+
+impl Answer {
+    /// Returns when the request was answered within its deadline.
+    pub fn answered_us(&self) -> Option<u64> {
+        match self.fate {
+            Fate::Answered(at) => Some(at),
+            _ => None,
+        }
+    }
+}
+
+/// The outcome of a run.
+#[derive(Default)]
+pub struct Tally {
+    pub answers: Vec<Answer>,
+    /// Requests that left the queue.
+    pub started: u64,
+    pub calls: u64,
+    /// Calls without retries and hedges.
+    pub first_calls: u64,
+    pub hedges: u64,
+}
+
+impl Tally {
+    /// Returns the share of requests answered in time among those that `counts` selects.
+    pub fn attainment(&self, counts: impl Fn(&Answer) -> bool) -> f64 {
+        let counted = self.answers.iter().filter(|a| counts(a));
+        let (all, met) = counted
+            .fold((0, 0), |(all, met), a| (all + 1, met + u64::from(a.answered_us().is_some())));
+        met as f64 / f64::from(all.max(1))
+    }
+
+    /// Returns the share of requests of all accounts but the first that met a fate.
+    pub fn others(&self, scene: &Scene, fate: Fate) -> f64 {
+        let counted = self.answers.iter().filter(|a| Self::counts(scene, a) && a.account != 0);
+        let (all, met) =
+            counted.fold((0, 0), |(all, met), a| (all + 1, met + u64::from(a.fate == fate)));
+        met as f64 / f64::from(all.max(1))
+    }
+
+    /// Returns the answers within `from` to `until` by what the capacity allows.
+    pub fn goodput(&self, from_us: u64, until_us: u64) -> f64 {
+        let window = from_us..until_us;
+        let met = self.answers.iter().filter_map(Answer::answered_us);
+        let met = met.filter(|at| window.contains(at)).count();
+        met as f64 / (capacity() * (until_us - from_us) as f64 / 1e6)
+    }
+
+    /// Returns the seconds after `end_us` from which on requests that arrive are answered as usual: 98
+    /// in 100 over the next two seconds.
+    pub fn time_to_normal(&self, end_us: u64) -> f64 {
+        let normal = |start: u64| {
+            self.attainment(|a| (start..start + 2_000_000).contains(&a.arrived_us)) >= 0.98
+        };
+        let step = (0..200).find(|i| normal(end_us + i * 100_000));
+        step.map_or(f64::INFINITY, |i| i as f64 / 10.0)
+    }
+
+    /// Returns a percentile of the time to the answer, in seconds.
+    pub fn latency(&self, percentile: f64) -> f64 {
+        let time = |a: &Answer| a.answered_us().map(|at| at - a.arrived_us);
+        let mut times: Vec<u64> = self.answers.iter().filter_map(time).collect();
+        times.sort_unstable();
+        let at = (times.len() as f64 * percentile) as usize;
+        times.get(at.min(times.len().saturating_sub(1))).map_or(0.0, |&t| t as f64 / 1e6)
+    }
+
+    /// Returns whether an answer counts in a scene: after the warm-up, with its deadline in the run.
+    pub fn counts(scene: &Scene, answer: &Answer) -> bool {
+        let end = scene.seconds * 1_000_000 - DEADLINE_US;
+        (scene.warm_up * 1_000_000..end).contains(&answer.arrived_us) && answer.account < ACCOUNTS
+    }
+}
--- a/crates/policy/src/admission/account_view.rs
+++ b/crates/policy/src/admission/account_view.rs
@@ -1,4 +1,3 @@
-use crate::estimate::Share;
 use crate::fair_queue::Cost;
 use masticstair_core::prelude::*;
 use std::time::Duration;
@@ -8,10 +7,9 @@
 pub struct AccountView {
     /// The cost of the account's requests of the same class that wait.
     pub waiting: Cost,
-    /// The cost of all requests of the class that wait.
-    pub total_waiting: Cost,
-    /// The account's weight among the accounts that wait.
-    pub share: Share,
+    /// The cost of all requests that are served before it: the account's own that wait, and those of
+    /// other accounts within their shares.
+    pub ahead: Cost,
     /// The account's requests that run.
     pub running: Slots,
     /// How many requests of the account may run.
--- a/crates/policy/src/admission/check_stage.rs
+++ b/crates/policy/src/admission/check_stage.rs
@@ -19,7 +19,11 @@
 ) -> Result<(), AdmissionRefusal> {
     let remaining = deadline.since(now);
     let work = if contended { expected_work(stages) } else { least_work(stages) };
-    if work < remaining { Ok(()) } else { Err(refusal(Duration::ZERO, work, remaining)) }
+    if work < remaining {
+        return Ok(());
+    }
+    let excess = work.saturating_sub(remaining);
+    Err(refusal(Duration::ZERO, work, remaining, excess))
 }
 
 /// Adds up the expected time of stages.
@@ -33,9 +37,13 @@
     stages.iter().map(least).fold(Duration::ZERO, Duration::saturating_add)
 }
 
-/// Describes a refusal; what is missing to the deadline has to drain from the queue first.
-pub(super) fn refusal(wait: Duration, work: Duration, remaining: Duration) -> AdmissionRefusal {
-    let excess = wait.saturating_add(work).saturating_sub(remaining);
+/// Describes a refusal; the queue has to get shorter by `excess` before the request is admitted.
+pub(super) fn refusal(
+    wait: Duration,
+    work: Duration,
+    remaining: Duration,
+    excess: Duration,
+) -> AdmissionRefusal {
     let seconds = (excess.as_millis().div_ceil(1_000) as u64).clamp(1, MAX_RETRY_AFTER_S);
     AdmissionRefusal { wait, work, remaining, retry_after_s: seconds as u32 }
 }
--- a/crates/policy/src/admission/host_limit.rs
+++ b/crates/policy/src/admission/host_limit.rs
@@ -5,28 +5,35 @@
 /// The limit is adjusted once in this time.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Latencies above this multiple of the floor mean that calls wait inside the endpoints.
-const TARGET_INFLATION: f64 = 2.0;
+/// Latencies above this multiple of the unloaded ones mean that calls wait inside the endpoints.
+const TARGET_INFLATION: f64 = 1.3;
 
-/// The limit falls at most to this part of itself in one interval.
-const MAX_DECREASE: f64 = 0.8;
+/// Below this multiple there is room, and the limit grows without regard to its size.
+const LOW_INFLATION: f64 = 1.21;
 
-/// The growth in one interval; doubles the limit in less than a second, so that the host is back to
-/// its usual limit within two seconds after a burst.
+/// The growth in one interval while there is room; doubles the limit in less than a second, so that
+/// the host is back to its usual limit within two seconds after a burst.
 const INCREASE: f64 = 1.1;
 
+/// The part of the way to the wanted limit that is made during the latency of a call. The effect of a
+/// change shows only after that time, and a faster change overshoots.
+const GAIN: f64 = 0.5;
+
 /// The least limit, so that latencies keep being observed.
 const MIN_LIMIT: f64 = 4.0;
 
-/// One observation counts at most as this inflation, so that one broken endpoint does not decide.
+/// One call counts at most with this inflation, so that one broken endpoint does not decide.
 const MAX_INFLATION: f64 = 5.0;
 
+/// A limit that is used less than this is not raised, or it would not hold back the next burst.
+const USED: f64 = 0.8;
+
 /// An adjustment needs this many observations.
 const MIN_OBSERVATIONS: u32 = 4;
 
 /// The adaptive limit for requests that run on a host.
 ///
-/// The limit follows the inflation of latencies over their floor, like the delay-based congestion
+/// The limit follows the inflation of latencies over unloaded ones, like the delay-based congestion
 /// control of TCP Vegas (Brakmo, Peterson 1995). Lookups have reserved slots beside it.
 #[derive(Clone, Debug)]
 pub struct HostLimit {
@@ -39,8 +46,11 @@
     in_flight: [u32; 2],
     /// The most requests in flight since the last adjustment.
     peak: u32,
-    /// The sum and number of inflations since the last adjustment.
-    inflation: (f64, u32),
+    /// Seconds that calls have taken since the last adjustment, and would have taken unloaded. Sums, so
+    /// that a stage counts by its time: the short stages hide a queue at the long one otherwise.
+    seconds: (f64, f64),
+    /// The calls in `seconds`.
+    observations: u32,
     adjusted: Timestamp,
 }
 
@@ -54,7 +64,8 @@
             reserved: reserved.get(),
             in_flight: [0; 2],
             peak: 0,
-            inflation: (0.0, 0),
+            seconds: (0.0, 0.0),
+            observations: 0,
             adjusted: now,
         }
     }
@@ -90,30 +101,40 @@
         Slots::new(self.in_flight[class.index()])
     }
 
-    /// Takes up the latency of a successful call and the floor for its endpoint and size (see
-    /// `EndpointEstimate::floor`).
-    pub fn observe(&mut self, now: Timestamp, latency: Duration, floor: Duration) {
-        if !floor.is_zero() {
-            let inflation = latency.as_secs_f64() / floor.as_secs_f64();
-            self.inflation.0 += inflation.clamp(1.0, MAX_INFLATION);
-            self.inflation.1 += 1;
+    /// Takes up the latency of a successful call and its latency without load (see
+    /// `EndpointEstimate::unloaded`); zero when that is not known.
+    pub fn observe(&mut self, now: Timestamp, latency: Duration, unloaded: Duration) {
+        if !unloaded.is_zero() {
+            let unloaded = unloaded.as_secs_f64();
+            self.seconds.0 += latency.as_secs_f64().clamp(unloaded, unloaded * MAX_INFLATION);
+            self.seconds.1 += unloaded;
+            self.observations += 1;
         }
-        if now.since(self.adjusted) >= INTERVAL && self.inflation.1 >= MIN_OBSERVATIONS {
+        if now.since(self.adjusted) >= INTERVAL && self.observations >= MIN_OBSERVATIONS {
             self.adjust(now);
         }
     }
 
     fn adjust(&mut self, now: Timestamp) {
-        let inflation = self.inflation.0 / f64::from(self.inflation.1);
-        if inflation > TARGET_INFLATION {
-            self.limit *= (TARGET_INFLATION / inflation).max(MAX_DECREASE);
-        } else if f64::from(self.peak) >= self.limit * 0.8 {
-            // A limit that is not used must not grow, or it would not hold back the next burst.
-            self.limit = (self.limit * INCREASE).max(self.limit + 1.0);
+        let inflation = self.seconds.0 / self.seconds.1;
+        let latency = self.seconds.0 / f64::from(self.observations);
+        let used = f64::from(self.peak) >= self.limit * USED;
+        // The square root lets small limits grow more than large ones, so that hosts that share the
+        // endpoints, and see the same inflation, come to the same limit.
+        let wanted = self.limit * (TARGET_INFLATION / inflation).min(1.0) + self.limit.sqrt();
+        let passed = now.since(self.adjusted).as_secs_f64();
+        let step = GAIN * (passed / latency).min(1.0);
+        let next = if inflation <= LOW_INFLATION {
+            self.limit * INCREASE
+        } else {
+            self.limit + (wanted - self.limit) * step
+        };
+        if used || next < self.limit {
+            self.limit = next.clamp(MIN_LIMIT, self.max);
         }
-        self.limit = self.limit.clamp(MIN_LIMIT, self.max);
         self.peak = self.in_flight.iter().sum();
-        self.inflation = (0.0, 0);
+        self.seconds = (0.0, 0.0);
+        self.observations = 0;
         self.adjusted = now;
     }
 }
--- /dev/null
+++ b/crates/policy/src/admission/tests/host_limit.rs
@@ -0,0 +1,82 @@
+use super::*;
+
+struct LimitCase {
+    guards: &'static str,
+    inflation: f64,
+    intervals: u64,
+    limit: std::ops::RangeInclusive<u32>,
+}
+
+#[test]
+fn host_limit_follows_the_inflation_of_latencies() {
+    // The limit starts at 50, and as much work runs as it allows.
+    let cases = [
+        LimitCase {
+            guards: "a burst is passed on to the endpoints",
+            inflation: 4.0,
+            intervals: 50,
+            limit: 4..=10,
+        },
+        LimitCase {
+            guards: "the limit does not recover within two seconds",
+            inflation: 1.2,
+            intervals: 20,
+            limit: 200..=200,
+        },
+        LimitCase {
+            guards: "the limit falls without end",
+            inflation: 100.0,
+            intervals: 1_000,
+            limit: 4..=4,
+        },
+    ];
+    for case in cases {
+        let mut limit = HostLimit::new(at(0), Slots::new(50), Slots::new(200), Slots::new(4));
+        for i in 1..=case.intervals {
+            while limit.try_start(WorkClass::Work) {}
+            for _ in 0..10 {
+                limit.observe(at(i * 100), ms(100).mul_f64(case.inflation), ms(100));
+            }
+            while limit.in_flight(WorkClass::Work).get() > 0 {
+                limit.end(WorkClass::Work);
+            }
+        }
+        let got = limit.limit(WorkClass::Work).get();
+        assert!(case.limit.contains(&got), "{}: {got}", case.guards);
+    }
+}
+
+#[test]
+fn unused_limit_does_not_grow() {
+    // Guards against a limit that has grown without use and lets the next burst through.
+    let mut limit = HostLimit::new(at(0), Slots::new(50), Slots::new(200), Slots::new(4));
+    (1..1_000).for_each(|i| limit.observe(at(i * 10), ms(100), ms(100)));
+    assert_eq!(limit.limit(WorkClass::Work), Slots::new(50));
+}
+
+proptest! {
+    /// Guards against lookups that find no slot because of other work, and against more requests than
+    /// the limit and the reserve allow.
+    #[test]
+    fn lookups_keep_their_slots(steps in proptest::collection::vec((0u8..4, 1u64..8), 1..300)) {
+        let mut limit = HostLimit::new(at(0), Slots::new(20), Slots::new(40), Slots::new(4));
+        let mut now = 0;
+        for (kind, size) in steps {
+            now += 50;
+            match kind {
+                0 => {
+                    limit.try_start(WorkClass::Work);
+                }
+                1 => {
+                    limit.try_start(WorkClass::Lookup);
+                }
+                2 => limit.end(WorkClass::Work),
+                _ => limit.observe(at(now), ms(100 * size), ms(100)),
+            }
+            let running = limit.in_flight(WorkClass::Lookup).get();
+            prop_assert!(limit.limit(WorkClass::Lookup).get() >= 4);
+            prop_assert!(running >= 4 || limit.clone().try_start(WorkClass::Lookup));
+            prop_assert!(running + limit.in_flight(WorkClass::Work).get() <= 44);
+        }
+    }
+}
--- a/crates/policy/src/estimate/endpoint_estimate.rs
+++ b/crates/policy/src/estimate/endpoint_estimate.rs
@@ -1,5 +1,8 @@
 use super::pool_estimate::latency_of;
-use super::{CallEnd, CallInFlight, CallNumber, Floor, Latency, MovingMean, PoolEstimate, Share};
+use super::{
+    CallEnd, CallInFlight, CallNumber, Floor, Latency, MovingMean, PoolEstimate, Share, micros,
+    micros_since,
+};
 use masticstair_core::prelude::*;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -114,11 +117,18 @@
         Share::clamped(self.success.blended(&pool.success, self.confidence(now)).mean)
     }
 
-    /// Returns the latency of a call of `size` tokens while the endpoint had little load; zero when
-    /// not known yet.
-    pub fn floor(&self, size: TokenCount) -> Duration {
+    /// Returns the latency that a call of `size` tokens would have without load: the time that the
+    /// endpoint says it worked on the call, or the lowest recent mean, whichever is less. Zero when
+    /// neither is known.
+    ///
+    /// A host that starts under load has never seen a low latency, and the statement makes up for it.
+    pub fn unloaded(&self, size: TokenCount, stated: Option<EngineTime>) -> Duration {
         let micros = self.floor_first.get() + self.floor_per_token.get() * size.get() as f64;
-        Duration::from_micros(micros as u64)
+        let floor = Duration::from_micros(micros as u64);
+        match stated.map(|t| Duration::from_micros(t.get())) {
+            Some(stated) if floor.is_zero() || stated < floor => stated,
+            Some(_) | None => floor,
+        }
     }
 
     /// Returns the number of calls of this host that have not ended.
@@ -128,7 +138,7 @@
 
     /// Returns the weight of the own estimate against the pool's.
     fn confidence(&self, now: Timestamp) -> f64 {
-        (-now.since(self.updated).as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+        (-micros_since(now, self.updated) / micros(HALF_LIFE)).exp2()
     }
 
     /// Moves the estimate towards the pool's by the time since the last answer.
@@ -145,21 +155,21 @@
         let factor = |call: &CallInFlight| {
             let due = call.due_tokens().get() as f64;
             let expected = (first.mean + per_token.mean * due).max(MIN_EXPECTED_US);
-            now.since(call.started).as_micros() as f64 / expected
+            micros_since(now, call.started) / expected
         };
         self.calls.iter().take(MAX_OLDEST).map(factor).fold(1.0, f64::max)
     }
 
     /// Divides the time of a call into the first token and each further token, in microseconds.
     fn split(&self, now: Timestamp, call: &CallInFlight, tokens: TokenCount) -> (f64, Option<f64>) {
-        let elapsed = now.since(call.started).as_micros() as f64;
+        let elapsed = micros_since(now, call.started);
         let count = tokens.get() as f64;
         if tokens.get() == 0 {
             return (elapsed, None);
         }
         if let (Some(at), true) = (call.first_token, tokens.get() > 1) {
-            let first = at.since(call.started).as_micros() as f64;
-            return (first, Some(now.since(at).as_micros() as f64 / (count - 1.0)));
+            let first = micros_since(at, call.started);
+            return (first, Some(micros_since(now, at) / (count - 1.0)));
         }
         // Without the time of the first token, the known proportion of the parts is kept.
         let expected = (self.first.mean + self.per_token.mean * count).max(MIN_EXPECTED_US);
@@ -187,7 +197,7 @@
 
     /// Takes up the time of a call without an answer, if it was longer than expected.
     fn observe_lower_bound(&mut self, now: Timestamp, call: &CallInFlight, pool: &PoolEstimate) {
-        let elapsed = now.since(call.started).as_micros() as f64;
+        let elapsed = micros_since(now, call.started);
         let due = call.due_tokens().get() as f64;
         let first = self.first.blended(&pool.first, 1.0);
         let per_token = self.per_token.blended(&pool.per_token, 1.0);
--- a/crates/policy/src/estimate/mod.rs
+++ b/crates/policy/src/estimate/mod.rs
@@ -9,6 +9,7 @@
 mod endpoint_estimate;
 mod floor;
 mod latency;
+mod micros;
 mod moving_mean;
 mod pool_estimate;
 mod share;
@@ -24,4 +25,5 @@
 
 pub(crate) use call_in_flight::CallInFlight;
 pub(crate) use floor::Floor;
+pub(crate) use micros::{micros, micros_since};
 pub(crate) use moving_mean::MovingMean;
--- a/crates/policy/src/estimate/pool_estimate.rs
+++ b/crates/policy/src/estimate/pool_estimate.rs
@@ -1,4 +1,4 @@
-use super::{Latency, MovingMean, Share};
+use super::{Latency, MovingMean, Share, micros};
 use masticstair_core::prelude::*;
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
 impl PoolEstimate {
     /// Starts with assumed latencies, which the first answer replaces.
     pub fn new() -> Self {
-        let (first, token) = (ASSUMED_FIRST.as_micros() as f64, ASSUMED_TOKEN.as_micros() as f64);
+        let (first, token) = (micros(ASSUMED_FIRST), micros(ASSUMED_TOKEN));
         Self {
             first: MovingMean::assumed(first, first),
             per_token: MovingMean::assumed(token, token),
@@ -50,9 +50,9 @@
 /// Adds up the first token and the others; deviations of one call add up because they correlate.
 pub(super) fn latency_of(first: &MovingMean, per_token: &MovingMean, size: TokenCount) -> Latency {
     let tokens = size.get() as f64;
-    let micros = |x: f64| Duration::from_micros(x.max(0.0) as u64);
+    let span = |x: f64| Duration::from_micros(x.max(0.0) as u64);
     Latency {
-        mean: micros(first.mean + per_token.mean * tokens),
-        deviation: micros(first.deviation + per_token.deviation * tokens),
+        mean: span(first.mean + per_token.mean * tokens),
+        deviation: span(first.deviation + per_token.deviation * tokens),
     }
 }
--- a/crates/policy/src/fair_queue/bookkeeping.rs
+++ b/crates/policy/src/fair_queue/bookkeeping.rs
@@ -11,6 +11,9 @@
 /// Idle accounts that one call forgets at most; two for each new one let the set shrink.
 const FORGET_AT_ONCE: usize = 2;
 
+/// Ready accounts that one view of the queue looks at, which bounds its cost.
+const MAX_SCANNED: usize = 32;
+
 impl FairQueue {
     pub(super) fn check_bounds(
         &self,
@@ -56,27 +59,29 @@
         at
     }
 
-    /// Replaces limits and keeps the sum of the weights.
+    /// Replaces the limits of an active account.
     pub(super) fn replace_limits(&mut self, now: Timestamp, at: usize, limits: AccountLimits) {
         let Some(queue) = &mut self.accounts[at] else { return };
-        for (set, backlog) in self.ready.iter_mut().zip(&queue.backlogs) {
-            if !backlog.is_empty() {
-                set.weight -= u64::from(queue.limits.weight.get());
-                set.weight += u64::from(limits.weight.get());
-            }
-        }
         queue.set_limits(now, limits);
     }
 
-    /// Updates the sums after a request has left a backlog.
-    pub(super) fn note_removed(&mut self, at: usize, request: &QueuedRequest) {
-        self.waiting -= 1;
-        let Some(queue) = &self.accounts[at] else { return };
-        let set = &mut self.ready[request.class.index()];
-        set.cost = set.cost.saturating_sub(request.cost.get());
-        if queue.backlogs[request.class.index()].is_empty() {
-            set.weight -= u64::from(queue.limits.weight.get());
-        }
+    /// Returns the cost that other accounts are served while one with `per_weight` cost by weight is:
+    /// their share of it, and at most their backlog.
+    pub(super) fn served_before(
+        &self,
+        class: WorkClass,
+        account: Option<usize>,
+        per_weight: f64,
+    ) -> f64 {
+        let ready = &self.ready[class.index()].by_tag;
+        let cost = |at: usize| {
+            let queue = self.accounts[at].as_ref().filter(|_| account != Some(at))?;
+            let share = per_weight * f64::from(queue.limits.weight.get().max(1));
+            Some(share.min(queue.backlogs[class.index()].cost().get() as f64))
+        };
+        let sum: f64 = ready.iter().take(MAX_SCANNED).filter_map(|&(_, at)| cost(at)).sum();
+        // The accounts that were not looked at are taken to be like the others.
+        sum * (ready.len() as f64 / MAX_SCANNED as f64).max(1.0)
     }
 
     /// Takes an account out of the ready set, so that `refresh` gives it its new start tag.
--- a/crates/policy/src/fair_queue/queue.rs
+++ b/crates/policy/src/fair_queue/queue.rs
@@ -1,9 +1,8 @@
 use super::{
-    AccountLimits, AccountQueue, Dequeued, QueueBounds, QueueError, QueuedRequest, ReadySet,
+    AccountLimits, AccountQueue, Cost, Dequeued, QueueBounds, QueueError, QueuedRequest, ReadySet,
     Ticket, TicketId, WorkClass,
 };
 use crate::admission::AccountView;
-use crate::estimate::Share;
 use masticstair_core::prelude::*;
 use std::collections::{BTreeSet, HashMap};
 
@@ -57,14 +56,8 @@
         let at = self.activate(now, account, limits);
         self.tickets.insert(request.ticket, Ticket { account: at, request, running: false });
         self.waiting += 1;
-        let class = &mut self.ready[request.class.index()];
-        class.cost = class.cost.saturating_add(request.cost.get());
         if let Some(queue) = &mut self.accounts[at] {
-            let backlog = &mut queue.backlogs[request.class.index()];
-            if backlog.is_empty() {
-                class.weight += u64::from(queue.limits.weight.get());
-            }
-            backlog.push(request);
+            queue.backlogs[request.class.index()].push(request);
         }
         self.refresh(now, at);
         Ok(())
@@ -91,7 +84,7 @@
             queue.bucket.take();
             self.ready[class.index()].virtual_time = tag;
         }
-        self.note_removed(at, &request);
+        self.waiting -= 1;
         self.requeue(at, class);
         let ticket = request.ticket;
         if late {
@@ -126,7 +119,7 @@
         if let Some(queue) = &mut self.accounts[account] {
             queue.backlogs[request.class.index()].remove(request.deadline, ticket);
         }
-        self.note_removed(account, &request);
+        self.waiting -= 1;
         self.refresh(now, account);
         true
     }
@@ -139,27 +132,27 @@
         }
     }
 
-    /// Describes the queue as one more request of `account` would find it.
+    /// Describes the queue as one more request of `account`, with this class and cost, would find it.
     pub fn view(
         &self,
         now: Timestamp,
         account: &AccountId,
         limits: &AccountLimits,
         class: WorkClass,
+        cost: Cost,
     ) -> AccountView {
-        let set = &self.ready[class.index()];
+        let at = self.by_id.get(account).copied();
         let fresh = AccountQueue::new(now, account.clone(), *limits);
-        let queue = self.by_id.get(account).and_then(|&at| self.accounts[at].as_ref());
-        let queue = queue.unwrap_or(&fresh);
-        let backlog = &queue.backlogs[class.index()];
+        let queue = at.and_then(|at| self.accounts[at].as_ref()).unwrap_or(&fresh);
+        let waiting = queue.backlogs[class.index()].cost();
         let mut bucket = queue.bucket;
         bucket.refill(now, limits);
-        let weight = f64::from(limits.weight.get().max(1));
-        let own = if backlog.is_empty() { weight } else { 0.0 };
+        let wanted = (waiting.get().saturating_add(cost.get())) as f64;
+        let per_weight = wanted / f64::from(limits.weight.get().max(1));
+        let others = self.served_before(class, at, per_weight);
         AccountView {
-            waiting: backlog.cost(),
-            total_waiting: super::Cost::new(set.cost),
-            share: Share::clamped(weight / (set.weight as f64 + own)),
+            waiting,
+            ahead: Cost::new(waiting.get().saturating_add(others as u64)),
             running: Slots::new(queue.running),
             concurrency: Slots::new(limits.concurrency_for(class)),
             rate_wait: bucket.wait_for(queue.waiting() as f64 + 1.0, limits),
--- a/crates/policy/src/fair_queue/ready_set.rs
+++ b/crates/policy/src/fair_queue/ready_set.rs
@@ -8,8 +8,4 @@
     pub(crate) by_tag: BTreeSet<(Tag, usize)>,
     /// The start tag of the last request that started; never falls.
     pub(crate) virtual_time: Tag,
-    /// The cost of all requests of the class that wait.
-    pub(crate) cost: u64,
-    /// The weights of the accounts with requests that wait.
-    pub(crate) weight: u64,
 }
--- /dev/null
+++ b/crates/policy/src/limits/account_limits.rs
@@ -0,0 +1,27 @@
+use super::Ledger;
+use crate::fair_queue::AccountLimits;
+use masticstair_core::prelude::*;
+use std::time::Duration;
+
+/// Returns the limits of an account on this host, from its part and its loans.
+///
+/// `horizon` is the longest deadline of a request: a borrowed slot is used only while every request
+/// that takes it ends before the loan does.
+pub fn account_limits(
+    now: Timestamp,
+    horizon: Duration,
+    weight: Weight,
+    concurrency: &Ledger,
+    rate: &Ledger,
+    burst: Slots,
+) -> AccountLimits {
+    let slots = concurrency.usable(now, horizon).get();
+    let thousandths = rate.usable(now, Duration::ZERO).get();
+    AccountLimits {
+        weight,
+        concurrency: Slots::new(u32::try_from(slots).unwrap_or(u32::MAX)),
+        // A quotient of whole numbers is always a valid rate.
+        rate: RatePerSecond::try_from(thousandths as f64 / 1_000.0).unwrap_or_default(),
+        burst,
+    }
+}
--- a/crates/policy/src/limits/mod.rs
+++ b/crates/policy/src/limits/mod.rs
@@ -5,6 +5,7 @@
 //! 1989): the lender counts the term from its grant and the borrower from its request, which came
 //! earlier, so that the borrower stops first whatever happens to the messages between them.
 
+mod account_limits;
 mod amount;
 mod ledger;
 mod lend_error;
@@ -17,6 +18,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use account_limits::account_limits;
 pub use amount::Amount;
 pub use ledger::{Ledger, MAX_LOAN};
 pub use lend_error::LendError;
--- a/crates/policy/src/routing/choose.rs
+++ b/crates/policy/src/routing/choose.rs
@@ -1,6 +1,7 @@
 use super::score::{completion, draw_weight};
 use super::{CandidateView, Choice, Draws, RouteRequest};
 use crate::breaker::Gate;
+use crate::estimate::micros;
 use masticstair_core::prelude::*;
 use smallvec::SmallVec;
 
@@ -18,25 +19,26 @@
     draw: Draw,
 ) -> Option<Choice> {
     let mut draws = Draws::new(draw);
-    let mut live: Positions =
+    let mut usable: Positions =
         (0..candidates.len()).filter(|&i| candidates[i].is_live(now)).collect();
-    let half_ejected = is_more_than_half_ejected(candidates, &live);
-    if !request.tried.is_empty() {
-        let untried = retain(&live, |i| !request.tried.contains(candidates[i].id));
-        if !untried.is_empty() || request.hedge {
-            live = untried;
-        }
+    let half_ejected = is_more_than_half_ejected(candidates, &usable);
+    let untried = |i: usize| !request.tried.contains(candidates[i].id);
+    if !request.tried.is_empty() && (request.hedge || usable.iter().any(|&i| untried(i))) {
+        usable.retain(|i| untried(*i));
     }
     if request.may_probe && !request.hedge {
-        let due = retain(&live, |i| candidates[i].gate == Gate::ProbeDue);
+        let due = |&i: &usize| candidates[i].gate == Gate::ProbeDue;
+        let due: Positions = usable.iter().copied().filter(due).collect();
         if let Some(position) = draw_uniformly(&due, draws.next()) {
             return Some(Choice { position, probe: true });
         }
     }
-    let open = retain(&live, |i| candidates[i].gate.admits_traffic());
     // Ejected endpoints are a last resort, and too many ejections at once are more likely a fault of
     // the host's view than of the endpoints.
-    let usable = if (open.is_empty() || half_ejected) && !request.hedge { live } else { open };
+    let open = |i: usize| candidates[i].gate.admits_traffic();
+    if request.hedge || (!half_ejected && usable.iter().any(|&i| open(i))) {
+        usable.retain(|i| open(*i));
+    }
     let position = choose_near(now, candidates, &usable, &mut draws)?;
     Some(Choice { position, probe: false })
 }
@@ -54,13 +56,11 @@
     usable: &Positions,
     draws: &mut Draws,
 ) -> Option<usize> {
-    let (local, remote): (Positions, Positions) =
-        usable.iter().copied().partition(|&i| candidates[i].is_local());
-    let local = better_of_two(now, candidates, &local, draws);
-    let remote = better_of_two(now, candidates, &remote, draws);
+    let local = better_of_two(now, candidates, usable, draws, true);
+    let remote = better_of_two(now, candidates, usable, draws, false);
     match (local, remote) {
         (Some((near, near_score)), Some((far, far_score))) => {
-            let round_trip = candidates[far].round_trip.as_micros() as f64;
+            let round_trip = micros(candidates[far].round_trip);
             Some(if far_score + round_trip < near_score { far } else { near })
         }
         (Some((position, _)), None) | (None, Some((position, _))) => Some(position),
@@ -68,15 +68,18 @@
     }
 }
 
-/// Draws two different candidates and returns the one that completes earlier, with its time.
+/// Draws two different candidates, inside or outside the own data centre, and returns the one that
+/// completes earlier, with its time.
 fn better_of_two(
     now: Timestamp,
     candidates: &[CandidateView<'_>],
     positions: &Positions,
     draws: &mut Draws,
+    local: bool,
 ) -> Option<(usize, f64)> {
+    let weight = |c: &CandidateView<'_>| if c.is_local() == local { draw_weight(c) } else { 0.0 };
     let mut weights: SmallVec<[f64; 32]> =
-        positions.iter().map(|&i| draw_weight(&candidates[i])).collect();
+        positions.iter().map(|&i| weight(&candidates[i])).collect();
     let scored = |at: usize| (positions[at], completion(now, &candidates[positions[at]]));
     let first = draw_by_weight(&weights, draws.next())?;
     weights[first] = 0.0;
@@ -107,7 +110,3 @@
     let at = (draw.fraction() * positions.len() as f64) as usize;
     positions.get(at).copied()
 }
-
-fn retain(positions: &Positions, keep: impl Fn(usize) -> bool) -> Positions {
-    positions.iter().copied().filter(|&i| keep(i)).collect()
-}
--- a/crates/policy/src/routing/load_report.rs
+++ b/crates/policy/src/routing/load_report.rs
@@ -1,3 +1,4 @@
+use crate::estimate::micros;
 use masticstair_core::prelude::*;
 use std::time::Duration;
 
@@ -28,6 +29,6 @@
         }
         let stated = f64::from(self.running.get()) + f64::from(self.queued.get());
         let others = (stated - f64::from(own.get())).max(0.0);
-        others * (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+        others * (-micros(age) / micros(HALF_LIFE)).exp2()
     }
 }
--- a/crates/policy/src/routing/score.rs
+++ b/crates/policy/src/routing/score.rs
@@ -1,5 +1,6 @@
 use super::CandidateView;
 use crate::breaker::Gate;
+use crate::estimate::micros;
 use masticstair_core::prelude::*;
 
 /// The least share of successes that is used as a divisor.
@@ -10,7 +11,7 @@
 
 /// Returns the time in microseconds for a successful answer at the observed load.
 pub(super) fn cost(candidate: &CandidateView<'_>) -> f64 {
-    let latency = (candidate.latency.as_micros() as f64).max(MIN_LATENCY_US);
+    let latency = micros(candidate.latency).max(MIN_LATENCY_US);
     latency / candidate.success.get().max(MIN_SUCCESS)
 }
 
