--- /dev/null
+++ b/crates/host/examples/gossip_bench.rs
@@ -0,0 +1,276 @@
+//! Measures what the gossip of one host costs, on loopback, with all hosts in one process.
+//!
+//! Prints bytes a second and the share of a core for each host, idle and with endpoint changes, and what
+//! straight lines through the figures give for the largest deployment. Bytes are those of the connections,
+//! without the headers of TCP and IP; a host sends as many as it receives.
+
+use std::cell::{Cell, RefCell};
+use std::error::Error;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use masticstair_core::bundle::StageKind;
+use masticstair_core::id::Incarnation;
+use masticstair_core::unit::{Slots, Timestamp};
+use masticstair_host::membership::*;
+use masticstair_net::peer::{PeerHandlers, PeerIdentity, PeerServer, ProtocolVersion, Traffic};
+use masticstair_net::runtime::block_on;
+use masticstair_policy::endpoint_table::limits::RENEWAL;
+use masticstair_policy::endpoint_table::{Announcement, ServedModel};
+use monoio::time::sleep;
+use slog::{Discard, Logger, o};
+use smallvec::smallvec;
+
+/// How long each case is measured, after `SETTLE` and a time for each host in which every host connects to
+/// every other.
+const MEASURE: Duration = Duration::from_secs(8);
+const SETTLE: Duration = Duration::from_secs(4);
+const SETTLE_PER_HOST: Duration = Duration::from_millis(250);
+/// Changes a second over all hosts in the cases with changes.
+const CHANGES_PER_SECOND: u32 = 20;
+/// The largest deployment, and what a host may spend there.
+const FLEET_HOSTS: f64 = 330.0;
+const FLEET_RECORDS: f64 = 1_100.0;
+const LIMIT_BYTES: f64 = 5_000.0;
+const LIMIT_CORE_PERCENT: f64 = 3.3;
+
+type Failure = Box<dyn Error>;
+
+/// One measurement.
+#[derive(Clone, Copy)]
+struct Case {
+    hosts: usize,
+    records: usize,
+    changes: bool,
+}
+
+/// What one host spends.
+#[derive(Clone, Copy)]
+struct Cost {
+    sent_per_second: f64,
+    core_percent: f64,
+    /// The slowest change seen to reach all hosts, in milliseconds.
+    spread_ms: f64,
+}
+
+struct Cluster {
+    hosts: Vec<Arc<Membership>>,
+    incarnations: RefCell<Vec<u64>>,
+    stopped: Cell<bool>,
+}
+
+fn main() -> Result<(), Failure> {
+    let by_hosts = [8, 16, 32, 64].map(|hosts| (hosts, 110));
+    let by_records = [16, 128, 512, 1_100].map(|records| (32, records));
+    println!("hosts records changes/s  sent B/s/host  core %/host  slowest spread ms");
+    for changes in [false, true] {
+        let mut points = Vec::new();
+        for (hosts, records) in by_hosts.into_iter().chain(by_records) {
+            let case = Case { hosts, records, changes };
+            points.push((case, measure(case)?));
+        }
+        report(&points);
+    }
+    Ok(())
+}
+
+fn report(points: &[(Case, Cost)]) {
+    let (by_hosts, by_records) = points.split_at(4);
+    for (name, limit, value) in [
+        ("bytes", LIMIT_BYTES, (|c| c.sent_per_second) as fn(&Cost) -> f64),
+        ("core %", LIMIT_CORE_PERCENT, |c| c.core_percent),
+    ] {
+        let hosts = slope(by_hosts, |c| c.hosts as f64, value);
+        let records = slope(by_records, |c| c.records as f64, value);
+        let (base, cost) = by_records[0];
+        let fleet = value(&cost)
+            + hosts * (FLEET_HOSTS - base.hosts as f64)
+            + records * (FLEET_RECORDS - base.records as f64);
+        println!(
+            "{name}: {hosts:+.4} per host, {records:+.5} per record; at 330 hosts and 1,100 records \
+             {fleet:.1} (limit {limit})"
+        );
+    }
+}
+
+/// The slope of the least-squares line.
+fn slope(points: &[(Case, Cost)], x: fn(&Case) -> f64, y: fn(&Cost) -> f64) -> f64 {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(case, _)| x(case)).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, cost)| y(cost)).sum::<f64>() / count;
+    let products = points.iter().map(|(case, cost)| (x(case) - mean_x) * (y(cost) - mean_y));
+    let squares = points.iter().map(|(case, _)| (x(case) - mean_x).powi(2));
+    products.sum::<f64>() / squares.sum::<f64>()
+}
+
+/// Measures a case on a runtime of its own.
+fn measure(case: Case) -> Result<Cost, Failure> {
+    let cost = block_on(run(case))??;
+    println!(
+        "{:5} {:7} {:9} {:14.0} {:12.3} {:18.0}",
+        case.hosts,
+        case.records,
+        if case.changes { CHANGES_PER_SECOND } else { 0 },
+        cost.sent_per_second,
+        cost.core_percent,
+        cost.spread_ms,
+    );
+    Ok(cost)
+}
+
+async fn run(case: Case) -> Result<Cost, Failure> {
+    let cluster = Rc::new(start(case).await?);
+    monoio::spawn(renew(cluster.clone()));
+    sleep(SETTLE + SETTLE_PER_HOST * case.hosts as u32).await;
+    if case.changes {
+        monoio::spawn(change(cluster.clone()));
+        sleep(SETTLE).await;
+    }
+    let (traffic, cpu, start) = (Traffic::of_process(), cpu_time()?, Instant::now());
+    sleep(MEASURE).await;
+    let seconds = start.elapsed().as_secs_f64();
+    let sent = Traffic::of_process().written.get() - traffic.written.get();
+    let cpu = (cpu_time()? - cpu).as_secs_f64();
+    let spread_ms = match case.changes {
+        true => slowest_spread(&cluster).await,
+        false => 0.0,
+    };
+    cluster.stopped.set(true);
+    let hosts = case.hosts as f64;
+    Ok(Cost {
+        sent_per_second: sent as f64 / seconds / hosts,
+        core_percent: 100.0 * cpu / seconds / hosts,
+        spread_ms,
+    })
+}
+
+async fn start(case: Case) -> Result<Cluster, Failure> {
+    let mut hosts: Vec<Arc<Membership>> = Vec::new();
+    let mut first = None;
+    for i in 0..case.hosts {
+        let (host, address) = start_host(i, first)?;
+        first = first.or(Some(address));
+        hosts.push(host);
+    }
+    let incarnations = RefCell::new(vec![1; case.records]);
+    Ok(Cluster { hosts, incarnations, stopped: Cell::new(false) })
+}
+
+fn start_host(
+    i: usize,
+    seed: Option<SocketAddr>,
+) -> Result<(Arc<Membership>, SocketAddr), Failure> {
+    let reserved = std::net::TcpListener::bind("127.0.0.1:0")?;
+    let address = reserved.local_addr()?;
+    drop(reserved);
+    let identity = PeerIdentity {
+        deployment: "bench".parse()?,
+        host: format!("entry-{i:03}").parse()?,
+        incarnation: Incarnation::new(1_790_000_000_000),
+        protocol: ProtocolVersion::CURRENT,
+    };
+    let start = Instant::now();
+    let membership = Membership::new(MembershipConfig {
+        identity: identity.clone(),
+        address,
+        data_centre: "north-1".parse()?,
+        seeds: seed.into_iter().collect(),
+        clock: Box::new(move || Timestamp::new(1_000_000).plus(start.elapsed())),
+    });
+    let peers = Rc::new(PeerPool::new(identity.clone()));
+    let bundles = Rc::new(BundleHooks {
+        content: Box::new(|_| None),
+        install: Box::new(|_, _| Box::pin(async { Ok(()) })),
+    });
+    let log = Logger::root(Discard, o!());
+    let mut handlers = PeerHandlers::refusing();
+    install_handlers(&mut handlers, &membership, &peers, &bundles, &log);
+    let server = PeerServer::bind(address, identity, handlers)?;
+    monoio::spawn(server.run(std::future::pending()));
+    let stop = Box::pin(std::future::pending());
+    let cx = MembershipContext { membership: membership.clone(), peers, bundles, log, stop };
+    monoio::spawn(run_membership(cx));
+    Ok((membership, address))
+}
+
+/// Renews every endpoint at its observer.
+async fn renew(cluster: Rc<Cluster>) {
+    while !cluster.stopped.get() {
+        let records = cluster.incarnations.borrow().len();
+        (0..records).for_each(|i| announce(&cluster, i));
+        sleep(RENEWAL).await;
+    }
+}
+
+/// Restarts endpoints, one after the other.
+async fn change(cluster: Rc<Cluster>) {
+    let mut i = 0;
+    while !cluster.stopped.get() {
+        cluster.incarnations.borrow_mut()[i] += 1;
+        announce(&cluster, i);
+        i = (i + 7) % cluster.incarnations.borrow().len();
+        sleep(Duration::from_secs(1) / CHANGES_PER_SECOND).await;
+    }
+}
+
+/// Follows some changes until all hosts know them.
+async fn slowest_spread(cluster: &Cluster) -> f64 {
+    let mut slowest: f64 = 0.0;
+    let count = cluster.incarnations.borrow().len().min(16);
+    for i in 0..count {
+        cluster.incarnations.borrow_mut()[i] += 1;
+        let wanted = cluster.incarnations.borrow()[i];
+        announce(cluster, i);
+        let start = Instant::now();
+        while !cluster.hosts.iter().all(|h| knows(h, i, wanted)) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        slowest = slowest.max(start.elapsed().as_secs_f64() * 1e3);
+    }
+    slowest
+}
+
+fn knows(host: &Membership, i: usize, incarnation: u64) -> bool {
+    let id = endpoint_name(i);
+    let snapshot = host.snapshot();
+    let endpoint = snapshot.endpoints.iter().find(|e| e.record.id.as_str() == id);
+    endpoint.is_some_and(|e| e.record.incarnation.get() >= incarnation)
+}
+
+fn announce(cluster: &Cluster, i: usize) {
+    let incarnation = cluster.incarnations.borrow()[i];
+    let host = &cluster.hosts[i % cluster.hosts.len()];
+    let Ok(announcement) = announcement(i, incarnation) else { return };
+    if let Err(e) = host.announce(announcement) {
+        println!("announcement refused: {e}");
+    }
+}
+
+fn endpoint_name(i: usize) -> String {
+    format!("engine-{i:04}")
+}
+
+fn announcement(i: usize, incarnation: u64) -> Result<Announcement, Failure> {
+    Ok(Announcement {
+        id: endpoint_name(i).parse()?,
+        incarnation: Incarnation::new(incarnation),
+        leaving: false,
+        address: SocketAddr::from(([10, 0, (i / 250) as u8, (i % 250) as u8], 9000)),
+        pool: "engines-large".parse()?,
+        kind: StageKind::Generate,
+        data_centre: "north-1".parse()?,
+        capacity: Slots::new(64),
+        models: smallvec![ServedModel { name: "base-70".parse()?, version: "2026-11".parse()? }],
+    })
+}
+
+/// User and system time of this process; fields 14 and 15 of `/proc/self/stat`, in ticks of 10 ms.
+fn cpu_time() -> Result<Duration, Failure> {
+    let stat = std::fs::read_to_string("/proc/self/stat")?;
+    let fields: Vec<_> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = fields.get(11..13).ok_or("no times in /proc/self/stat")?;
+    let ticks = ticks.iter().map(|t| t.parse::<u64>()).sum::<Result<u64, _>>()?;
+    Ok(Duration::from_millis(ticks * 10))
+}
--- /dev/null
+++ b/crates/host/src/membership/bundle_task.rs
@@ -0,0 +1,104 @@
+//! Fetches a newer bundle from a peer that holds it.
+
+use std::rc::Rc;
+
+use super::context::TaskContext;
+use super::gossip::exchange_with_some;
+use super::limits::{
+    BUNDLE_LIMIT, BUNDLE_REFUSED_RETRY, BUNDLE_RETRY, BUNDLE_TIMEOUT, REVISION_FORWARD_PEERS,
+};
+use masticstair_core::id::{HostId, Revision};
+use masticstair_net::peer::limits::BUNDLE_CHUNK_LIMIT;
+use masticstair_net::peer::{BundleChunk, BundleRequest, CallRefused, PeerClient};
+use monoio::time::sleep;
+
+/// Fetches every newer revision that a peer tells of, one at a time.
+pub(crate) async fn run_bundle_task(cx: TaskContext) {
+    loop {
+        cx.membership.revision_seen.notified().await;
+        while let Some((revision, source)) =
+            cx.membership.with_tables(|tables, now| tables.next_source(now))
+        {
+            match fetch_and_install(&cx, revision, &source).await {
+                Ok(()) => {
+                    cx.membership.with_tables(|tables, _| tables.hold_revision(revision));
+                    slog::info!(cx.log, "revision is in force";
+                        "revision" => %revision, "source" => %source);
+                    monoio::spawn(exchange_with_some(cx.clone(), REVISION_FORWARD_PEERS));
+                }
+                Err(reason) => {
+                    slog::warn!(cx.log, "bundle is not fetched";
+                        "revision" => %revision, "source" => %source, "reason" => %reason);
+                    sleep(BUNDLE_RETRY).await;
+                }
+            }
+        }
+    }
+}
+
+async fn fetch_and_install(
+    cx: &TaskContext,
+    revision: Revision,
+    source: &HostId,
+) -> Result<(), Box<str>> {
+    let record = cx.membership.host(source).ok_or("the host is not known")?;
+    let client = cx.peers.client(&record);
+    let content = fetch(&client, revision).await?;
+    let installed = (cx.bundles.install)(revision, content).await;
+    if installed.is_err() {
+        cx.membership.with_tables(|tables, now| {
+            tables.refused = Some((revision, now.plus(BUNDLE_REFUSED_RETRY)));
+        });
+    }
+    installed
+}
+
+async fn fetch(client: &PeerClient, revision: Revision) -> Result<Box<[u8]>, Box<str>> {
+    let mut content = Vec::new();
+    loop {
+        let request = BundleRequest { revision, offset: content.len() as u64 };
+        let chunk = client.bundle(request, BUNDLE_TIMEOUT).await.map_err(|e| e.to_string())?;
+        check(&chunk, &request)?;
+        content.extend_from_slice(&chunk.data);
+        if content.len() as u64 >= chunk.size {
+            return Ok(content.into());
+        }
+    }
+}
+
+fn check(chunk: &BundleChunk, request: &BundleRequest) -> Result<(), Box<str>> {
+    if chunk.revision != request.revision {
+        return Err(format!("the host does not hold revision {}", request.revision).into());
+    }
+    if chunk.size > BUNDLE_LIMIT {
+        let size = chunk.size;
+        return Err(format!("bundle has {size} bytes (at most {BUNDLE_LIMIT} are allowed)").into());
+    }
+    let end = request.offset + chunk.data.len() as u64;
+    if chunk.offset != request.offset || end > chunk.size || chunk.data.is_empty() {
+        let (offset, size) = (request.offset, chunk.size);
+        return Err(format!("piece at {offset} of {size} bytes does not fit").into());
+    }
+    Ok(())
+}
+
+/// Answers a peer that fetches a bundle.
+pub(crate) fn serve_chunk(
+    bundles: &Rc<super::BundleHooks>,
+    request: BundleRequest,
+) -> Result<BundleChunk, CallRefused> {
+    let Some(content) = (bundles.content)(request.revision) else {
+        return Ok(BundleChunk::default());
+    };
+    let rest = usize::try_from(request.offset).ok().and_then(|offset| content.get(offset..));
+    let rest = rest.ok_or_else(|| {
+        let (offset, size) = (request.offset, content.len());
+        CallRefused::new(format!("offset {offset} is beyond the bundle of {size} bytes"))
+    })?;
+    Ok(BundleChunk {
+        revision: request.revision,
+        size: content.len() as u64,
+        offset: request.offset,
+        data: rest[..rest.len().min(BUNDLE_CHUNK_LIMIT)].into(),
+    })
+}
--- /dev/null
+++ b/crates/host/src/membership/digest_cache.rs
@@ -0,0 +1,48 @@
+use std::collections::HashSet;
+use std::time::Duration;
+
+use masticstair_core::unit::Timestamp;
+use masticstair_policy::endpoint_table::EndpointTable;
+use masticstair_policy::membership::{MemberTable, RecordMark, RecordSummary, digest};
+
+/// The age at which the summaries are made anew without a change, because records leave digests with time.
+const MAX_AGE: Duration = Duration::from_secs(1);
+
+/// The summaries of all records of a host, kept while nothing changes.
+#[derive(Debug, Default)]
+pub(crate) struct DigestCache {
+    made: Option<Timestamp>,
+    records: Vec<RecordSummary>,
+    marks: HashSet<RecordMark>,
+    hash: u64,
+}
+
+impl DigestCache {
+    /// Makes the next use read the tables again.
+    pub(crate) fn invalidate(&mut self) {
+        self.made = None;
+    }
+
+    /// Returns the summaries and their hash.
+    pub(crate) fn get(
+        &mut self,
+        now: Timestamp,
+        members: &MemberTable,
+        endpoints: &EndpointTable,
+    ) -> (&[RecordSummary], u64) {
+        if self.made.is_none_or(|made| now.since(made) >= MAX_AGE) {
+            let hosts = members.iter().filter(|m| m.is_in_digest(now)).map(|m| m.record.summary());
+            let endpoints = endpoints.iter().filter(|e| e.is_in_digest(now));
+            self.records = hosts.chain(endpoints.map(|e| e.record.summary())).collect();
+            self.marks = self.records.iter().map(RecordSummary::mark).collect();
+            self.hash = digest::table_hash(&self.records);
+            self.made = Some(now);
+        }
+        (&self.records, self.hash)
+    }
+
+    /// Tells whether the last summaries contain a version of a record.
+    pub(crate) fn contains(&self, mark: RecordMark) -> bool {
+        self.marks.contains(&mark)
+    }
+}
--- /dev/null
+++ b/crates/host/src/membership/exchange.rs
@@ -0,0 +1,243 @@
+//! Makes and reads gossip messages. These functions only touch the tables; the tasks send the messages.
+
+use std::collections::{BTreeSet, HashSet};
+
+use super::limits::{MARKS_PER_MESSAGE, RECORDS_PER_MESSAGE, load_reports};
+use super::tables::Tables;
+use masticstair_core::id::HostId;
+use masticstair_core::unit::Timestamp;
+use masticstair_net::peer::PeerIdentity;
+use masticstair_net::peer::limits::SUMMARIES_LIMIT;
+use masticstair_policy::endpoint_table::{EndpointRecord, LoadReport};
+use masticstair_policy::membership::{
+    GossipMessage, HostState, NewsKey, RecordKey, RecordMark, digest,
+};
+
+/// Makes a request: the marks of recent changes, and the records of those that this host made.
+pub(crate) fn compose(tables: &mut Tables, now: Timestamp, to: &HostId) -> GossipMessage {
+    let hosts = tables.members.live_count();
+    tables.news.prune(hosts);
+    let mut message = header(tables, now);
+    for due in tables.news.due(to, MARKS_PER_MESSAGE) {
+        if due.eager && records_of(&message) < RECORDS_PER_MESSAGE {
+            add_record(tables, &mut message, &due.key);
+        } else {
+            message.news.extend(mark(tables, &due.key));
+        }
+        tables.news.note_sent(&due.key);
+    }
+    add_objection(tables, &mut message, to);
+    message.loads = loads(tables, load_reports(hosts));
+    message
+}
+
+/// Makes a message without changes.
+pub(crate) fn header(tables: &mut Tables, now: Timestamp) -> GossipMessage {
+    let (_, table_hash) = tables.digest.get(now, &tables.members, &tables.endpoints);
+    GossipMessage { revision: tables.revision, table_hash, ..GossipMessage::default() }
+}
+
+/// Merges a message. Returns the records that the sender has in an older version.
+pub(crate) fn absorb(
+    tables: &mut Tables,
+    now: Timestamp,
+    from: &HostId,
+    message: &mut GossipMessage,
+    spread: bool,
+) -> Vec<NewsKey> {
+    let mut older = Vec::new();
+    tables.members.note_heard(now, from);
+    tables.note_revision(message.revision, from);
+    for record in std::mem::take(&mut message.hosts) {
+        let key = NewsKey::Host(record.host.clone());
+        let known = tables.members.get(&record.host).map(|m| m.record.clone());
+        if tables.merge_host(now, record.clone(), from, spread) {
+            continue;
+        }
+        if known.is_some_and(|known| known.supersedes(&record)) {
+            older.push(key);
+        }
+    }
+    for record in std::mem::take(&mut message.endpoints) {
+        absorb_endpoint(tables, now, from, record, spread, &mut older);
+    }
+    for report in std::mem::take(&mut message.loads) {
+        let entry = tables.endpoints.get(&report.endpoint);
+        // What the endpoint told this host itself is newer.
+        if entry.is_some_and(|e| e.record.observer != *tables.members.local()) {
+            tables.endpoints.note_load(now, report);
+        }
+    }
+    let (_, own_hash) = tables.digest.get(now, &tables.members, &tables.endpoints);
+    if message.table_hash == own_hash {
+        tables.equal_at = now;
+    }
+    older
+}
+
+/// Merges a request and makes its answer: recent changes that the caller does not name, and questions for
+/// those that this host does not know.
+pub(crate) fn answer(
+    tables: &mut Tables,
+    now: Timestamp,
+    caller: &PeerIdentity,
+    mut request: GossipMessage,
+) -> GossipMessage {
+    let sent = keys_of(&request);
+    let older = absorb(tables, now, &caller.host, &mut request, true);
+    let mut reply = header(tables, now);
+    for key in &older {
+        add_record(tables, &mut reply, key);
+    }
+    let known: HashSet<RecordMark> = request.news.iter().copied().collect();
+    for due in tables.news.due(&caller.host, MARKS_PER_MESSAGE) {
+        let named = mark(tables, &due.key).is_none_or(|mark| known.contains(&mark));
+        if !named && !sent.contains(&due.key) && records_of(&reply) < RECORDS_PER_MESSAGE {
+            add_record(tables, &mut reply, &due.key);
+        }
+    }
+    let news = request.news.iter().copied();
+    reply.asks = news.filter(|m| !tables.digest.contains(*m)).take(RECORDS_PER_MESSAGE).collect();
+    add_objection(tables, &mut reply, &caller.host);
+    add_wanted(tables, &mut reply, &request.wants);
+    answer_identity(tables, &mut reply, caller);
+    reply.loads = loads(tables, load_reports(tables.members.live_count()));
+    if !request.buckets.is_empty() {
+        answer_digest(tables, now, &request, &mut reply);
+    }
+    reply
+}
+
+/// Adds the recent changes that a peer asks for.
+pub(crate) fn add_asked(tables: &Tables, message: &mut GossipMessage, asks: &[RecordMark]) {
+    let keys: Vec<NewsKey> = tables.news.keys().cloned().collect();
+    for key in keys {
+        if mark(tables, &key).is_some_and(|mark| asks.contains(&mark)) {
+            add_record(tables, message, &key);
+        }
+    }
+}
+
+/// Adds the records that a peer asks for.
+pub(crate) fn add_wanted(tables: &Tables, message: &mut GossipMessage, wants: &[RecordKey]) {
+    if wants.is_empty() {
+        return;
+    }
+    let wants: BTreeSet<_> = wants.iter().take(RECORDS_PER_MESSAGE).collect();
+    for member in tables.members.iter() {
+        if wants.contains(&RecordKey::of_host(member.record.host.as_str())) {
+            message.hosts.push((*member.record).clone());
+        }
+    }
+    for entry in tables.endpoints.iter() {
+        if wants.contains(&RecordKey::of_endpoint(entry.record.id.as_str())) {
+            message.endpoints.push((*entry.record).clone());
+        }
+    }
+}
+
+fn absorb_endpoint(
+    tables: &mut Tables,
+    now: Timestamp,
+    from: &HostId,
+    record: EndpointRecord,
+    spread: bool,
+    older: &mut Vec<NewsKey>,
+) {
+    let key = NewsKey::Endpoint(record.id.clone());
+    if tables.endpoints.merge(now, record.clone()) {
+        tables.touch();
+        if spread {
+            tables.news.push(key, Some(from.clone()));
+        }
+        return;
+    }
+    let known = tables.endpoints.get(&record.id);
+    if known.is_some_and(|known| known.record.supersedes(&record)) {
+        older.push(key);
+    }
+}
+
+/// Adds the record of the receiver when it is not known as alive, so that it can refute that.
+fn add_objection(tables: &Tables, message: &mut GossipMessage, to: &HostId) {
+    let Some(member) = tables.members.get(to) else { return };
+    let known = message.hosts.iter().any(|record| record.host == *to);
+    if member.record.state != HostState::Alive && !known {
+        message.hosts.push((*member.record).clone());
+    }
+}
+
+/// Asks a caller that is not known for its record, and tells an earlier life that it was replaced.
+fn answer_identity(tables: &Tables, reply: &mut GossipMessage, caller: &PeerIdentity) {
+    let known = tables.members.get(&caller.host).map(|m| m.record.incarnation);
+    if known.is_none_or(|known| known < caller.incarnation) {
+        reply.wants.push(RecordKey::of_host(caller.host.as_str()));
+    }
+    if known.is_some_and(|known| known > caller.incarnation) {
+        add_record(tables, reply, &NewsKey::Host(caller.host.clone()));
+    }
+}
+
+fn records_of(message: &GossipMessage) -> usize {
+    message.hosts.len() + message.endpoints.len()
+}
+
+fn keys_of(message: &GossipMessage) -> HashSet<NewsKey> {
+    let hosts = message.hosts.iter().map(|r| NewsKey::Host(r.host.clone()));
+    hosts.chain(message.endpoints.iter().map(|r| NewsKey::Endpoint(r.id.clone()))).collect()
+}
+
+fn mark(tables: &Tables, key: &NewsKey) -> Option<RecordMark> {
+    let summary = match key {
+        NewsKey::Host(host) => tables.members.get(host)?.record.summary(),
+        NewsKey::Endpoint(id) => tables.endpoints.get(id)?.record.summary(),
+    };
+    Some(summary.mark())
+}
+
+fn add_record(tables: &Tables, message: &mut GossipMessage, key: &NewsKey) {
+    match key {
+        NewsKey::Host(host) => {
+            let record = tables.members.get(host).map(|m| &*m.record);
+            message.hosts.extend(record.filter(|r| !message.hosts.contains(r)).cloned());
+        }
+        NewsKey::Endpoint(id) => {
+            let record = tables.endpoints.get(id).map(|e| &*e.record);
+            message.endpoints.extend(record.filter(|r| !message.endpoints.contains(r)).cloned());
+        }
+    }
+}
+
+fn answer_digest(
+    tables: &mut Tables,
+    now: Timestamp,
+    request: &GossipMessage,
+    reply: &mut GossipMessage,
+) {
+    let (records, _) = tables.digest.get(now, &tables.members, &tables.endpoints);
+    let own = digest::buckets(records, request.buckets.len());
+    if own == request.buckets {
+        return;
+    }
+    reply.summaries = digest::differing(records, &own, &request.buckets, SUMMARIES_LIMIT as usize);
+    reply.buckets = own;
+}
+
+/// Returns the next load reports of the endpoints that this host observes.
+fn loads(tables: &mut Tables, budget: usize) -> Vec<LoadReport> {
+    if budget == 0 {
+        return Vec::new();
+    }
+    let local = tables.members.local();
+    let own: Vec<&LoadReport> = tables
+        .endpoints
+        .iter()
+        .filter(|e| e.record.observer == *local)
+        .filter_map(|e| e.load.as_ref().map(|(report, _)| report))
+        .collect();
+    let count = budget.min(own.len());
+    let start = tables.load_cursor;
+    let reports = (0..count).map(|i| own[(start + i) % own.len()].clone()).collect();
+    tables.load_cursor = start.wrapping_add(count);
+    reports
+}
--- /dev/null
+++ b/crates/host/src/membership/gossip.rs
@@ -0,0 +1,92 @@
+//! Exchanges with peers.
+
+use super::context::TaskContext;
+use super::exchange::{absorb, add_asked, add_wanted, compose, header};
+use super::limits::PROBE_TIMEOUT;
+use super::suspicion::probe_through_others;
+use futures_util::future::join_all;
+use masticstair_core::id::HostId;
+use masticstair_net::peer::{PeerClient, PeerError};
+use masticstair_policy::membership::{GossipMessage, HostRecord};
+use rand::seq::IteratorRandom;
+use std::sync::Arc;
+
+/// Exchanges changes with a peer, and has it probed through others when it does not answer.
+pub(crate) async fn exchange_or_probe(cx: TaskContext, peer: Arc<HostRecord>) {
+    let client = cx.peers.client(&peer);
+    match exchange(&cx, &peer.host, &client).await {
+        Ok(()) => cx.membership.with_tables(|tables, _| tables.members.health.note(true)),
+        Err(PeerError::Busy { .. }) => {}
+        Err(_) => probe_through_others(&cx, &peer).await,
+    }
+}
+
+/// Exchanges changes with a peer.
+pub(crate) async fn exchange(
+    cx: &TaskContext,
+    host: &HostId,
+    client: &PeerClient,
+) -> Result<(), PeerError> {
+    let message = cx.membership.with_tables(|tables, now| compose(tables, now, host));
+    let reply = client.gossip(message, PROBE_TIMEOUT).await?;
+    if let Some(follow_up) = take_reply(cx, host, reply) {
+        let reply = client.gossip(follow_up, PROBE_TIMEOUT).await?;
+        take_reply(cx, host, reply);
+    }
+    Ok(())
+}
+
+/// Exchanges changes with some random live peers at once.
+pub(crate) async fn exchange_with_some(cx: TaskContext, count: usize) {
+    let peers = random_peers(&cx, count, |_| true);
+    join_all(peers.into_iter().map(|peer| {
+        let cx = cx.clone();
+        async move {
+            let client = cx.peers.client(&peer);
+            // A peer that does not answer is found by the regular exchanges.
+            let _ = exchange(&cx, &peer.host, &client).await;
+        }
+    }))
+    .await;
+}
+
+/// Returns up to `count` random live peers that are `wanted`.
+pub(crate) fn random_peers(
+    cx: &TaskContext,
+    count: usize,
+    wanted: impl Fn(&HostRecord) -> bool,
+) -> Vec<Arc<HostRecord>> {
+    cx.membership.with_tables(|tables, _| {
+        let peers = tables.members.live_peers().map(|m| &m.record).filter(|r| wanted(r));
+        peers.cloned().choose_multiple(&mut rand::rng(), count)
+    })
+}
+
+/// Merges an answer and wakes the tasks that it concerns. Returns a message that the peer still needs.
+fn take_reply(cx: &TaskContext, host: &HostId, mut reply: GossipMessage) -> Option<GossipMessage> {
+    let follow_up = cx.membership.with_tables(|tables, now| {
+        absorb(tables, now, host, &mut reply, true);
+        if reply.wants.is_empty() && reply.asks.is_empty() {
+            return None;
+        }
+        let mut message = header(tables, now);
+        add_wanted(tables, &mut message, &reply.wants);
+        add_asked(tables, &mut message, &reply.asks);
+        Some(message)
+    });
+    notify(cx);
+    follow_up
+}
+
+/// Wakes the tasks that changes of the tables concern.
+pub(crate) fn notify(cx: &TaskContext) {
+    let (changed, behind) = cx
+        .membership
+        .with_tables(|tables, _| (tables.urgent || tables.dirty, tables.newest > tables.revision));
+    if changed {
+        cx.membership.changed.notify();
+    }
+    if behind {
+        cx.membership.revision_seen.notify();
+    }
+}
--- /dev/null
+++ b/crates/host/src/membership/membership.rs
@@ -0,0 +1,150 @@
+use std::sync::Arc;
+
+use super::config::{Clock, MembershipConfig};
+use super::tables::{Tables, observer_state};
+use super::wake::Wake;
+use super::{HostView, MembershipSnapshot};
+use masticstair_core::id::{EndpointId, HostId, Incarnation, Revision};
+use masticstair_core::unit::{Millis, Timestamp};
+use masticstair_net::peer::{PeerClient, PeerIdentity};
+use masticstair_policy::endpoint_table::limits::LEASE;
+use masticstair_policy::endpoint_table::{AnnounceError, Announcement, LoadReport};
+use masticstair_policy::membership::{HostRecord, HostState, NewsKey, Refutation};
+use parking_lot::{Mutex, RwLock};
+use std::net::SocketAddr;
+
+/// What a host knows of the deployment; shared by all threads.
+pub struct Membership {
+    pub(crate) identity: PeerIdentity,
+    pub(crate) seeds: Box<[SocketAddr]>,
+    clock: Clock,
+    /// Held only for table operations, never across a wait.
+    tables: Mutex<Tables>,
+    /// Replaced as a whole by the control thread.
+    snapshot: RwLock<Arc<MembershipSnapshot>>,
+    /// Wakes the gossip task.
+    pub(crate) changed: Wake,
+    /// Wakes the bundle task.
+    pub(crate) revision_seen: Wake,
+}
+
+impl Membership {
+    /// Makes the tables of a host that knows only itself.
+    pub fn new(cfg: MembershipConfig) -> Arc<Self> {
+        let now = (cfg.clock)();
+        let local = HostRecord {
+            host: cfg.identity.host.clone(),
+            incarnation: cfg.identity.incarnation,
+            refutation: Refutation::default(),
+            state: HostState::Alive,
+            address: cfg.address,
+            data_centre: cfg.data_centre,
+        };
+        let seeds: Box<[_]> = cfg.seeds.iter().copied().filter(|s| *s != cfg.address).collect();
+        Arc::new(Self {
+            identity: cfg.identity,
+            clock: cfg.clock,
+            tables: Mutex::new(Tables::new(now, local, seeds.is_empty())),
+            snapshot: RwLock::default(),
+            changed: Wake::default(),
+            revision_seen: Wake::default(),
+            seeds,
+        })
+    }
+
+    /// Returns what is known now. It is at most one gossip interval old.
+    pub fn snapshot(&self) -> Arc<MembershipSnapshot> {
+        self.snapshot.read().clone()
+    }
+
+    /// Takes an announcement or a renewal of an endpoint and returns the lease.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an incarnation that is over and an endpoint beyond the bound of the table.
+    pub fn announce(&self, announcement: Announcement) -> Result<Millis, AnnounceError> {
+        let id = announcement.id.clone();
+        let changed = self.with_tables(|tables, now| {
+            let changed = tables.endpoints.announce(now, announcement)?;
+            if changed {
+                tables.originate(NewsKey::Endpoint(id));
+            }
+            Ok(changed)
+        })?;
+        if changed {
+            self.changed.notify();
+        }
+        Ok(Millis::new(LEASE.as_millis() as u64))
+    }
+
+    /// Marks an endpoint as leaving because it says so.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an incarnation that is over and an endpoint that is not known.
+    pub fn leave_endpoint(
+        &self,
+        id: &EndpointId,
+        incarnation: Incarnation,
+    ) -> Result<(), AnnounceError> {
+        self.with_tables(|tables, now| {
+            if tables.endpoints.leave(now, id, incarnation)? {
+                tables.originate(NewsKey::Endpoint(id.clone()));
+            }
+            Ok(())
+        })?;
+        self.changed.notify();
+        Ok(())
+    }
+
+    /// Notes the load that an endpoint reported to this host.
+    pub fn note_load(&self, report: LoadReport) {
+        self.with_tables(|tables, now| tables.endpoints.note_load(now, report));
+    }
+
+    /// Notes a revision that this host holds, from its data folder or the replicated log. Peers hear of it
+    /// at once.
+    pub fn publish_revision(&self, revision: Revision) {
+        if self.with_tables(|tables, _| tables.hold_revision(revision)) {
+            self.changed.notify();
+        }
+    }
+
+    /// Runs a table operation with the time of now.
+    pub(crate) fn with_tables<T>(&self, f: impl FnOnce(&mut Tables, Timestamp) -> T) -> T {
+        let now = (self.clock)();
+        f(&mut self.tables.lock(), now)
+    }
+
+    /// Makes a new snapshot; `peer` returns the way to a host.
+    pub(crate) fn refresh(&self, mut peer: impl FnMut(&HostRecord) -> PeerClient) {
+        let (records, mut snapshot) = self.with_tables(|tables, now| {
+            tables.dirty = false;
+            let live = tables.members.iter().filter(|m| m.is_live());
+            let records: Vec<_> = live.map(|m| m.record.clone()).collect();
+            let members = &tables.members;
+            let endpoints = tables.endpoints.views(now, |host| observer_state(members, host));
+            let snapshot = MembershipSnapshot {
+                hosts: Box::default(),
+                endpoints: endpoints.into(),
+                revision: tables.revision,
+                newest_revision: tables.newest,
+                synced: tables.synced,
+                superseded: tables.superseded,
+            };
+            (records, snapshot)
+        });
+        let view = |record: Arc<HostRecord>| {
+            let other = record.host != self.identity.host;
+            let peer = other.then(|| peer(&record));
+            HostView { record, peer }
+        };
+        snapshot.hosts = records.into_iter().map(view).collect();
+        *self.snapshot.write() = Arc::new(snapshot);
+    }
+
+    /// Returns the record of a host.
+    pub(crate) fn host(&self, host: &HostId) -> Option<Arc<HostRecord>> {
+        self.with_tables(|tables, _| tables.members.get(host).map(|m| m.record.clone()))
+    }
+}
--- a/crates/host/src/membership/mod.rs
+++ b/crates/host/src/membership/mod.rs
@@ -1,1 +1,39 @@
 //! Membership tasks: gossip, endpoint news and the spread of bundles.
+//!
+//! Every 200 ms a host exchanges changes with one random peer. An exchange that goes unanswered is a missed
+//! probe. Hosts whose tables stay different compare digests. The tables and their rules are in the policy
+//! package; the functions here carry them between hosts.
+//!
+//! The control thread makes a `Membership`, a `PeerPool` and the handlers of the peer server, and runs
+//! `run_membership`. The other threads read `Membership::snapshot`.
+
+mod bundle_hooks;
+mod bundle_task;
+mod config;
+mod context;
+mod digest_cache;
+mod exchange;
+mod gossip;
+mod handlers;
+mod host_view;
+mod join;
+pub mod limits;
+#[expect(clippy::module_inception, reason = "one type a file, under its own name")]
+mod membership;
+mod peer_pool;
+mod snapshot;
+mod suspicion;
+mod sync;
+mod tables;
+mod task;
+mod wake;
+
+pub use bundle_hooks::BundleHooks;
+pub use config::{Clock, MembershipConfig};
+pub use context::MembershipContext;
+pub use handlers::install_handlers;
+pub use host_view::HostView;
+pub use membership::Membership;
+pub use peer_pool::PeerPool;
+pub use snapshot::MembershipSnapshot;
+pub use task::run_membership;
--- /dev/null
+++ b/crates/host/src/membership/suspicion.rs
@@ -0,0 +1,67 @@
+//! What happens when a peer misses a probe.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::context::TaskContext;
+use super::gossip::{exchange, random_peers};
+use super::limits::{INDIRECT_PEERS, INDIRECT_TIMEOUT};
+use futures_util::future::join_all;
+use masticstair_core::unit::Timestamp;
+use masticstair_net::peer::ProbeRequest;
+use masticstair_policy::membership::limits::SUSPECT_AFTER;
+use masticstair_policy::membership::{HostRecord, HostState, NewsKey};
+use monoio::time::sleep;
+
+/// Probes a peer that missed a probe through others and once more directly, and suspects it when no probe
+/// is answered. The peer gets no other probes meanwhile, so that one failed host counts once against the
+/// health of this one.
+pub(crate) async fn probe_through_others(cx: &TaskContext, peer: &Arc<HostRecord>) {
+    let begun = cx.membership.with_tables(|tables, now| {
+        if !tables.in_doubt.insert(peer.host.clone()) {
+            return None;
+        }
+        if peer.state == HostState::Alive {
+            tables.members.health.note(false);
+        }
+        Some(now)
+    });
+    let Some(begun) = begun else { return };
+    let start = Instant::now();
+    if !any_probe_answered(cx, peer).await {
+        sleep(SUSPECT_AFTER.saturating_sub(start.elapsed())).await;
+        suspect_unless_heard(cx, peer, begun);
+    }
+    cx.membership.with_tables(|tables, _| tables.in_doubt.remove(&peer.host));
+}
+
+async fn any_probe_answered(cx: &TaskContext, peer: &Arc<HostRecord>) -> bool {
+    let helpers = random_peers(cx, INDIRECT_PEERS, |r| r.host != peer.host);
+    let indirect = helpers.into_iter().map(|helper| {
+        let client = cx.peers.client(&helper);
+        let request = ProbeRequest { host: peer.host.clone(), budget: INDIRECT_TIMEOUT };
+        async move { client.probe(request).await.unwrap_or(false) }
+    });
+    let client = cx.peers.client(peer);
+    // The first miss may have been a dead connection, which is replaced by now.
+    let direct = exchange(cx, &peer.host, &client);
+    let (indirect, direct) = futures_util::join!(join_all(indirect), direct);
+    direct.is_ok() || indirect.contains(&true)
+}
+
+fn suspect_unless_heard(cx: &TaskContext, peer: &HostRecord, begun: Timestamp) {
+    let suspected = cx.membership.with_tables(|tables, now| {
+        let member = tables.members.get(&peer.host);
+        let heard = member.and_then(|m| m.heard).is_some_and(|heard| heard > begun);
+        let same = member.is_some_and(|m| *m.record == *peer);
+        if heard || !same || !tables.members.suspect(now, &peer.host) {
+            return false;
+        }
+        tables.originate(NewsKey::Host(peer.host.clone()));
+        true
+    });
+    if suspected {
+        slog::info!(cx.log, "host is suspected"; "host" => %peer.host);
+        cx.membership.changed.notify();
+    }
+}
--- /dev/null
+++ b/crates/host/src/membership/sync.rs
@@ -0,0 +1,93 @@
+//! Anti-entropy: compares the tables of two hosts and exchanges what differs.
+
+use super::context::TaskContext;
+use super::exchange::{absorb, add_wanted, header};
+use super::gossip::notify;
+use super::limits::{RECORDS_PER_MESSAGE, SYNC_TIMEOUT};
+use masticstair_core::id::HostId;
+use masticstair_net::peer::{PeerClient, PeerError};
+use masticstair_policy::membership::{GossipMessage, RecordKey, digest};
+
+/// The most comparisons with one peer in a row; each ends with equal tables unless records change.
+const MAX_ROUNDS: usize = 4;
+
+/// Compares tables with a peer until they are equal, and returns the peer. `None` as host means that only
+/// its address was known.
+pub(crate) async fn synchronize(
+    cx: &TaskContext,
+    client: &PeerClient,
+    spread: bool,
+) -> Result<HostId, PeerError> {
+    let mut peer = None;
+    for _ in 0..MAX_ROUNDS {
+        let (request, own) = begin(cx);
+        let mut reply = client.gossip(request, SYNC_TIMEOUT).await?;
+        let host = match client.connected() {
+            Some(identity) => identity.host,
+            None => return Err(PeerError::Lost { address: client.address() }),
+        };
+        peer = Some(host.clone());
+        take(cx, &host, &mut reply, spread);
+        let difference = compare(cx, &own, &reply);
+        if difference == digest::Difference::default() {
+            break;
+        }
+        transfer(cx, client, &host, difference, spread).await?;
+    }
+    notify(cx);
+    peer.ok_or(PeerError::Lost { address: client.address() })
+}
+
+/// Makes the first message: the digest, and the record of this host.
+fn begin(cx: &TaskContext) -> (GossipMessage, Vec<u32>) {
+    cx.membership.with_tables(|tables, now| {
+        let mut message = header(tables, now);
+        let (records, _) = tables.digest.get(now, &tables.members, &tables.endpoints);
+        message.buckets = digest::buckets(records, digest::bucket_count(records.len()));
+        let local = tables.members.get(tables.members.local());
+        message.hosts.extend(local.map(|m| (*m.record).clone()));
+        let buckets = message.buckets.clone();
+        (message, buckets)
+    })
+}
+
+fn compare(cx: &TaskContext, own: &[u32], reply: &GossipMessage) -> digest::Difference {
+    if reply.buckets.is_empty() {
+        return digest::Difference::default();
+    }
+    cx.membership.with_tables(|tables, now| {
+        let (records, _) = tables.digest.get(now, &tables.members, &tables.endpoints);
+        let records = digest::differing(records, own, &reply.buckets, usize::MAX);
+        digest::compare(&records, &reply.summaries)
+    })
+}
+
+/// Sends the records that the peer lacks and gets those that this host lacks, in bounded messages.
+async fn transfer(
+    cx: &TaskContext,
+    client: &PeerClient,
+    host: &HostId,
+    difference: digest::Difference,
+    spread: bool,
+) -> Result<(), PeerError> {
+    let mut wants = difference.wants.chunks(RECORDS_PER_MESSAGE);
+    let mut offers = difference.offers.chunks(RECORDS_PER_MESSAGE);
+    loop {
+        let (wants, offers) = (wants.next(), offers.next());
+        if wants.is_none() && offers.is_none() {
+            return Ok(());
+        }
+        let message = cx.membership.with_tables(|tables, now| {
+            let mut message = header(tables, now);
+            add_wanted(tables, &mut message, offers.unwrap_or_default());
+            message.wants = wants.map(<[RecordKey]>::to_vec).unwrap_or_default();
+            message
+        });
+        let mut reply = client.gossip(message, SYNC_TIMEOUT).await?;
+        take(cx, host, &mut reply, spread);
+    }
+}
+
+fn take(cx: &TaskContext, host: &HostId, reply: &mut GossipMessage, spread: bool) {
+    cx.membership.with_tables(|tables, now| absorb(tables, now, host, reply, spread));
+}
--- /dev/null
+++ b/crates/host/tests/membership/endpoints.rs
@@ -0,0 +1,127 @@
+//! Which endpoints get work.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::cluster::{TestHost, announcement, cluster, within};
+use crate::link::LinkMode;
+use futures_util::future::{AbortHandle, Abortable};
+use masticstair_core::id::Incarnation;
+use masticstair_net::runtime::block_on;
+use masticstair_policy::endpoint_table::limits::RENEWAL;
+use monoio::time::sleep;
+
+/// The time in which a change must be known everywhere.
+const SPREAD: Duration = Duration::from_secs(2);
+
+/// Renews an endpoint at a host until it is aborted.
+fn renew(host: &TestHost, endpoint: &'static str, incarnation: u64) -> AbortHandle {
+    let membership = host.membership.clone();
+    let (handle, registration) = AbortHandle::new_pair();
+    monoio::spawn(Abortable::new(
+        async move {
+            loop {
+                membership.announce(announcement(endpoint, incarnation)).unwrap();
+                sleep(RENEWAL).await;
+            }
+        },
+        registration,
+    ));
+    handle
+}
+
+/// Guards against an endpoint that still gets work 2 s after it left or its lease ended, from any host.
+#[test]
+fn endpoint_gets_no_work_2_s_after_its_end() {
+    struct Case {
+        name: &'static str,
+        end: fn(&TestHost, u64),
+        /// The time from the end of the renewals to the end of the endpoint.
+        lease: Duration,
+    }
+    let cases = [
+        Case {
+            name: "leave",
+            end: |host, incarnation| {
+                let id = "e".parse().unwrap();
+                host.membership.leave_endpoint(&id, Incarnation::new(incarnation)).unwrap();
+            },
+            lease: Duration::ZERO,
+        },
+        Case {
+            name: "announces that it leaves",
+            end: |host, incarnation| {
+                let mut leaving = announcement("e", incarnation);
+                leaving.leaving = true;
+                host.membership.announce(leaving).unwrap();
+            },
+            lease: Duration::ZERO,
+        },
+        Case { name: "silence", end: |_, _| {}, lease: Duration::from_millis(1_500) },
+    ];
+    block_on(async {
+        let hosts = cluster(8).await;
+        for (i, case) in cases.iter().enumerate() {
+            // A new life for each case; the earlier ones are over.
+            let incarnation = i as u64 + 1;
+            let renewing = renew(&hosts[i], "e", incarnation);
+            within(SPREAD, case.name, || hosts.iter().all(|h| h.routes_to("e"))).await;
+            // The lease is kept by renewals, without changes.
+            sleep(Duration::from_secs(2)).await;
+            assert!(hosts.iter().all(|h| h.routes_to("e")), "{}: lost the lease", case.name);
+            renewing.abort();
+            (case.end)(&hosts[i], incarnation);
+            within(case.lease + SPREAD, case.name, || hosts.iter().all(|h| !h.routes_to("e")))
+                .await;
+        }
+    })
+    .unwrap();
+}
+
+/// Guards against an endpoint that is lost with its observer although it announces itself elsewhere, and
+/// against one that stays although it died with its observer.
+#[test]
+fn endpoint_survives_its_observer_by_announcing_itself_elsewhere() {
+    block_on(async {
+        let mut hosts = cluster(8).await;
+        let mut observer = hosts.pop().unwrap();
+        let (moves, dies) = (renew(&observer, "moves", 1), renew(&observer, "dies", 1));
+        within(SPREAD, "both are known", || {
+            hosts.iter().all(|h| h.routes_to("moves") && h.routes_to("dies"))
+        })
+        .await;
+        observer.kill();
+        dies.abort();
+        moves.abort();
+        let _moved = renew(&hosts[0], "moves", 1);
+        let hosts = Rc::new(hosts);
+        // 3 s until the observer failed, 2 s of grace, and the spread.
+        let limit = Duration::from_millis(7_500);
+        within(limit, "the dead one is gone, the other is there", || {
+            assert!(hosts.iter().all(|h| h.routes_to("moves")), "an endpoint was lost");
+            hosts.iter().all(|h| !h.routes_to("dies"))
+        })
+        .await;
+    })
+    .unwrap();
+}
+
+/// Guards against routing that trusts what a silent observer said.
+#[test]
+fn endpoints_of_a_suspected_observer_are_not_confirmed() {
+    block_on(async {
+        let mut hosts = cluster(8).await;
+        let observer = hosts.pop().unwrap();
+        let _renewing = renew(&observer, "e", 1);
+        within(SPREAD, "it is known", || hosts.iter().all(|h| h.routes_to("e"))).await;
+        observer.link.set(LinkMode::Silent);
+        hosts.iter().for_each(|h| h.link.set(LinkMode::Delay(Duration::from_secs(1))));
+        within(Duration::from_secs(4), "one host does not confirm it", || {
+            let unconfirmed =
+                |h: &TestHost| h.membership.snapshot().endpoints.iter().any(|e| !e.confirmed);
+            hosts.iter().any(unconfirmed)
+        })
+        .await;
+    })
+    .unwrap();
+}
--- /dev/null
+++ b/crates/host/tests/membership/hosts.rs
@@ -0,0 +1,180 @@
+//! Which hosts are live.
+
+use std::time::Duration;
+
+use crate::cluster::{cluster, within};
+use crate::link::{Link, LinkMode};
+use masticstair_core::id::Incarnation;
+use masticstair_host::membership::limits::{GOSSIP_INTERVAL, HEAL_INTERVAL, PROBE_TIMEOUT};
+use masticstair_net::runtime::block_on;
+use masticstair_policy::membership::Refutation;
+use masticstair_policy::membership::limits::{SUSPECT_AFTER, SUSPICION};
+use monoio::time::sleep;
+
+/// Guards against a host that stays live after its death, or whose restart is not noticed.
+#[test]
+fn killed_host_fails_and_comes_back_with_a_higher_incarnation() {
+    block_on(async {
+        let mut hosts = cluster(8).await;
+        let mut victim = hosts.pop().unwrap();
+        victim.kill();
+        // 3 s after the first missed probe, which takes some intervals, and the spread of the news.
+        let gone = within(Duration::from_millis(4_500), "the host failed everywhere", || {
+            hosts.iter().all(|h| !h.sees(&victim.id))
+        })
+        .await;
+        assert!(gone >= Duration::from_secs(2), "failed after only {gone:?}");
+        let seeds = [hosts[0].link.address];
+        let restarted = victim.restart(2, &seeds);
+        within(Duration::from_secs(2), "the host is back everywhere", || {
+            let back = |h: &crate::cluster::TestHost| {
+                h.membership.snapshot().is_live(&victim.id, Incarnation::new(2))
+            };
+            hosts.iter().all(back) && restarted.live() == 8
+        })
+        .await;
+    })
+    .unwrap();
+}
+
+/// Guards against restarts that are only noticed after the failure of the earlier life.
+#[test]
+fn quick_restart_replaces_the_earlier_life() {
+    block_on(async {
+        let mut hosts = cluster(4).await;
+        let mut victim = hosts.pop().unwrap();
+        victim.kill();
+        sleep(Duration::from_millis(50)).await;
+        let restarted = victim.restart(2, &[hosts[0].link.address]);
+        within(Duration::from_secs(2), "the new life is known everywhere", || {
+            let alive = |h: &crate::cluster::TestHost| {
+                let snapshot = h.membership.snapshot();
+                snapshot.is_live(&victim.id, Incarnation::new(2))
+                    && !snapshot.is_live(&victim.id, Incarnation::new(1))
+            };
+            hosts.iter().all(alive) && restarted.live() == 4
+        })
+        .await;
+    })
+    .unwrap();
+}
+
+/// Guards against live hosts that are declared failed because of a fault of one link.
+#[test]
+fn live_hosts_survive_link_faults() {
+    struct Case {
+        name: &'static str,
+        fault: fn(&Link),
+        /// How long the fault lasts.
+        lasts: Duration,
+        /// Whether some host suspects the other one, which then refutes that.
+        suspected: bool,
+    }
+    let cases = [
+        Case {
+            name: "open connections dead",
+            fault: Link::kill_open_connections,
+            lasts: Duration::from_secs(4),
+            suspected: false,
+        },
+        Case {
+            name: "requests to the host cut",
+            fault: |link| link.set(LinkMode::CutForward),
+            lasts: Duration::from_secs(8),
+            suspected: true,
+        },
+        Case {
+            name: "answers of the host cut",
+            fault: |link| link.set(LinkMode::CutBackward),
+            lasts: Duration::from_secs(8),
+            suspected: true,
+        },
+        Case {
+            name: "slow link",
+            fault: |link| link.set(LinkMode::Delay(Duration::from_millis(100))),
+            lasts: Duration::from_secs(4),
+            suspected: false,
+        },
+        Case {
+            name: "silent for less than the suspicion",
+            fault: |link| link.set(LinkMode::Silent),
+            lasts: Duration::from_millis(1_500),
+            suspected: false,
+        },
+    ];
+    block_on(async {
+        for case in cases {
+            let hosts = cluster(8).await;
+            (case.fault)(&hosts[3].link);
+            let start = std::time::Instant::now();
+            while start.elapsed() < case.lasts {
+                let live: Vec<_> = hosts.iter().map(|h| h.live()).collect();
+                assert!(live.iter().all(|n| *n == 8), "{}: {live:?}", case.name);
+                sleep(Duration::from_millis(20)).await;
+            }
+            let refuted = hosts[3].membership.snapshot().hosts.iter().any(|h| {
+                h.record.host == hosts[3].id && h.record.refutation > Refutation::default()
+            });
+            if case.suspected {
+                assert!(refuted, "{}: no suspicion to refute", case.name);
+            }
+        }
+    })
+    .unwrap();
+}
+
+/// Guards against hosts that stay failed after their links work again.
+#[test]
+fn isolated_hosts_fail_and_refute_that_when_they_are_heard_again() {
+    block_on(async {
+        let hosts = cluster(8).await;
+        hosts.iter().for_each(|h| h.link.set(LinkMode::Silent));
+        // Each host probes its 7 peers in turn, and may have to go through them twice to reach the last.
+        // Hosts that miss all probes take four times as long for the 2 s of the suspicion.
+        let probed = GOSSIP_INTERVAL * 14 + PROBE_TIMEOUT;
+        let limit = probed + SUSPECT_AFTER + SUSPICION * 4 + Duration::from_secs(1);
+        within(limit, "all are alone", || hosts.iter().all(|h| h.live() == 1)).await;
+        hosts.iter().for_each(|h| h.link.set(LinkMode::Pass));
+        // Each host tries a lost one every 5 s; then the news spreads.
+        within(HEAL_INTERVAL * 2 + Duration::from_secs(2), "all see all again", || {
+            hosts.iter().all(|h| h.live() == 8)
+        })
+        .await;
+        for host in &hosts {
+            let snapshot = host.membership.snapshot();
+            assert!(snapshot.is_live(&host.id, Incarnation::new(1)), "the life did not end");
+            assert_eq!(snapshot.superseded, None);
+        }
+    })
+    .unwrap();
+}
+
+/// Guards against hosts that give work to one that has left.
+#[test]
+fn leave_spreads_within_2_s() {
+    block_on(async {
+        let mut hosts = cluster(8).await;
+        let mut leaving = hosts.pop().unwrap();
+        leaving.leave();
+        within(Duration::from_secs(2), "the host left everywhere", || {
+            hosts.iter().all(|h| !h.sees(&leaving.id))
+        })
+        .await;
+    })
+    .unwrap();
+}
+
+/// Guards against a process that goes on under the name of another.
+#[test]
+fn process_with_an_outdated_incarnation_is_told() {
+    block_on(async {
+        let hosts = cluster(3).await;
+        let newer = hosts[2].restart_elsewhere(5, &[hosts[0].link.address]);
+        within(Duration::from_secs(3), "the outdated process knows", || {
+            hosts[2].membership.snapshot().superseded == Some(Incarnation::new(5))
+        })
+        .await;
+        assert_eq!(newer.membership.snapshot().superseded, None);
+    })
+    .unwrap();
+}
--- a/crates/net/src/peer/wire/gossip.rs
+++ b/crates/net/src/peer/wire/gossip.rs
@@ -7,14 +7,14 @@
 use crate::peer::limits::{BUCKETS_LIMIT, GOSSIP_RECORDS_LIMIT, SUMMARIES_LIMIT};
 use masticstair_core::id::Revision;
 use masticstair_policy::endpoint_table::LoadReport;
-use masticstair_policy::membership::{GossipMessage, RecordKey, RecordSummary};
+use masticstair_policy::membership::{GossipMessage, RecordKey, RecordMark, RecordSummary};
 
 /// Writes a gossip message.
 pub(crate) fn write(mut out: gossip_message::Builder<'_>, message: &GossipMessage) {
     out.set_revision(message.revision.get());
     out.set_table_hash(message.table_hash);
     write_records(out.reborrow(), message);
-    write_digest(out, message);
+    write_marks(out, message);
 }
 
 /// Reads a gossip message.
@@ -22,12 +22,15 @@
     let (hosts, endpoints) = (message.get_hosts()?, message.get_endpoints()?);
     let (loads, buckets) = (message.get_loads()?, message.get_buckets()?);
     let (summaries, wants) = (message.get_summaries()?, message.get_wants()?);
+    let (news, asks) = (message.get_news()?, message.get_asks()?);
     check_count("hosts", hosts.len(), GOSSIP_RECORDS_LIMIT)?;
     check_count("endpoints", endpoints.len(), GOSSIP_RECORDS_LIMIT)?;
     check_count("loads", loads.len(), GOSSIP_RECORDS_LIMIT)?;
     check_count("buckets", buckets.len(), BUCKETS_LIMIT)?;
     check_count("summaries", summaries.len(), SUMMARIES_LIMIT)?;
     check_count("wants", wants.len(), SUMMARIES_LIMIT)?;
+    check_count("news", news.len(), SUMMARIES_LIMIT)?;
+    check_count("asks", asks.len(), SUMMARIES_LIMIT)?;
     if !buckets.is_empty() && !buckets.len().is_power_of_two() {
         let reason = format_args!("{} buckets (a power of two is allowed)", buckets.len());
         return Err(DecodeError::value("buckets", reason));
@@ -44,6 +47,8 @@
             .map(|s| RecordSummary { key: RecordKey::new(s.get_key()), version: s.get_version() })
             .collect(),
         wants: wants.iter().map(RecordKey::new).collect(),
+        news: news.iter().map(RecordMark::new).collect(),
+        asks: asks.iter().map(RecordMark::new).collect(),
     })
 }
 
@@ -71,7 +76,7 @@
     }
 }
 
-fn write_digest(mut out: gossip_message::Builder<'_>, message: &GossipMessage) {
+fn write_marks(mut out: gossip_message::Builder<'_>, message: &GossipMessage) {
     if !message.buckets.is_empty() {
         let mut buckets = out.reborrow().init_buckets(message.buckets.len() as u32);
         for (i, hash) in message.buckets.iter().enumerate() {
@@ -87,11 +92,23 @@
         }
     }
     if !message.wants.is_empty() {
-        let mut wants = out.init_wants(message.wants.len() as u32);
+        let mut wants = out.reborrow().init_wants(message.wants.len() as u32);
         for (i, key) in message.wants.iter().enumerate() {
             wants.set(i as u32, key.get());
         }
     }
+    if !message.news.is_empty() {
+        let mut news = out.reborrow().init_news(message.news.len() as u32);
+        for (i, mark) in message.news.iter().enumerate() {
+            news.set(i as u32, mark.get());
+        }
+    }
+    if !message.asks.is_empty() {
+        let mut asks = out.init_asks(message.asks.len() as u32);
+        for (i, mark) in message.asks.iter().enumerate() {
+            asks.set(i as u32, mark.get());
+        }
+    }
 }
 
 fn read_load(
--- a/crates/net/src/peer/wire/tests.rs
+++ b/crates/net/src/peer/wire/tests.rs
@@ -55,6 +55,8 @@
         buckets: vec![1, 2, 3, 4],
         summaries: vec![RecordSummary { key: RecordKey::new(5), version: 6 }],
         wants: vec![RecordKey::new(7)],
+        news: vec![RecordMark::new(8)],
+        asks: vec![RecordMark::new(9)],
     }
 }
 
--- a/crates/policy/src/membership/gossip_message.rs
+++ b/crates/policy/src/membership/gossip_message.rs
@@ -1,4 +1,4 @@
-use super::{HostRecord, RecordKey, RecordSummary};
+use super::{HostRecord, RecordKey, RecordMark, RecordSummary};
 use crate::endpoint_table::{EndpointRecord, LoadReport};
 use masticstair_core::id::Revision;
 
@@ -15,6 +15,10 @@
     pub endpoints: Vec<EndpointRecord>,
     /// Coarse load of endpoints that the sender observes.
     pub loads: Vec<LoadReport>,
+    /// Recent changes that the sender knows.
+    pub news: Vec<RecordMark>,
+    /// Recent changes that the sender asks for.
+    pub asks: Vec<RecordMark>,
     /// Hashes of the sender's records by bucket; empty or a power of two of entries.
     pub buckets: Vec<u32>,
     /// The sender's records in the buckets that differ.
--- a/crates/policy/src/membership/mod.rs
+++ b/crates/policy/src/membership/mod.rs
@@ -11,7 +11,9 @@
 mod news_key;
 mod news_queue;
 mod probe_health;
+mod probe_order;
 mod record_key;
+mod record_mark;
 mod record_summary;
 mod refutation;
 
@@ -22,10 +24,12 @@
 pub use member_table::MemberTable;
 pub use merge_outcome::MergeOutcome;
 pub use news_key::NewsKey;
-pub use news_queue::NewsQueue;
+pub use news_queue::{DueNews, NewsQueue};
 pub use probe_health::ProbeHealth;
+pub use probe_order::ProbeOrder;
 pub use record_key::RecordKey;
 pub(crate) use record_key::version_hash;
+pub use record_mark::RecordMark;
 pub use record_summary::RecordSummary;
 pub use refutation::Refutation;
 
--- a/crates/policy/src/membership/news_queue.rs
+++ b/crates/policy/src/membership/news_queue.rs
@@ -3,7 +3,14 @@
 use super::NewsKey;
 use masticstair_core::id::HostId;
 
-/// Changes that a host still passes on, each about log2 of the number of hosts times.
+/// Messages that carry a change beyond log2 of the number of hosts. Without them, a host would be passed
+/// over by a change about once in 50 changes.
+const EXTRA_TRANSMISSIONS: u32 = 3;
+
+/// Messages in which the origin of a change sends the record itself; nobody can know it before.
+const EAGER_TRANSMISSIONS: u32 = 4;
+
+/// Recent changes that a host passes on in the messages that it begins.
 #[derive(Clone, Debug, Default)]
 pub struct NewsQueue {
     news: BTreeMap<NewsKey, News>,
@@ -11,54 +18,55 @@
 
 #[derive(Clone, Debug, Default)]
 struct News {
-    /// How often the change was sent, or received again from a host that had it already.
+    /// Messages that carried the change.
     sent: u32,
-    /// The host that it came from, which needs no copy.
+    /// The host that it came from; none when this host made the change.
     from: Option<HostId>,
 }
 
+/// A change for a message.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DueNews {
+    /// The record.
+    pub key: NewsKey,
+    /// Whether the record itself goes into the message, and not only its mark.
+    pub eager: bool,
+}
+
 impl NewsQueue {
     /// Adds a change, or begins again when the record changed once more.
     pub fn push(&mut self, key: NewsKey, from: Option<HostId>) {
         self.news.insert(key, News { sent: 0, from });
     }
 
-    /// Notes that another host already has a change. That counts as a transmission, because the change
-    /// is then widely known: Demers et al., "Epidemic Algorithms for Replicated Database Maintenance"
-    /// (1987), feedback and counter.
-    pub fn note_known(&mut self, key: &NewsKey) {
+    /// Returns the changes that concern a host, the least sent first, at most `limit`.
+    pub fn due(&self, to: &HostId, limit: usize) -> Vec<DueNews> {
+        let mut due: Vec<_> =
+            self.news.iter().filter(|(_, news)| news.from.as_ref() != Some(to)).collect();
+        due.sort_by_key(|(_, news)| news.sent);
+        due.truncate(limit);
+        let eager = |news: &News| news.from.is_none() && news.sent < EAGER_TRANSMISSIONS;
+        due.into_iter()
+            .map(|(key, news)| DueNews { key: key.clone(), eager: eager(news) })
+            .collect()
+    }
+
+    /// Notes that a message of this host carried a change.
+    pub fn note_sent(&mut self, key: &NewsKey) {
         if let Some(news) = self.news.get_mut(key) {
             news.sent += 1;
         }
     }
 
-    /// Takes the changes for a message to a host, the least sent first, while `fits` accepts them.
-    pub fn take(
-        &mut self,
-        to: &HostId,
-        hosts: usize,
-        mut fits: impl FnMut(&NewsKey) -> bool,
-    ) -> Vec<NewsKey> {
+    /// Forgets the changes that were sent often enough among this many hosts.
+    pub fn prune(&mut self, hosts: usize) {
         let limit = Self::transmissions(hosts);
         self.news.retain(|_, news| news.sent < limit);
-        let mut due: Vec<(u32, NewsKey)> = self
-            .news
-            .iter()
-            .filter(|(_, news)| news.from.as_ref() != Some(to))
-            .map(|(key, news)| (news.sent, key.clone()))
-            .collect();
-        due.sort();
-        let taken: Vec<NewsKey> =
-            due.into_iter().map(|(_, key)| key).take_while(|key| fits(key)).collect();
-        for key in &taken {
-            self.note_known(key);
-        }
-        taken
     }
 
-    /// Returns how many changes are still passed on.
-    pub fn len(&self) -> usize {
-        self.news.len()
+    /// Returns the recent changes.
+    pub fn keys(&self) -> impl Iterator<Item = &NewsKey> {
+        self.news.keys()
     }
 
     /// Tells whether no change is passed on.
@@ -66,8 +74,8 @@
         self.news.is_empty()
     }
 
-    /// Returns how often a change is passed on among this many hosts: log2, rounded up, and one more.
+    /// Returns how many messages carry a change among this many hosts.
     pub fn transmissions(hosts: usize) -> u32 {
-        hosts.max(1).next_power_of_two().ilog2() + 1
+        hosts.max(1).next_power_of_two().ilog2() + EXTRA_TRANSMISSIONS
     }
 }
--- /dev/null
+++ b/crates/policy/src/membership/probe_order.rs
@@ -0,0 +1,43 @@
+use std::collections::BTreeSet;
+
+use masticstair_core::id::HostId;
+use masticstair_core::unit::Draw;
+
+/// The order in which a host probes its peers: each once in a random order, then in another one.
+///
+/// Every peer is probed within twice the number of peers; with independent random choices there is no such
+/// bound. Source: SWIM, section 4.3.
+#[derive(Clone, Debug, Default)]
+pub struct ProbeOrder {
+    /// The peers of this turn that are still to come, the next one last.
+    rest: Vec<HostId>,
+}
+
+impl ProbeOrder {
+    /// Returns the next of the `wanted` peers. Peers that are not wanted lose their place in this turn.
+    pub fn next(
+        &mut self,
+        wanted: &BTreeSet<HostId>,
+        mut draw: impl FnMut() -> Draw,
+    ) -> Option<HostId> {
+        if wanted.is_empty() {
+            return None;
+        }
+        loop {
+            match self.rest.pop() {
+                Some(host) if wanted.contains(&host) => return Some(host),
+                Some(_) => {}
+                None => self.rest = shuffled(wanted, &mut draw),
+            }
+        }
+    }
+}
+
+fn shuffled(hosts: &BTreeSet<HostId>, draw: &mut impl FnMut() -> Draw) -> Vec<HostId> {
+    let mut hosts: Vec<_> = hosts.iter().cloned().collect();
+    for i in (1..hosts.len()).rev() {
+        let other = (draw().fraction() * (i + 1) as f64) as usize;
+        hosts.swap(i, other.min(i));
+    }
+    hosts
+}
--- /dev/null
+++ b/crates/policy/src/membership/record_mark.rs
@@ -0,0 +1,26 @@
+use std::fmt;
+
+/// One version of one record, in 4 bytes.
+///
+/// Two versions with one mark only delay the spread of one of them until the next comparison of digests,
+/// which uses other hashes.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RecordMark(u32);
+
+impl RecordMark {
+    /// Wraps a raw value.
+    pub const fn new(value: u32) -> Self {
+        Self(value)
+    }
+
+    /// Returns the raw value.
+    pub const fn get(self) -> u32 {
+        self.0
+    }
+}
+
+impl fmt::Display for RecordMark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
--- a/crates/policy/src/membership/record_summary.rs
+++ b/crates/policy/src/membership/record_summary.rs
@@ -1,4 +1,4 @@
-use super::RecordKey;
+use super::{RecordKey, RecordMark};
 
 /// A record in a digest.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -8,3 +8,11 @@
     /// Hash of its version.
     pub version: u32,
 }
+
+impl RecordSummary {
+    /// Returns the mark of this version of the record.
+    pub fn mark(&self) -> RecordMark {
+        let hash = self.key.get() ^ u64::from(self.version).rotate_left(16);
+        RecordMark::new((hash ^ hash >> 32) as u32)
+    }
+}
