--- a/crates/host/src/membership/exchange.rs
+++ b/crates/host/src/membership/exchange.rs
@@ -1,28 +1,30 @@
 //! Makes and reads gossip messages. These functions only touch the tables; the tasks send the messages.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 
-use super::limits::{RECORDS_PER_MESSAGE, load_reports};
+use super::limits::{MARKS_PER_MESSAGE, RECORDS_PER_MESSAGE, load_reports};
 use super::tables::Tables;
 use masticstair_core::id::HostId;
 use masticstair_core::unit::Timestamp;
 use masticstair_net::peer::PeerIdentity;
 use masticstair_net::peer::limits::SUMMARIES_LIMIT;
 use masticstair_policy::endpoint_table::{EndpointRecord, LoadReport};
-use masticstair_policy::membership::{GossipMessage, HostState, NewsKey, RecordKey, digest};
+use masticstair_policy::membership::{
+    GossipMessage, HostState, NewsKey, RecordKey, RecordMark, digest,
+};
 
-/// Makes a message with the changes that a host passes on to another.
+/// Makes a request: the marks of recent changes, and the records of those that this host made.
 pub(crate) fn compose(tables: &mut Tables, now: Timestamp, to: &HostId) -> GossipMessage {
-    let mut message = header(tables, now);
     let hosts = tables.members.live_count();
-    let mut room = RECORDS_PER_MESSAGE;
-    let keys = tables.news.take(to, hosts, |_| {
-        let fits = room > 0;
-        room = room.saturating_sub(1);
-        fits
-    });
-    for key in &keys {
-        add_record(tables, &mut message, key);
+    tables.news.prune(hosts);
+    let mut message = header(tables, now);
+    for due in tables.news.due(to, MARKS_PER_MESSAGE) {
+        if due.eager && records_of(&message) < RECORDS_PER_MESSAGE {
+            add_record(tables, &mut message, &due.key);
+        } else {
+            message.news.extend(mark(tables, &due.key));
+        }
+        tables.news.note_sent(&due.key);
     }
     add_objection(tables, &mut message, to);
     message.loads = loads(tables, load_reports(hosts));
@@ -52,9 +54,8 @@
         if tables.merge_host(now, record.clone(), from, spread) {
             continue;
         }
-        match known {
-            Some(known) if known.supersedes(&record) => older.push(key),
-            _ => tables.news.note_known(&key),
+        if known.is_some_and(|known| known.supersedes(&record)) {
+            older.push(key);
         }
     }
     for record in std::mem::take(&mut message.endpoints) {
@@ -74,29 +75,49 @@
     older
 }
 
-/// Merges a request and makes its answer.
+/// Merges a request and makes its answer: recent changes that the caller does not name, and questions for
+/// those that this host does not know.
 pub(crate) fn answer(
     tables: &mut Tables,
     now: Timestamp,
     caller: &PeerIdentity,
     mut request: GossipMessage,
 ) -> GossipMessage {
+    let sent = keys_of(&request);
     let older = absorb(tables, now, &caller.host, &mut request, true);
-    let mut reply = compose(tables, now, &caller.host);
+    let mut reply = header(tables, now);
     for key in &older {
         add_record(tables, &mut reply, key);
     }
-    add_wanted(tables, &mut reply, &request.wants);
-    let known = tables.members.get(&caller.host).map(|m| m.record.incarnation);
-    if known.is_none_or(|known| known < caller.incarnation) {
-        reply.wants.push(RecordKey::of_host(caller.host.as_str()));
+    let known: HashSet<RecordMark> = request.news.iter().copied().collect();
+    for due in tables.news.due(&caller.host, MARKS_PER_MESSAGE) {
+        let named = mark(tables, &due.key).is_none_or(|mark| known.contains(&mark));
+        if !named && !sent.contains(&due.key) && records_of(&reply) < RECORDS_PER_MESSAGE {
+            add_record(tables, &mut reply, &due.key);
+        }
     }
+    let news = request.news.iter().copied();
+    reply.asks = news.filter(|m| !tables.digest.contains(*m)).take(RECORDS_PER_MESSAGE).collect();
+    add_objection(tables, &mut reply, &caller.host);
+    add_wanted(tables, &mut reply, &request.wants);
+    answer_identity(tables, &mut reply, caller);
+    reply.loads = loads(tables, load_reports(tables.members.live_count()));
     if !request.buckets.is_empty() {
         answer_digest(tables, now, &request, &mut reply);
     }
     reply
 }
 
+/// Adds the recent changes that a peer asks for.
+pub(crate) fn add_asked(tables: &Tables, message: &mut GossipMessage, asks: &[RecordMark]) {
+    let keys: Vec<NewsKey> = tables.news.keys().cloned().collect();
+    for key in keys {
+        if mark(tables, &key).is_some_and(|mark| asks.contains(&mark)) {
+            add_record(tables, message, &key);
+        }
+    }
+}
+
 /// Adds the records that a peer asks for.
 pub(crate) fn add_wanted(tables: &Tables, message: &mut GossipMessage, wants: &[RecordKey]) {
     if wants.is_empty() {
@@ -131,9 +152,9 @@
         }
         return;
     }
-    match tables.endpoints.get(&record.id) {
-        Some(known) if known.record.supersedes(&record) => older.push(key),
-        _ => tables.news.note_known(&key),
+    let known = tables.endpoints.get(&record.id);
+    if known.is_some_and(|known| known.record.supersedes(&record)) {
+        older.push(key);
     }
 }
 
@@ -146,6 +167,34 @@
     }
 }
 
+/// Asks a caller that is not known for its record, and tells an earlier life that it was replaced.
+fn answer_identity(tables: &Tables, reply: &mut GossipMessage, caller: &PeerIdentity) {
+    let known = tables.members.get(&caller.host).map(|m| m.record.incarnation);
+    if known.is_none_or(|known| known < caller.incarnation) {
+        reply.wants.push(RecordKey::of_host(caller.host.as_str()));
+    }
+    if known.is_some_and(|known| known > caller.incarnation) {
+        add_record(tables, reply, &NewsKey::Host(caller.host.clone()));
+    }
+}
+
+fn records_of(message: &GossipMessage) -> usize {
+    message.hosts.len() + message.endpoints.len()
+}
+
+fn keys_of(message: &GossipMessage) -> HashSet<NewsKey> {
+    let hosts = message.hosts.iter().map(|r| NewsKey::Host(r.host.clone()));
+    hosts.chain(message.endpoints.iter().map(|r| NewsKey::Endpoint(r.id.clone()))).collect()
+}
+
+fn mark(tables: &Tables, key: &NewsKey) -> Option<RecordMark> {
+    let summary = match key {
+        NewsKey::Host(host) => tables.members.get(host)?.record.summary(),
+        NewsKey::Endpoint(id) => tables.endpoints.get(id)?.record.summary(),
+    };
+    Some(summary.mark())
+}
+
 fn add_record(tables: &Tables, message: &mut GossipMessage, key: &NewsKey) {
     match key {
         NewsKey::Host(host) => {
--- a/crates/host/src/membership/limits.rs
+++ b/crates/host/src/membership/limits.rs
@@ -32,12 +32,21 @@
 /// The most records in one message: about 16 KiB.
 pub const RECORDS_PER_MESSAGE: usize = 64;
 
+/// The most marks in one message: 1 KiB.
+pub const MARKS_PER_MESSAGE: usize = 256;
+
 /// Time without an exchange between equal tables after which a host compares digests.
 pub const DIGEST_AFTER: Duration = Duration::from_secs(3);
 
 /// The shortest time between two comparisons of digests.
 pub const DIGEST_INTERVAL: Duration = Duration::from_secs(10);
 
+/// The same two times while no changes are on their way: the tables then differ because this host was
+/// passed over.
+pub const QUIET_DIGEST_AFTER: Duration = Duration::from_millis(500);
+/// See `QUIET_DIGEST_AFTER`.
+pub const QUIET_DIGEST_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// The time between attempts to reach a seed or a failed host that is not known to be alive.
 pub const HEAL_INTERVAL: Duration = Duration::from_secs(5);
 
--- a/crates/host/src/membership/tables.rs
+++ b/crates/host/src/membership/tables.rs
@@ -1,12 +1,15 @@
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use super::digest_cache::DigestCache;
-use super::limits::{BUNDLE_SOURCES, DIGEST_AFTER, DIGEST_INTERVAL};
+use super::limits::{
+    BUNDLE_SOURCES, DIGEST_AFTER, DIGEST_INTERVAL, QUIET_DIGEST_AFTER, QUIET_DIGEST_INTERVAL,
+};
 use masticstair_core::id::{HostId, Incarnation, Revision};
-use masticstair_core::unit::Timestamp;
+use masticstair_core::unit::{Draw, Timestamp};
 use masticstair_policy::endpoint_table::{EndpointTable, ObserverState};
 use masticstair_policy::membership::{
-    HostRecord, HostState, MemberTable, MergeOutcome, NewsKey, NewsQueue,
+    HostRecord, HostState, MemberTable, MergeOutcome, NewsKey, NewsQueue, ProbeOrder,
 };
 
 /// Everything that a host knows of the deployment; behind the lock of `Membership`.
@@ -36,6 +39,8 @@
     pub(crate) equal_at: Timestamp,
     /// When this host last compared digests.
     pub(crate) compared_at: Timestamp,
+    /// The order of the regular exchanges.
+    pub(crate) order: ProbeOrder,
     /// The next endpoint whose load report is sent.
     pub(crate) load_cursor: usize,
 }
@@ -60,6 +65,7 @@
             in_doubt: BTreeSet::new(),
             equal_at: now,
             compared_at: now,
+            order: ProbeOrder::default(),
             load_cursor: 0,
         }
     }
@@ -147,10 +153,22 @@
         newer
     }
 
+    /// Returns the next peer for a regular exchange; none that is in doubt.
+    pub(crate) fn next_peer(&mut self, draw: impl FnMut() -> Draw) -> Option<Arc<HostRecord>> {
+        let live = self.members.live_peers().map(|m| &m.record.host);
+        let wanted = live.filter(|host| !self.in_doubt.contains(*host)).cloned().collect();
+        let host = self.order.next(&wanted, draw)?;
+        self.members.get(&host).map(|m| m.record.clone())
+    }
+
     /// Tells whether it is time to compare digests, and notes that it is done.
     pub(crate) fn begin_comparison(&mut self, now: Timestamp) -> bool {
-        let due = now.since(self.equal_at) >= DIGEST_AFTER
-            && now.since(self.compared_at) >= DIGEST_INTERVAL;
+        self.news.prune(self.members.live_count());
+        let (after, interval) = match self.news.is_empty() {
+            true => (QUIET_DIGEST_AFTER, QUIET_DIGEST_INTERVAL),
+            false => (DIGEST_AFTER, DIGEST_INTERVAL),
+        };
+        let due = now.since(self.equal_at) >= after && now.since(self.compared_at) >= interval;
         if due {
             self.compared_at = now;
         }
--- a/crates/host/src/membership/task.rs
+++ b/crates/host/src/membership/task.rs
@@ -5,7 +5,7 @@
 use super::MembershipContext;
 use super::bundle_task::run_bundle_task;
 use super::context::TaskContext;
-use super::gossip::{exchange_or_probe, exchange_with_some, random_peers};
+use super::gossip::{exchange_or_probe, exchange_with_some};
 use super::join::{heal, join};
 use super::limits::{
     BURST_INTERVAL, BURST_PEERS, GOSSIP_INTERVAL, HEAL_INTERVAL, LEAVE_PEERS, REVISION_PUSH_PEERS,
@@ -14,6 +14,7 @@
 use futures_util::future::{AbortHandle, Abortable};
 use futures_util::{FutureExt, select};
 use masticstair_core::id::Revision;
+use masticstair_core::unit::Draw;
 use masticstair_policy::membership::NewsKey;
 use monoio::time::sleep_until;
 
@@ -92,10 +93,10 @@
     gossip_once(cx);
 }
 
-/// Exchanges with one random peer that is not in doubt, or compares digests with it.
+/// Exchanges with the next peer, or compares digests with it.
 fn gossip_once(cx: &TaskContext) {
-    let in_doubt = cx.membership.with_tables(|tables, _| tables.in_doubt.clone());
-    let Some(peer) = random_peers(cx, 1, |r| !in_doubt.contains(&r.host)).pop() else { return };
+    let draw = || Draw::new(rand::random());
+    let Some(peer) = cx.membership.with_tables(|tables, _| tables.next_peer(draw)) else { return };
     let cx = cx.clone();
     if cx.membership.with_tables(|tables, now| tables.begin_comparison(now)) {
         monoio::spawn(async move {
--- a/crates/host/src/request/run_once_stage.rs
+++ b/crates/host/src/request/run_once_stage.rs
@@ -2,7 +2,6 @@
 
 use masticstair_core::endpoint_api::{RunResponse, Usage};
 use masticstair_core::prelude::*;
-use masticstair_policy::estimate::CallEnd;
 use masticstair_policy::run_once::{
     CallKey, Claim, Claimant, FoundCall, RecordedAnswer, RunOnceCommand, RunOnceReply,
 };
@@ -131,10 +130,10 @@
     let result = call_whole(cx, &attempt).await;
     let StartedAttempt { target, span, guard } = attempt;
     span.end(&state.log, state.clock.now(), cx.caller.id, target.id.as_str());
-    guard.end(match &result {
-        Ok(answer) => CallEnd::Success(answer.usage.output_tokens),
-        Err(_) => CallEnd::Failure,
-    });
+    match &result {
+        Ok(answer) => guard.succeed(answer.usage),
+        Err(_) => guard.fail(),
+    }
     count_attempt(cx, result.as_ref().ok().map(|answer| answer.usage));
     result
 }
--- a/crates/host/src/request/run_stage.rs
+++ b/crates/host/src/request/run_stage.rs
@@ -3,7 +3,6 @@
 use futures_util::future::{Either, select};
 use masticstair_core::endpoint_api::{RunResponse, Usage};
 use masticstair_core::prelude::*;
-use masticstair_policy::estimate::CallEnd;
 use masticstair_policy::retry::{
     AttemptProgress, AttemptView, ExtraCall, HedgeView, RetryDecision, hedge_delay, next_attempt,
 };
@@ -92,10 +91,10 @@
     let result = call_whole(cx, &attempt).await;
     let StartedAttempt { target, span, guard } = attempt;
     span.end(&state.log, state.clock.now(), cx.caller.id, target.id.as_str());
-    guard.end(match &result {
-        Ok(answer) => CallEnd::Success(answer.usage.output_tokens),
-        Err(_) => CallEnd::Failure,
-    });
+    match &result {
+        Ok(answer) => guard.succeed(answer.usage),
+        Err(_) => guard.fail(),
+    }
     count_attempt(cx, result.as_ref().ok().map(|answer| answer.usage));
     result
 }
--- a/crates/host/src/request/stream_stage.rs
+++ b/crates/host/src/request/stream_stage.rs
@@ -5,7 +5,6 @@
 use masticstair_net::http::client::ClientBody;
 use masticstair_net::http::server::{BodyClosed, BodySender};
 use masticstair_net::http::sse::{SseEvent, SseParser};
-use masticstair_policy::estimate::CallEnd;
 
 use super::answer::AnswerToken;
 use super::attempt::{StartedAttempt, Target, foreign, open_stream, start_attempt};
@@ -56,13 +55,13 @@
         count_attempt(cx, read.as_ref().ok().copied());
         match read {
             Ok(usage) => {
-                guard.end(CallEnd::Success(usage.output_tokens));
+                guard.succeed(usage);
                 span.end(&state.log, state.clock.now(), cx.caller.id, cx.stage.name.as_str());
                 return Ok(usage);
             }
             Err(ReadError::Closed) => return Err(StreamError::Closed),
             Err(ReadError::Attempt(e)) => {
-                guard.end(CallEnd::Failure);
+                guard.fail();
                 let after = decide(cx, &e, tried.len()).map_err(StreamError::Stage)?;
                 monoio::time::sleep(after).await;
             }
--- a/crates/host/src/traffic/call_guard.rs
+++ b/crates/host/src/traffic/call_guard.rs
@@ -1,3 +1,4 @@
+use masticstair_core::endpoint_api::Usage;
 use masticstair_core::prelude::*;
 use masticstair_policy::endpoint_table::EndpointView;
 use masticstair_policy::estimate::{CallEnd, CallNumber, Latency};
@@ -75,26 +76,32 @@
         }
     }
 
-    /// Notes the end of the call.
-    pub fn end(mut self, end: CallEnd) {
-        self.finish(end);
+    /// Notes the whole answer and its cost.
+    pub fn succeed(mut self, usage: Usage) {
+        let stated = Some(usage.engine_us).filter(|t| t.get() > 0);
+        self.finish(CallEnd::Success(usage.output_tokens), stated);
     }
 
-    fn finish(&mut self, end: CallEnd) {
+    /// Notes that the call failed.
+    pub fn fail(mut self) {
+        self.finish(CallEnd::Failure, None);
+    }
+
+    fn finish(&mut self, end: CallEnd, stated: Option<EngineTime>) {
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
         let now = self.traffic.0.clock.now();
         let mut inner = self.traffic.0.inner.lock();
         let Some(pool) = inner.pools.get_mut(&self.key) else { return };
-        if let Some(floor) = pool.finish(now, &self.endpoint, self.number, end) {
-            inner.limit.observe(now, now.since(self.started), floor);
+        if let Some(unloaded) = pool.finish(now, &self.endpoint, self.number, end, stated) {
+            inner.limit.observe(now, now.since(self.started), unloaded);
         }
     }
 }
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
-        self.finish(CallEnd::Abandoned);
+        self.finish(CallEnd::Abandoned, None);
     }
 }
--- a/crates/host/src/traffic/entry.rs
+++ b/crates/host/src/traffic/entry.rs
@@ -86,8 +86,9 @@
         let now = self.0.clock.now();
         let inner = &mut *self.0.inner.lock();
         let class = entry.class;
+        let cost = Cost::new(expected_work(stages).as_micros() as u64);
         let queue = QueueView {
-            account: inner.gate.queue.view(now, entry.account, &entry.limits, class),
+            account: inner.gate.queue.view(now, entry.account, &entry.limits, class, cost),
             limit: inner.limit.limit(class),
             in_flight: inner.limit.in_flight(class),
         };
@@ -95,7 +96,6 @@
             return Err(refusal.into());
         }
         let ticket = inner.gate.next_ticket();
-        let cost = Cost::new(expected_work(stages).as_micros() as u64);
         let request = QueuedRequest { ticket, class, cost, deadline: entry.deadline };
         inner.gate.queue.enqueue(now, entry.account, entry.limits, request)?;
         let woken = inner.gate.wait(ticket, stages.to_vec());
--- a/crates/host/src/traffic/pool_traffic.rs
+++ b/crates/host/src/traffic/pool_traffic.rs
@@ -43,13 +43,15 @@
         Some((choice.position, endpoint.estimate.begin(now, size), latency))
     }
 
-    /// Notes the end of a call. Returns the latency of the endpoint at low load for this size.
+    /// Notes the end of a call. Returns the latency of a successful one without load; `stated` is the time
+    /// that the endpoint says it spent.
     pub(super) fn finish(
         &mut self,
         now: Timestamp,
         id: &EndpointId,
         number: CallNumber,
         end: CallEnd,
+        stated: Option<EngineTime>,
     ) -> Option<Duration> {
         let health = self.health();
         let endpoint = self.endpoints.get_mut(id)?;
@@ -57,7 +59,7 @@
         match end {
             CallEnd::Success(tokens) => {
                 endpoint.breaker.record(now, true, &health);
-                return Some(endpoint.estimate.floor(tokens));
+                return Some(endpoint.estimate.unloaded(tokens, stated));
             }
             CallEnd::Failure => endpoint.breaker.record(now, false, &health),
             CallEnd::Abandoned => {}
