--- a/crates/host/tests/support/cluster.rs
+++ b/crates/host/tests/support/cluster.rs
@@ -1,17 +1,9 @@
 //! Hosts as processes of their own, with endpoints and an operator in the test process.
 
-use ed25519_dalek::{Signer as _, SigningKey};
-use masticstair_core::id::DeploymentName;
-use masticstair_core::prelude::*;
 use masticstair_host::control::{ControlThread, start_control};
 use masticstair_host::settings::Settings;
 use masticstair_host::state::HostState;
-use masticstair_net::runtime::block_on;
-use masticstair_policy::bundle_history::{
-    BundleAction, BundleCommand, BundleReply, CommandSignature, SignedHeader, signed_text,
-};
 use masticstair_standins::CallLog;
-use masticstair_store::state::{Command, Reply};
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Stdio};
 use std::sync::Arc;
@@ -20,6 +12,7 @@
 
 use super::endpoints::start_endpoints;
 use super::http::{HttpAnswer, get, post};
+use super::operator;
 
 /// Hosts of a cluster; the first three are the voters.
 pub const VOTERS: usize = 3;
@@ -37,7 +30,6 @@
     pub log: CallLog,
     pub observer: Arc<HostState>,
     _control: ControlThread,
-    key: SigningKey,
     _folder: TempDir,
 }
 
@@ -45,11 +37,10 @@
     /// Starts `count` hosts in four data centres, puts the bundle in force and starts endpoints.
     pub fn start(count: usize) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let key = SigningKey::from_bytes(&[7; 32]);
         let ports: Vec<(SocketAddr, SocketAddr)> =
             (0..count).map(|_| (free_addr(), free_addr())).collect();
         let seeds = format!("seeds = [\"{}\", \"{}\"]\n", ports[0].1, ports[1].1);
-        let operators = operators(&key);
+        let operators = operator::settings();
         let mut hosts = Vec::new();
         for (i, (addr, peer)) in ports.iter().enumerate() {
             let mut text = format!(
@@ -70,7 +61,7 @@
         }
         let (observer, control) = start_observer(&seeds, &operators);
         let log = CallLog::default();
-        let mut cluster = Self { hosts, log, observer, _control: control, key, _folder: folder };
+        let mut cluster = Self { hosts, log, observer, _control: control, _folder: folder };
         (0..count).for_each(|i| cluster.start_host(i));
         cluster.roll(super::BUNDLE, 0);
         let addrs = cluster.hosts.iter().map(|h| h.addr).collect();
@@ -96,35 +87,7 @@
 
     /// Submits, signs off and rolls a bundle that builds on `expected`.
     pub fn roll(&self, content: &str, expected: u64) {
-        let signer = "[[signers]]\nname = \"op\"\nkey = \"KEY\"\n\
-                      may = [\"submit\", \"sign-off\", \"roll\"]\n";
-        let signer = signer.replace("KEY", &hex::encode(self.key.verifying_key().as_bytes()));
-        let content = format!("{content}{signer}");
-        let digest = Sha256Digest::of(content.as_bytes());
-        let actions = [
-            BundleAction::Submit(content.into()),
-            BundleAction::SignOff(digest),
-            BundleAction::Roll(digest),
-        ];
-        for (step, action) in actions.into_iter().enumerate() {
-            let id = format!("c{expected}-{step}").parse().unwrap();
-            let (expected, name) = (Revision::new(expected), "op".parse().unwrap());
-            let deployment: DeploymentName = "t".parse().unwrap();
-            let text =
-                signed_text(&deployment, &id, expected, &name, action.right(), &action.digest());
-            let signature = self.key.sign(text.as_bytes()).to_bytes();
-            let signature = CommandSignature::from_bytes(signature);
-            let header = SignedHeader { id, expected, signer: name, signature };
-            let command = Command::Bundle(Box::new(BundleCommand { header, action }));
-            let control = self.observer.control.get().unwrap().clone();
-            let limit = Duration::from_secs(10);
-            let reply = block_on(async { control.propose(&command, limit).await }).unwrap();
-            match reply.unwrap() {
-                Reply::Bundle(BundleReply::Refused(refusal)) => panic!("refused: {refusal}"),
-                Reply::Bundle(_) => {}
-                other => panic!("unexpected reply {other:?}"),
-            }
-        }
+        operator::roll(&self.observer, content, expected);
     }
 
     /// Waits until a host serves under a revision.
@@ -192,14 +155,6 @@
     (state, control)
 }
 
-fn operators(key: &SigningKey) -> String {
-    let public = hex::encode(key.verifying_key().as_bytes());
-    format!(
-        "[[operators]]\nname = \"op\"\nkey = \"{public}\"\n\
-         may = [\"submit\", \"sign-off\", \"roll\"]\n"
-    )
-}
-
 fn free_addr() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
--- a/crates/host/tests/support/endpoints.rs
+++ b/crates/host/tests/support/endpoints.rs
@@ -5,10 +5,12 @@
 use masticstair_core::prelude::*;
 use masticstair_net::runtime::block_on;
 use masticstair_standins::{
-    CallLog, EngineSpeed, StandIn, WorkFn, engine_work, lookup_work, order_work, pool_work,
+    CallLog, EngineSpeed, Faults, StandIn, WorkFn, engine_work, lookup_work, order_work, pool_work,
 };
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
@@ -16,32 +18,46 @@
 const TOKEN: Duration = Duration::from_millis(10);
 /// Time of every other call.
 const CALL: Duration = Duration::from_millis(2);
+/// Endpoints of each pool.
+pub const REPLICAS: usize = 2;
+
+/// The faults of each endpoint, by its id.
+pub type FaultsById = HashMap<Box<str>, Faults>;
 
 /// Starts two endpoints a pool; the thread lives as long as the test process.
-pub fn start_endpoints(hosts: Vec<SocketAddr>, log: CallLog) {
+pub fn start_endpoints(hosts: Vec<SocketAddr>, log: CallLog) -> FaultsById {
+    let (tx, rx) = mpsc::channel();
     thread::spawn(move || {
         block_on(async {
-            let speed = EngineSpeed { prefill_token: Duration::ZERO, decode_token: TOKEN };
-            let engine: WorkFn = Rc::new(move |req| engine_work(req, speed));
-            let pools: [(&str, StageKind, WorkFn); 4] = [
-                ("engines", StageKind::Generate, engine),
-                ("encoders", StageKind::Encode, Rc::new(|req| pool_work(req, CALL))),
-                ("stock", StageKind::Service, Rc::new(|req| lookup_work(req, CALL))),
-                ("orders", StageKind::Service, Rc::new(move |req| order_work(req, CALL, &log))),
-            ];
-            for (pool, kind, work) in pools {
-                for number in 0..2usize {
-                    let mut hosts = hosts.clone();
-                    let shift = number % hosts.len().max(1);
-                    hosts.rotate_left(shift);
-                    let stand_in = stand_in(pool, kind, number, hosts, work.clone());
-                    stand_in.start("127.0.0.1:0".parse().unwrap()).unwrap();
-                }
-            }
+            tx.send(start_all(&hosts, log)).unwrap();
             std::future::pending::<()>().await;
         })
         .unwrap();
     });
+    rx.recv().unwrap()
+}
+
+fn start_all(hosts: &[SocketAddr], log: CallLog) -> FaultsById {
+    let speed = EngineSpeed { prefill_token: Duration::ZERO, decode_token: TOKEN };
+    let engine: WorkFn = Rc::new(move |req| engine_work(req, speed));
+    let pools: [(&str, StageKind, WorkFn); 4] = [
+        ("engines", StageKind::Generate, engine),
+        ("encoders", StageKind::Encode, Rc::new(|req| pool_work(req, CALL))),
+        ("stock", StageKind::Service, Rc::new(|req| lookup_work(req, CALL))),
+        ("orders", StageKind::Service, Rc::new(move |req| order_work(req, CALL, &log))),
+    ];
+    let mut faults = HashMap::new();
+    for (pool, kind, work) in pools {
+        for number in 0..REPLICAS {
+            let mut hosts = hosts.to_vec();
+            let shift = number % hosts.len().max(1);
+            hosts.rotate_left(shift);
+            let stand_in = stand_in(pool, kind, number, hosts, work.clone());
+            let id = stand_in.id.as_str().into();
+            faults.insert(id, stand_in.start("127.0.0.1:0".parse().unwrap()).unwrap().faults);
+        }
+    }
+    faults
 }
 
 fn stand_in(
@@ -56,7 +72,7 @@
         id: format!("{pool}-{number}").parse().unwrap(),
         kind,
         pool: pool.parse().unwrap(),
-        data_centre: format!("dc{number}").parse().unwrap(),
+        data_centre: "dc1".parse().unwrap(),
         capacity: Slots::new(16),
         models: if kind == StageKind::Generate { vec![model] } else { Vec::new() },
         reports_load: false,
--- a/crates/host/tests/support/mod.rs
+++ b/crates/host/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod cluster;
 pub mod endpoints;
 pub mod http;
+pub mod operator;
 
 use masticstair_core::prelude::*;
 use masticstair_host::control::{ControlThread, start_control};
@@ -70,23 +71,32 @@
 }
 
 impl TestHost {
-    /// Starts a host; `settings` are further lines of its settings file.
+    /// Starts a host; `settings` are further lines of its settings file. Without a data folder the bundle
+    /// is put in force directly.
     pub fn start(settings: &str) -> Self {
         let text = format!(
             "deployment = \"t\"\nhost = \"h1\"\nregion = \"r\"\ndata_centre = \"dc1\"\n\
-             listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n{settings}"
+             listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n{settings}{}",
+            operator::settings()
         );
         let cfg = Settings::parse(&text).unwrap();
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let state = Arc::new(HostState::new(cfg, log));
         let control = start_control(&state).unwrap();
-        let bundle = BUNDLE.parse().unwrap();
-        let (revision, signed) = (Revision::new(7), Arc::new([]));
-        state.in_force.advance(BundleInForce { revision, bundle, signed });
+        if state.cfg.data_folder.is_none() {
+            let bundle = BUNDLE.parse().unwrap();
+            let (revision, signed) = (Revision::new(7), Arc::new([]));
+            state.in_force.advance(BundleInForce { revision, bundle, signed });
+        }
         let workers = start_workers(&state).unwrap();
         Self { state, control, workers }
     }
 
+    /// Rolls the first bundle through the replicated log.
+    pub fn roll_bundle(&self, content: &str) {
+        operator::roll(&self.state, content, 0);
+    }
+
     pub fn addr(&self) -> SocketAddr {
         self.workers.addr
     }
--- /dev/null
+++ b/crates/host/tests/support/operator.rs
@@ -0,0 +1,59 @@
+//! The operator of the tests.
+
+use ed25519_dalek::{Signer as _, SigningKey};
+use masticstair_core::prelude::*;
+use masticstair_host::state::HostState;
+use masticstair_net::runtime::block_on;
+use masticstair_policy::bundle_history::{
+    BundleAction, BundleCommand, BundleReply, CommandSignature, SignedHeader, signed_text,
+};
+use masticstair_store::state::{Command, Reply};
+use std::time::Duration;
+
+/// How long a command may take, the first election included.
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn key() -> SigningKey {
+    SigningKey::from_bytes(&[7; 32])
+}
+
+/// Returns the table of the operators for a settings file.
+pub fn settings() -> String {
+    format!("[[operators]]\n{}", signer())
+}
+
+fn signer() -> String {
+    let public = hex::encode(key().verifying_key().as_bytes());
+    format!("name = \"op\"\nkey = \"{public}\"\nmay = [\"submit\", \"sign-off\", \"roll\"]\n")
+}
+
+/// Submits, signs off and rolls a bundle that builds on `expected`; adds the operator as its signer.
+pub fn roll(state: &HostState, content: &str, expected: u64) {
+    let content = format!("{content}[[signers]]\n{}", signer());
+    let digest = Sha256Digest::of(content.as_bytes());
+    let actions = [
+        BundleAction::Submit(content.into()),
+        BundleAction::SignOff(digest),
+        BundleAction::Roll(digest),
+    ];
+    for (step, action) in actions.into_iter().enumerate() {
+        let command = sign(state, &format!("c{expected}-{step}"), expected, action);
+        let control = state.control.get().unwrap().clone();
+        let reply = block_on(async { control.propose(&command, LIMIT).await }).unwrap();
+        match reply.unwrap() {
+            Reply::Bundle(BundleReply::Refused(refusal)) => panic!("refused: {refusal}"),
+            Reply::Bundle(_) => {}
+            other => panic!("unexpected reply {other:?}"),
+        }
+    }
+}
+
+fn sign(state: &HostState, id: &str, expected: u64, action: BundleAction) -> Command {
+    let (id, signer) = (id.parse().unwrap(), "op".parse().unwrap());
+    let expected = Revision::new(expected);
+    let (kind, digest) = (action.right(), action.digest());
+    let text = signed_text(&state.cfg.deployment, &id, expected, &signer, kind, &digest);
+    let signature = CommandSignature::from_bytes(key().sign(text.as_bytes()).to_bytes());
+    let header = SignedHeader { id, expected, signer, signature };
+    Command::Bundle(Box::new(BundleCommand { header, action }))
+}
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -1,74 +1,90 @@
-use std::cell::Cell;
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-/// Faults that a test switches on and off while a stand-in runs.
+/// Stands for "never" in `cut_after`.
+const NEVER: u64 = u64::MAX;
+
+/// Faults that a test switches on and off, from any thread, while a stand-in runs.
 #[derive(Clone, Debug)]
-pub struct Faults(Rc<FaultState>);
+pub struct Faults(Arc<FaultState>);
 
 #[derive(Debug)]
 struct FaultState {
-    slowdown: Cell<f64>,
-    failing: Cell<bool>,
-    silent: Cell<bool>,
-    foreign: Cell<bool>,
-    cut_after: Cell<Option<u64>>,
+    /// Thousandths.
+    slowdown: AtomicU64,
+    failing: AtomicBool,
+    failing_after_run: AtomicBool,
+    silent: AtomicBool,
+    foreign: AtomicBool,
+    /// Tokens.
+    cut_after: AtomicU64,
 }
 
 impl Default for Faults {
     fn default() -> Self {
-        Self(Rc::new(FaultState {
-            slowdown: Cell::new(1.0),
-            failing: Cell::new(false),
-            silent: Cell::new(false),
-            foreign: Cell::new(false),
-            cut_after: Cell::new(None),
+        Self(Arc::new(FaultState {
+            slowdown: AtomicU64::new(1_000),
+            failing: AtomicBool::new(false),
+            failing_after_run: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
+            foreign: AtomicBool::new(false),
+            cut_after: AtomicU64::new(NEVER),
         }))
     }
 }
 
 impl Faults {
-    /// Makes every call take `factor` times as long.
+    /// Makes every call take `factor` times as long; a factor below 0 counts as 0.
     pub fn set_slowdown(&self, factor: f64) {
-        self.0.slowdown.set(factor);
+        self.0.slowdown.store((factor.max(0.0) * 1_000.0) as u64, Ordering::Relaxed);
     }
 
-    /// Answers every call at once with an error.
+    /// Answers every call at once with an error that says that it was not run.
     pub fn set_failing(&self, failing: bool) {
-        self.0.failing.set(failing);
+        self.0.failing.store(failing, Ordering::Relaxed);
+    }
+
+    /// Runs every call and answers with an error that says that it may have run.
+    pub fn set_failing_after_run(&self, failing: bool) {
+        self.0.failing_after_run.store(failing, Ordering::Relaxed);
     }
 
-    /// Takes calls and never answers.
+    /// Takes calls, runs them, and never answers.
     pub fn set_silent(&self, silent: bool) {
-        self.0.silent.set(silent);
+        self.0.silent.store(silent, Ordering::Relaxed);
     }
 
     /// Answers with the id of another request.
     pub fn set_foreign(&self, foreign: bool) {
-        self.0.foreign.set(foreign);
+        self.0.foreign.store(foreign, Ordering::Relaxed);
     }
 
     /// Ends each stream without its last event after so many tokens.
     pub fn set_cut_after(&self, tokens: Option<u64>) {
-        self.0.cut_after.set(tokens);
+        self.0.cut_after.store(tokens.unwrap_or(NEVER), Ordering::Relaxed);
     }
 
     pub(crate) fn slowdown(&self) -> f64 {
-        self.0.slowdown.get()
+        self.0.slowdown.load(Ordering::Relaxed) as f64 / 1_000.0
     }
 
     pub(crate) fn failing(&self) -> bool {
-        self.0.failing.get()
+        self.0.failing.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn failing_after_run(&self) -> bool {
+        self.0.failing_after_run.load(Ordering::Relaxed)
     }
 
     pub(crate) fn silent(&self) -> bool {
-        self.0.silent.get()
+        self.0.silent.load(Ordering::Relaxed)
     }
 
     pub(crate) fn foreign(&self) -> bool {
-        self.0.foreign.get()
+        self.0.foreign.load(Ordering::Relaxed)
     }
 
     pub(crate) fn cut_after(&self) -> Option<u64> {
-        self.0.cut_after.get()
+        Some(self.0.cut_after.load(Ordering::Relaxed)).filter(|tokens| *tokens != NEVER)
     }
 }
--- a/crates/standins/src/stand_in.rs
+++ b/crates/standins/src/stand_in.rs
@@ -135,12 +135,7 @@
 
 async fn run_stage(running: Rc<Running>, run: RunRequest) -> Response {
     if running.faults.failing() {
-        let (request_id, attempt_id) = (run.request_id, run.attempt_id);
-        let error = RunError { request_id, attempt_id, error: "out of order".into(), ran: false };
-        return Response::json(StatusCode::SERVICE_UNAVAILABLE, &error);
-    }
-    if running.faults.silent() {
-        std::future::pending::<()>().await;
+        return error_answer(&run, false);
     }
     if run.stream {
         let (tx, rx) = server::body_stream();
@@ -152,12 +147,24 @@
     let work = (running.stand_in.work)(&run);
     let token_time = work.token_time * work.tokens.len().saturating_sub(1) as u32;
     sleep(running.scaled(work.time + token_time)).await;
+    if running.faults.silent() {
+        std::future::pending::<()>().await;
+    }
+    if running.faults.failing_after_run() {
+        return error_answer(&run, true);
+    }
     let request_id = if running.faults.foreign() { RequestId::random() } else { run.request_id };
     let usage = Usage { engine_us: elapsed_us(started), ..work.usage };
     let answer = RunResponse { request_id, attempt_id: run.attempt_id, output: work.output, usage };
     Response::json(StatusCode::OK, &answer)
 }
 
+fn error_answer(run: &RunRequest, ran: bool) -> Response {
+    let (request_id, attempt_id) = (run.request_id, run.attempt_id);
+    let error = RunError { request_id, attempt_id, error: "out of order".into(), ran };
+    Response::json(StatusCode::SERVICE_UNAVAILABLE, &error)
+}
+
 /// Streams the tokens; returns early when the caller closes the connection.
 async fn stream_answer(running: Rc<Running>, run: RunRequest, mut tx: BodySender) {
     let _slot = running.slots.acquire().await;
@@ -168,6 +175,9 @@
     let cut_after = running.faults.cut_after();
     let tokens = work.tokens.iter().enumerate().skip(first as usize);
     for (sent, (index, text)) in tokens.enumerate() {
+        if running.faults.silent() {
+            std::future::pending::<()>().await;
+        }
         if cut_after == Some(sent as u64) {
             return;
         }
