--- a/crates/store/src/storage/log_writer.rs
+++ b/crates/store/src/storage/log_writer.rs
@@ -1,6 +1,6 @@
 use super::entry_encoding::{check_hard_state, check_order, encode_entries, encode_hard_state};
 use super::{
-    BatchHeader, BatchNumber, Contents, Folder, Position, Record, RecordKind, Replay,
+    BatchHeader, BatchNumber, Contents, Folder, OpenSegment, Position, Record, RecordKind, Replay,
     SegmentHeader, SegmentNumber, SegmentSpan, StorageError, TermRuns,
 };
 use masticstair_core::id::{LogIndex, ReplicaId};
@@ -34,18 +34,6 @@
     buf: Vec<u8>,
 }
 
-/// What is known of the last segment when a writer continues it.
-pub(crate) struct OpenSegment {
-    /// The file, open for appending.
-    pub(crate) file: File,
-    /// The number of the segment.
-    pub(crate) number: SegmentNumber,
-    /// The size of the file.
-    pub(crate) size: u64,
-    /// The batch that comes next.
-    pub(crate) next_batch: BatchNumber,
-}
-
 impl LogWriter {
     /// Continues a log after its replay.
     pub(crate) fn new(
@@ -93,7 +81,7 @@
         self.file = self.folder.replace(&path, &bytes)?;
         self.path = path;
         self.size = bytes.len() as u64;
-        self.spans.push_back(SegmentSpan { number, last: LogIndex::default() });
+        self.spans.push_back(SegmentSpan::empty(number));
         self.next_batch = self.next_batch.next();
         Ok(())
     }
@@ -103,9 +91,7 @@
         check_order(entries, self.terms.last().index, self.snapshot.index)?;
         self.roll_if_full()?;
         encode_entries(entries, &mut self.buf)?;
-        let (Some(first), Some(last)) = (entries.first(), entries.last()) else { return Ok(()) };
-        self.spans.iter_mut().for_each(|span| span.cut(first.index));
-        if let Some(span) = self.spans.back_mut() {
+        if let (Some(span), Some(last)) = (self.spans.back_mut(), entries.last()) {
             span.last = last.index;
         }
         for entry in entries {
--- a/crates/store/src/storage/recovery.rs
+++ b/crates/store/src/storage/recovery.rs
@@ -1,10 +1,9 @@
 //! The start of the storage: check the folder, end what was interrupted, and continue the log.
 
-use super::log_writer::{OpenSegment, first_bytes};
-use super::scan::LastSegment;
+use super::log_writer::first_bytes;
 use super::{
-    BatchNumber, Contents, Folder, LogWriter, Position, Recovered, Scan, SegmentHeader,
-    SegmentNumber, StorageError, identity,
+    BatchNumber, Contents, Folder, LastSegment, LogWriter, OpenSegment, Position, Recovered, Scan,
+    SegmentHeader, SegmentNumber, StorageError, identity,
 };
 use masticstair_core::id::ReplicaId;
 use masticstair_core::message::HardState;
@@ -15,26 +14,20 @@
     segment_limit: u64,
 ) -> Result<(LogWriter, Recovered), StorageError> {
     let mut scan = Scan::read(&folder)?;
-    // A rename of the last run may be visible without being durable.
-    folder.sync_names()?;
     for path in &scan.contents.leftovers {
         folder.remove(path)?;
     }
     if scan.identity.is_none() {
-        create(&mut folder, &scan.contents)?;
+        create(&mut folder)?;
         scan = Scan::read(&folder)?;
     }
     resume(folder, segment_limit, scan)
 }
 
 /// Makes the first segment and then the identity, so that an identity always has a log.
-fn create(folder: &mut Folder, contents: &Contents) -> Result<(), StorageError> {
-    // Segments without an identity are left of a creation that did not end. The new random identity makes
-    // sure that they belong to no replica that others know.
-    for number in &contents.segments {
-        let path = Contents::segment_path(folder, *number);
-        folder.remove(&path)?;
-    }
+fn create(folder: &mut Folder) -> Result<(), StorageError> {
+    // A segment 1 without an identity is left of a creation that did not end. It is replaced, and its
+    // identity is never used.
     let (number, replica) = (SegmentNumber(1), ReplicaId::random());
     let header = SegmentHeader { number, first_batch: BatchNumber(1), replica };
     let bytes =
@@ -71,7 +64,8 @@
 
 /// Replaces the last segment with a copy of its valid part. This cuts off a torn end. It also makes sure
 /// that the content is on the disk: after a failed sync in an earlier run, what a read finds can be in
-/// memory only, and another sync would wrongly succeed.
+/// memory only, and another sync would wrongly succeed. The same holds for the names in the folder, which
+/// are synced here too.
 fn rewrite(folder: &mut Folder, last: LastSegment) -> Result<OpenSegment, StorageError> {
     let path = Contents::segment_path(folder, last.number);
     let file = folder.replace(&path, &last.bytes)?;
--- a/crates/store/src/storage/repair.rs
+++ b/crates/store/src/storage/repair.rs
@@ -36,10 +36,10 @@
 }
 
 /// Returns the files to move. The identity goes first, so that it can never be found with a part of its
-/// log. The newest segment follows, so that no prefix of the log looks like an empty one.
+/// log.
 fn names_in_order(contents: &Contents) -> Vec<String> {
     let identity = contents.identity.then(|| IDENTITY.to_owned());
-    let segments = contents.segments.iter().rev().map(|n| Contents::segment_name(*n));
+    let segments = contents.segments.iter().map(|n| Contents::segment_name(*n));
     let snapshots = contents.snapshots.iter().map(|i| Contents::snapshot_name(*i));
     identity.into_iter().chain(segments).chain(snapshots).collect()
 }
--- a/crates/store/src/storage/replay.rs
+++ b/crates/store/src/storage/replay.rs
@@ -21,7 +21,7 @@
 impl Replay {
     /// Notes that the records that follow come from another segment.
     pub(crate) fn begin_segment(&mut self, number: SegmentNumber) {
-        self.spans.push_back(SegmentSpan { number, last: LogIndex::default() });
+        self.spans.push_back(SegmentSpan::empty(number));
     }
 
     /// Applies a record; an error says why it cannot stand where it does.
@@ -31,7 +31,7 @@
         }
         match record.kind {
             RecordKind::HardState => self.hard_state = record.to_hard_state()?,
-            RecordKind::LastEntry => return self.check_last(record.to_position()),
+            RecordKind::LastEntry => self.begin_after(record.to_position()),
             RecordKind::Reset => self.reset(record.to_position()),
             RecordKind::SnapshotMark => self.mark = record.to_position(),
             kind => return Err(format!("a {kind:?} record does not belong here").into()),
@@ -62,7 +62,6 @@
     }
 
     fn cut(&mut self, from: LogIndex) {
-        self.spans.iter_mut().for_each(|span| span.cut(from));
         let keep = self.entries.partition_point(|e| e.index < from);
         self.entries.truncate(keep);
         if from <= self.terms.start().index {
@@ -72,14 +71,12 @@
         }
     }
 
-    fn check_last(&mut self, last: Position) -> Result<(), Box<str>> {
-        if self.spans.len() == 1 && self.entries.is_empty() {
+    /// Takes the last entry that the first segment names as the one before the log. The other segments
+    /// follow each other by their batch numbers.
+    fn begin_after(&mut self, last: Position) {
+        if self.spans.len() == 1 {
             self.terms = TermRuns::after(last);
-        } else if self.terms.last().index != last.index {
-            let found = self.terms.last().index;
-            return Err(format!("the segment follows entry {}, not {found}", last.index).into());
         }
-        Ok(())
     }
 
     fn reset(&mut self, at: Position) {
--- a/crates/store/src/storage/scan.rs
+++ b/crates/store/src/storage/scan.rs
@@ -1,6 +1,6 @@
 use super::{
-    BatchNumber, Contents, Folder, Position, Replay, SegmentNumber, SegmentReader, StorageError,
-    identity, snapshot_file,
+    Contents, Folder, LastSegment, Position, Replay, SegmentReader, StorageError, identity,
+    snapshot_file,
 };
 use masticstair_core::id::ReplicaId;
 use masticstair_core::message::SnapshotMeta;
@@ -19,16 +19,6 @@
     pub(crate) last: Option<LastSegment>,
 }
 
-/// The last segment of the log.
-pub(crate) struct LastSegment {
-    /// Its number.
-    pub(crate) number: SegmentNumber,
-    /// Its valid part.
-    pub(crate) bytes: Vec<u8>,
-    /// The batch that follows.
-    pub(crate) next_batch: BatchNumber,
-}
-
 impl Scan {
     /// Reads and checks the folder.
     pub(crate) fn read(folder: &Folder) -> Result<Self, StorageError> {
--- a/crates/store/src/storage/segment_reader.rs
+++ b/crates/store/src/storage/segment_reader.rs
@@ -32,12 +32,12 @@
         while at < bytes.len() {
             match Batch::decode(&bytes, at, next) {
                 Ok(batch) => at = self.apply(&path, batch)?,
-                // The first batch was synced before the segment got its name, so it cannot be torn.
-                Err(f) if is_last && at > SegmentHeader::SIZE && f.is_torn(&bytes, at) => break,
+                Err(f) if is_last && f.is_torn(&bytes, at) => break,
                 Err(f) => return Err(StorageError::damaged(&path, f.offset, f.reason)),
             }
             next = next.next();
         }
+        // The first batch was synced before the segment got its name, so it cannot be torn.
         if at == SegmentHeader::SIZE {
             return Err(StorageError::damaged(&path, at, "the first batch is not there"));
         }
--- a/crates/store/src/storage/storage_thread.rs
+++ b/crates/store/src/storage/storage_thread.rs
@@ -1,5 +1,5 @@
 use super::limits::GROUP_TARGET;
-use super::{LogWriter, Reply, Request, SnapshotJob, StorageError};
+use super::{Group, LogWriter, Reply, Request, SnapshotJob, StorageError};
 use std::collections::VecDeque;
 use std::sync::mpsc::{Receiver, TryRecvError};
 
@@ -19,13 +19,6 @@
     pub(crate) failure: Option<StorageError>,
 }
 
-/// The calls that one sync answers.
-#[derive(Default)]
-struct Group {
-    staged: Vec<Reply>,
-    close: Option<Reply>,
-}
-
 impl StorageThread {
     /// Runs until `close` is called or every handle is dropped.
     pub(crate) fn run(mut self) {
--- a/crates/store/src/storage/term_runs.rs
+++ b/crates/store/src/storage/term_runs.rs
@@ -47,6 +47,12 @@
         (index <= self.last).then_some(run.term)
     }
 
+    /// Returns how many runs are held.
+    #[cfg(test)]
+    pub(crate) fn count(&self) -> usize {
+        self.runs.len()
+    }
+
     /// Forgets the entries up to a position, which must be covered.
     pub(crate) fn drop_through(&mut self, position: Position) {
         let covered = self.runs.partition_point(|run| run.index.get() <= position.index.get() + 1);
--- a/crates/store/tests/storage_calls.rs
+++ b/crates/store/tests/storage_calls.rs
@@ -5,15 +5,19 @@
 mod storage_support;
 
 use futures_util::future::join_all;
-use masticstair_core::message::EntryPayload;
+use masticstair_core::message::{EntryPayload, SnapshotMeta};
 use masticstair_store::storage::{FileOps, StorageError, open};
 use std::fs;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, mpsc};
 use std::task::{Context, Waker};
 use std::thread;
+use std::time::Duration;
 use storage_support::Step::{Append, Hard, Snapshot};
-use storage_support::{Model, Step, call, data, entries, files, meta, open_small, run, wait};
+use storage_support::{
+    Model, Step, call, data, entries, files, meta, open_small, run, unsynced, wait,
+};
 
 struct Refusal {
     name: &'static str,
@@ -122,8 +126,8 @@
     assert_eq!(run(folder.path(), &[]).entries, entries(1, 8, 1));
 }
 
-/// Guards against disk use that grows with the number of entries, and against appends that wait for a whole
-/// snapshot.
+/// Guards against disk use that grows with the number of entries, and against entries that are deleted although
+/// no snapshot has them.
 #[test]
 fn compaction_bounds_disk_use() {
     let folder = tempfile::tempdir().unwrap();
@@ -131,11 +135,12 @@
     let mut model = Model::default();
     for round in 0..50 {
         let (first, last) = (round * 20 + 1, round * 20 + 20);
-        let snapshot = call(&storage, Snapshot(last - 5, 1));
-        wait(call(&storage, Append(first, last, 1))).unwrap();
-        wait(snapshot).unwrap();
-        model.apply(Append(first, last, 1));
-        model.apply(Snapshot(last - 5, 1));
+        // The vote begins a segment, so that the snapshot can delete the one before.
+        let snapshot = Snapshot(last - round % 6, 1);
+        for step in [Append(first, last, 1), Hard(round + 1, 0), snapshot] {
+            wait(call(&storage, step)).unwrap();
+            model.apply(step);
+        }
         // A round writes less than 8,000 bytes, and a segment holds 2,000 bytes and a batch.
         let used: u64 =
             files(folder.path(), "").iter().map(|f| fs::metadata(f).unwrap().len()).sum();
@@ -146,6 +151,47 @@
     assert_eq!(Model::of(&run(folder.path(), &[])), model);
 }
 
+/// Guards against appends that wait until a large snapshot is written: three syncs suffice for each of them,
+/// although the snapshot needs 200.
+#[test]
+fn appends_overtake_a_large_snapshot() {
+    let folder = tempfile::tempdir().unwrap();
+    let (allow, gate) = mpsc::channel();
+    // Three syncs of the creation and one of the first append.
+    (0..4).for_each(|_| allow.send(()).unwrap());
+    let mut ops = unsynced();
+    // Once the sender is gone, no sync waits any more.
+    ops.sync = Box::new(move |_| {
+        let _ = gate.recv();
+        Ok(())
+    });
+    let (storage, _) = open_small(folder.path(), ops).unwrap();
+    wait(call(&storage, Append(1, 5, 1))).unwrap();
+    let large = SnapshotMeta { size: 200 * 64, ..meta(5, 1) };
+    let mut snapshot = Box::pin(storage.save_snapshot(large, vec![1; 200 * 64].into()));
+    assert!(!is_answered(&mut snapshot));
+    for index in 6..=15 {
+        let mut append = Box::pin(call(&storage, Append(index, index, 1)));
+        let answered = is_answered(&mut append);
+        (0..3).for_each(|_| allow.send(()).unwrap());
+        let in_time = answered
+            || (0..1000).any(|_| {
+                thread::sleep(Duration::from_millis(10));
+                is_answered(&mut append)
+            });
+        assert!(in_time, "append {index} waits for the snapshot");
+    }
+    assert!(!is_answered(&mut snapshot));
+    drop(allow);
+    wait(snapshot).unwrap();
+    wait(storage.close()).unwrap();
+    assert_eq!(run(folder.path(), &[]).entries, entries(6, 15, 1));
+}
+
+fn is_answered(call: &mut Pin<Box<impl Future>>) -> bool {
+    call.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_ready()
+}
+
 /// Guards against a tail that comes back after it was cut and overwritten, in each position of a segment.
 #[test]
 fn overwritten_tail_stays_overwritten() {
--- a/crates/store/tests/storage_faults.rs
+++ b/crates/store/tests/storage_faults.rs
@@ -11,7 +11,7 @@
 use std::fs::{self, File};
 use std::io::{self, ErrorKind, Write};
 use std::os::unix::fs::{FileExt, MetadataExt};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use storage_support::Step::{Append, Hard, Snapshot};
 use storage_support::{Model, Step, call, files, open_small, wait};
@@ -33,6 +33,8 @@
     Half,
     /// The file keeps its size and the bytes read as zeros.
     Zeros,
+    /// The file keeps its size and all but the first sector of the bytes read as zeros.
+    LaterSectors,
 }
 
 /// The disk: counts operations and knows how much of each file is synced.
@@ -46,6 +48,17 @@
     synced: HashMap<u64, u64>,
     /// Inodes whose sync failed. As on Linux, a later sync succeeds without writing what was lost.
     poisoned: HashSet<u64>,
+    /// Changes of names since the last sync of the folder.
+    unsynced_names: Vec<NameChange>,
+}
+
+/// A change of a name, with what undoes it.
+#[derive(Debug)]
+enum NameChange {
+    /// From and to, with another name of the replaced file if there was one.
+    Rename(PathBuf, PathBuf, Option<PathBuf>),
+    /// The path, with another name of the file.
+    Remove(PathBuf, PathBuf),
 }
 
 impl Disk {
@@ -85,10 +98,18 @@
     FileOps {
         create: Box::new(move |p| step(&create, "create", fault, |_| create_file(&create, p))),
         read: Box::new(|p| fs::read(p)),
-        remove: Box::new(move |p| step(&remove, "remove", fault, |_| fs::remove_file(p))),
-        rename: Box::new(move |a, b| step(&rename, "rename", fault, |_| fs::rename(a, b))),
+        remove: Box::new(move |p| step(&remove, "remove", fault, |_| remove_file(&remove, p))),
+        rename: Box::new(move |a, b| {
+            step(&rename, "rename", fault, |_| rename_file(&rename, a, b))
+        }),
         sync: Box::new(move |f| sync_file(&sync, f)),
-        sync_folder: Box::new(move |_| step(&folder, "sync_folder", fault, |_| Ok(()))),
+        sync_folder: Box::new(move |_| {
+            // As for a file, a sync that fails makes nothing durable.
+            step(&folder, "sync_folder", Fault::Full, |_| {
+                folder.lock().unwrap().unsynced_names.clear();
+                Ok(())
+            })
+        }),
         write: Box::new(move |mut f, bytes| {
             step(&write, "write", fault, |half| {
                 f.write_all(if half { &bytes[..bytes.len() / 2] } else { bytes })
@@ -118,7 +139,48 @@
     result
 }
 
+/// Gives a file another name, which recovery ignores, so that its inode can come back.
+fn keep(path: &Path) -> Option<PathBuf> {
+    let inode = fs::metadata(path).ok()?.ino();
+    let name = path.with_file_name(format!("kept-{inode}"));
+    (name.exists() || fs::hard_link(path, &name).is_ok()).then_some(name)
+}
+
+fn rename_file(disk: &Shared, from: &Path, to: &Path) -> io::Result<()> {
+    let change = NameChange::Rename(from.into(), to.into(), keep(to));
+    disk.lock().unwrap().unsynced_names.push(change);
+    fs::rename(from, to)
+}
+
+fn remove_file(disk: &Shared, path: &Path) -> io::Result<()> {
+    let change = NameChange::Remove(path.into(), keep(path).unwrap());
+    disk.lock().unwrap().unsynced_names.push(change);
+    fs::remove_file(path)
+}
+
+/// Undoes changes of names that were not synced. `Half` undoes only the oldest one, because a file system
+/// may write them in any order.
+fn lose_names(disk: &Shared, loss: Loss) {
+    if matches!(loss, Loss::Nothing) {
+        return;
+    }
+    let mut changes = std::mem::take(&mut disk.lock().unwrap().unsynced_names);
+    if matches!(loss, Loss::Half) {
+        changes.truncate(1);
+    }
+    for change in changes.into_iter().rev() {
+        match change {
+            NameChange::Rename(from, to, replaced) => {
+                fs::rename(&to, from).unwrap();
+                replaced.iter().for_each(|kept| fs::hard_link(kept, &to).unwrap());
+            }
+            NameChange::Remove(path, kept) => fs::hard_link(kept, path).unwrap(),
+        }
+    }
+}
+
 fn lose(folder: &Path, disk: &Shared, loss: Loss) {
+    lose_names(disk, loss);
     for path in files(folder, "wal-").into_iter().chain(files(folder, "snapshot-")) {
         let file = File::options().write(true).open(&path).unwrap();
         let meta = file.metadata().unwrap();
@@ -129,6 +191,10 @@
             Loss::All => file.set_len(synced).unwrap(),
             Loss::Half => file.set_len(synced + lost / 2).unwrap(),
             Loss::Zeros => file.write_all_at(&vec![0; lost as usize], synced).unwrap(),
+            Loss::LaterSectors => {
+                let from = (synced + 1).next_multiple_of(512).min(meta.len());
+                file.write_all_at(&vec![0; (meta.len() - from) as usize], from).unwrap();
+            }
         }
     }
 }
@@ -144,6 +210,7 @@
     Append(15, 16, 3),
     Snapshot(16, 3),
     Append(17, 30, 3),
+    Append(31, 45, 3),
     Snapshot(50, 4),
     Append(51, 60, 4),
     Snapshot(55, 9),
@@ -195,7 +262,7 @@
 
 #[test]
 fn every_operation_fails_once() {
-    let losses = [Loss::Nothing, Loss::All, Loss::Half, Loss::Zeros];
+    let losses = [Loss::Nothing, Loss::All, Loss::Half, Loss::Zeros, Loss::LaterSectors];
     let mut kinds = HashMap::<&str, u64>::new();
     for (fault, loss) in
         [Fault::Full, Fault::Partial].into_iter().flat_map(|f| losses.map(|l| (f, l)))
--- a/crates/store/tests/storage_recovery.rs
+++ b/crates/store/tests/storage_recovery.rs
@@ -9,7 +9,7 @@
 use std::os::unix::fs::FileExt;
 use std::path::Path;
 use storage_support::Step::{Append, Hard, Snapshot};
-use storage_support::{Model, Step, files, open_small, run};
+use storage_support::{Model, Step, files, open_small, run, unsynced};
 
 /// Leaves a snapshot, several segments, and a last segment with several batches.
 const STEPS: &[Step] = &[
@@ -43,7 +43,7 @@
         let file = File::options().write(true).open(&path).unwrap();
         for (at, byte) in bytes.iter().enumerate() {
             file.write_all_at(&[byte ^ 1 << (at % 8)], at as u64).unwrap();
-            match open_small(folder.path(), FileOps::system()) {
+            match open_small(folder.path(), unsynced()) {
                 Err(StorageError::Damaged { file, offset, .. }) => {
                     assert_eq!(*file, *path, "flip at {at}");
                     assert!(offset.get() <= at as u64, "flip at {at}, reported at {offset}");
@@ -56,39 +56,54 @@
     assert!(open_small(folder.path(), FileOps::system()).is_ok());
 }
 
-/// Guards against a torn tail that is refused, or that takes an earlier batch with it.
+/// Returns where the batches of a segment begin.
+fn batches(segment: &[u8]) -> Vec<usize> {
+    let is_batch = |at: &usize| segment[*at..].starts_with(&0x4253_6d31_u32.to_le_bytes());
+    (0..segment.len()).filter(is_batch).collect()
+}
+
+/// Guards against a torn tail that is refused, or that takes an earlier batch with it, and against a segment
+/// that is accepted without its first batch.
 #[test]
 fn torn_tail_is_cut_off_at_every_length() {
-    let folder = tempfile::tempdir().unwrap();
-    run(folder.path(), STEPS);
-    let last = files(folder.path(), "wal-").pop().unwrap();
-    let whole = fs::metadata(&last).unwrap().len();
-    let models: Vec<Model> = (0..=STEPS.len())
-        .map(|n| {
-            let mut model = Model::default();
-            STEPS[..n].iter().for_each(|step| model.apply(*step));
-            model
-        })
-        .collect();
-    let mut held = vec![];
-    for length in 0..=whole {
-        let torn = copy(folder.path());
-        let file = File::options().write(true).open(torn.path().join(last.file_name().unwrap()));
-        file.unwrap().set_len(length).unwrap();
-        match open_small(torn.path(), FileOps::system()) {
-            Ok((_, found)) => {
-                let found = Model::of(&found);
-                let steps = models.iter().rposition(|m| *m == found);
-                held.push(steps.unwrap_or_else(|| panic!("length {length}: {found:?}")));
+    for steps in [&[Hard(1, 1), Append(1, 5, 1), Append(4, 9, 2)], STEPS] {
+        let folder = tempfile::tempdir().unwrap();
+        run(folder.path(), steps);
+        let last = files(folder.path(), "wal-").pop().unwrap();
+        let starts = batches(&fs::read(&last).unwrap());
+        let models = models(steps);
+        for length in 0..=fs::metadata(&last).unwrap().len() as usize {
+            let torn = copy(folder.path());
+            let file =
+                File::options().write(true).open(torn.path().join(last.file_name().unwrap()));
+            file.unwrap().set_len(length as u64).unwrap();
+            let whole_batches = starts[1..].iter().filter(|start| **start <= length).count();
+            let complete = length == fs::metadata(&last).unwrap().len() as usize;
+            match open_small(torn.path(), unsynced()) {
+                Ok((_, found)) => {
+                    let missing = starts.len() - whole_batches - usize::from(complete);
+                    assert_eq!(Model::of(&found), models[steps.len() - missing], "length {length}");
+                    assert!(whole_batches > 0, "length {length}: the first batch is cut");
+                }
+                // The first batch got its name after its sync, so it cannot be torn.
+                Err(StorageError::Damaged { .. }) => {
+                    assert_eq!(whole_batches, 0, "length {length}")
+                }
+                Err(e) => panic!("length {length}: {e}"),
             }
-            // The first batch got its name after its sync, so it cannot be torn.
-            Err(StorageError::Damaged { .. }) => assert!(held.is_empty(), "length {length}"),
-            Err(e) => panic!("length {length}: {e}"),
         }
     }
-    assert!(held.is_sorted(), "a longer file holds less: {held:?}");
-    // The last segment begins after the fourth step.
-    assert_eq!((held.first(), held.last()), (Some(&(STEPS.len() - 5)), Some(&STEPS.len())));
+}
+
+/// Returns what the storage holds after no step, the first step, and so on.
+fn models(steps: &[Step]) -> Vec<Model> {
+    let mut models = vec![Model::default()];
+    for step in steps {
+        let mut next = models[models.len() - 1].clone();
+        next.apply(*step);
+        models.push(next);
+    }
+    models
 }
 
 struct Damage {
@@ -119,6 +134,23 @@
         make: |f| remove(f, "snapshot-", 0),
         says: "lacks the snapshot at 10",
     },
+    Damage {
+        name: "no snapshot, and its log deleted",
+        make: |f| {
+            run(f, &[Snapshot(52, 3), Append(53, 75, 3)]);
+            run(f, &[]);
+            remove(f, "snapshot-", 0);
+        },
+        says: "lacks the snapshot at 52",
+    },
+    Damage {
+        name: "snapshot under another name",
+        make: |f| {
+            let snapshot = &files(f, "snapshot-")[0];
+            fs::rename(snapshot, f.join("snapshot-00000000000000000011")).unwrap();
+        },
+        says: "another index than the file name",
+    },
     Damage {
         name: "segment of another replica",
         make: |f| {
@@ -143,9 +175,7 @@
             let last = files(f, "wal-").pop().unwrap();
             let bytes = fs::read(&last).unwrap();
             let file = File::options().write(true).open(last).unwrap();
-            let is_batch = |at: &usize| bytes[*at..].starts_with(&0x4253_6d31_u32.to_le_bytes());
-            let batches: Vec<_> = (0..bytes.len()).filter(is_batch).collect();
-            let [.., before, last] = batches[..] else { panic!("{batches:?}") };
+            let [.., before, last] = batches(&bytes)[..] else { panic!("too few batches") };
             file.write_all_at(&vec![0; last - before], before as u64).unwrap();
         },
         says: "is damaged at byte",
@@ -191,10 +221,10 @@
     let second = run(path, &[]);
     assert!(!second.new && second.identity != old);
     fs::remove_file(path.join("identity")).unwrap();
-    fs::write(path.join("identity.tmp"), "").unwrap();
+    fs::write(path.join("snapshot-00000000000000000001.tmp"), "").unwrap();
     let third = run(path, &[]);
     assert!(third.identity != second.identity, "an identity that may be unknown came back");
-    assert!(files(path, "identity.tmp").is_empty(), "the leftover stays");
+    assert!(files(path, "snapshot-").is_empty(), "the leftover stays");
 }
 
 /// Guards against a disk that cannot read a file being taken for an empty one.
--- a/crates/store/tests/storage_support/mod.rs
+++ b/crates/store/tests/storage_support/mod.rs
@@ -101,6 +101,12 @@
     open_with(folder, StorageOptions { ops, segment, snapshot_piece })
 }
 
+/// Returns operations that sync nothing, for tests that open thousands of folders and lose no power.
+pub fn unsynced() -> FileOps {
+    let sync_folder = Box::new(|_: &Path| Ok(()));
+    FileOps { sync: Box::new(|_| Ok(())), sync_folder, ..FileOps::system() }
+}
+
 /// Runs steps that must succeed, and closes.
 pub fn run(folder: &Path, steps: &[Step]) -> Recovered {
     let (storage, recovered) = open_small(folder, FileOps::system()).unwrap();
