Pass changes on for the same time on every host

Cause: a change was passed on for a number of messages. Change: the time is the same on all hosts; answers carry records only of fresh changes and marks of the rest. Messages that answer a question carry nothing else. Conclusion: the cost of changes has to be measured again.

--- a/crates/host/examples/gossip_bench.rs
+++ b/crates/host/examples/gossip_bench.rs
@@ -11,6 +11,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_channel::oneshot;
+use futures_util::FutureExt;
+use futures_util::future::{LocalBoxFuture, Shared};
 use masticstair_core::bundle::StageKind;
 use masticstair_core::id::Incarnation;
 use masticstair_core::unit::{Slots, Timestamp};
@@ -28,6 +31,8 @@
 const MEASURE: Duration = Duration::from_secs(8);
 const SETTLE: Duration = Duration::from_secs(4);
 const SETTLE_PER_HOST: Duration = Duration::from_millis(250);
+/// The time for the tasks of a case to end.
+const STOP: Duration = Duration::from_secs(1);
 /// Changes a second over all hosts in the cases with changes.
 const CHANGES_PER_SECOND: u32 = 20;
 /// The largest deployment, and what a host may spend there.
@@ -37,6 +42,7 @@
 const LIMIT_CORE_PERCENT: f64 = 3.3;
 
 type Failure = Box<dyn Error>;
+type Stop = Shared<LocalBoxFuture<'static, ()>>;
 
 /// One measurement.
 #[derive(Clone, Copy)]
@@ -53,10 +59,14 @@
     core_percent: f64,
     /// The slowest change seen to reach all hosts, in milliseconds.
     spread_ms: f64,
+    /// Memory of the process by host, in MB.
+    memory_mb: f64,
 }
 
 struct Cluster {
     hosts: Vec<Arc<Membership>>,
+    /// Ends the tasks of all hosts. The runtime does not drop the tasks that it still has at its end.
+    stop: RefCell<Option<oneshot::Sender<()>>>,
     incarnations: RefCell<Vec<u64>>,
     stopped: Cell<bool>,
 }
@@ -64,7 +74,7 @@
 fn main() -> Result<(), Failure> {
     let by_hosts = [8, 16, 32, 64].map(|hosts| (hosts, 110));
     let by_records = [16, 128, 512, 1_100].map(|records| (32, records));
-    println!("hosts records changes/s  sent B/s/host  core %/host  slowest spread ms");
+    println!("hosts records changes/s  sent B/s/host  core %/host  slowest spread ms  MB/host");
     for changes in [false, true] {
         let mut points = Vec::new();
         for (hosts, records) in by_hosts.into_iter().chain(by_records) {
@@ -109,13 +119,14 @@
 fn measure(case: Case) -> Result<Cost, Failure> {
     let cost = block_on(run(case))??;
     println!(
-        "{:5} {:7} {:9} {:14.0} {:12.3} {:18.0}",
+        "{:5} {:7} {:9} {:14.0} {:12.3} {:18.0} {:8.2}",
         case.hosts,
         case.records,
         if case.changes { CHANGES_PER_SECOND } else { 0 },
         cost.sent_per_second,
         cost.core_percent,
         cost.spread_ms,
+        cost.memory_mb,
     );
     Ok(cost)
 }
@@ -137,30 +148,38 @@
         true => slowest_spread(&cluster).await,
         false => 0.0,
     };
+    let memory = resident_bytes()? / 1e6;
     cluster.stopped.set(true);
+    cluster.stop.take();
+    sleep(STOP).await;
     let hosts = case.hosts as f64;
     Ok(Cost {
         sent_per_second: sent as f64 / seconds / hosts,
         core_percent: 100.0 * cpu / seconds / hosts,
         spread_ms,
+        memory_mb: memory / hosts,
     })
 }
 
 async fn start(case: Case) -> Result<Cluster, Failure> {
     let mut hosts: Vec<Arc<Membership>> = Vec::new();
+    let (stop, stopped) = oneshot::channel::<()>();
+    let stopped = stopped.map(drop).boxed_local().shared();
     let mut first = None;
     for i in 0..case.hosts {
-        let (host, address) = start_host(i, first)?;
+        let (host, address) = start_host(i, first, stopped.clone())?;
         first = first.or(Some(address));
         hosts.push(host);
     }
     let incarnations = RefCell::new(vec![1; case.records]);
-    Ok(Cluster { hosts, incarnations, stopped: Cell::new(false) })
+    let stop = RefCell::new(Some(stop));
+    Ok(Cluster { hosts, stop, incarnations, stopped: Cell::new(false) })
 }
 
 fn start_host(
     i: usize,
     seed: Option<SocketAddr>,
+    stop: Stop,
 ) -> Result<(Arc<Membership>, SocketAddr), Failure> {
     let reserved = std::net::TcpListener::bind("127.0.0.1:0")?;
     let address = reserved.local_addr()?;
@@ -188,8 +207,8 @@
     let mut handlers = PeerHandlers::refusing();
     install_handlers(&mut handlers, &membership, &peers, &bundles, &log);
     let server = PeerServer::bind(address, identity, handlers)?;
-    monoio::spawn(server.run(std::future::pending()));
-    let stop = Box::pin(std::future::pending());
+    monoio::spawn(server.run(stop.clone()));
+    let stop = stop.boxed_local();
     let cx = MembershipContext { membership: membership.clone(), peers, bundles, log, stop };
     monoio::spawn(run_membership(cx));
     Ok((membership, address))
@@ -266,6 +285,13 @@
     })
 }
 
+/// Resident memory of this process; the second field of `/proc/self/statm`, in pages of 4 KiB.
+fn resident_bytes() -> Result<f64, Failure> {
+    let statm = std::fs::read_to_string("/proc/self/statm")?;
+    let pages = statm.split_whitespace().nth(1).ok_or("no size in /proc/self/statm")?;
+    Ok(pages.parse::<f64>()? * 4096.0)
+}
+
 /// User and system time of this process; fields 14 and 15 of `/proc/self/stat`, in ticks of 10 ms.
 fn cpu_time() -> Result<Duration, Failure> {
     let stat = std::fs::read_to_string("/proc/self/stat")?;
--- a/crates/host/src/membership/exchange.rs
+++ b/crates/host/src/membership/exchange.rs
@@ -16,21 +16,26 @@
 /// Makes a request: the marks of recent changes, and the records of those that this host made.
 pub(crate) fn compose(tables: &mut Tables, now: Timestamp, to: &HostId) -> GossipMessage {
     let hosts = tables.members.live_count();
-    tables.news.prune(hosts);
+    tables.news.prune(now, hosts);
     let mut message = header(tables, now);
-    for due in tables.news.due(to, MARKS_PER_MESSAGE) {
+    for due in tables.news.due(now, to, MARKS_PER_MESSAGE) {
         if due.eager && records_of(&message) < RECORDS_PER_MESSAGE {
             add_record(tables, &mut message, &due.key);
+            tables.news.note_eager(&due.key);
         } else {
             message.news.extend(mark(tables, &due.key));
         }
-        tables.news.note_sent(&due.key);
     }
     add_objection(tables, &mut message, to);
     message.loads = loads(tables, load_reports(hosts));
     message
 }
 
+/// Makes a message whose answer contains only what it asks for.
+pub(crate) fn question(tables: &Tables) -> GossipMessage {
+    GossipMessage { revision: tables.revision, ..GossipMessage::default() }
+}
+
 /// Makes a message without changes.
 pub(crate) fn header(tables: &mut Tables, now: Timestamp) -> GossipMessage {
     let (_, table_hash) = tables.digest.get(now, &tables.members, &tables.endpoints);
@@ -89,17 +94,14 @@
     for key in &older {
         add_record(tables, &mut reply, key);
     }
-    let known: HashSet<RecordMark> = request.news.iter().copied().collect();
-    for due in tables.news.due(&caller.host, MARKS_PER_MESSAGE) {
-        let named = mark(tables, &due.key).is_none_or(|mark| known.contains(&mark));
-        if !named && !sent.contains(&due.key) && records_of(&reply) < RECORDS_PER_MESSAGE {
-            add_record(tables, &mut reply, &due.key);
-        }
+    add_wanted(tables, &mut reply, &request.wants);
+    add_asked(tables, &mut reply, &request.asks);
+    if request.table_hash == 0 {
+        return reply;
     }
-    let news = request.news.iter().copied();
-    reply.asks = news.filter(|m| !tables.digest.contains(*m)).take(RECORDS_PER_MESSAGE).collect();
+    answer_news(tables, now, &mut reply, caller, &request.news, &sent);
+    reply.asks = unknown(tables, &request.news);
     add_objection(tables, &mut reply, &caller.host);
-    add_wanted(tables, &mut reply, &request.wants);
     answer_identity(tables, &mut reply, caller);
     reply.loads = loads(tables, load_reports(tables.members.live_count()));
     if !request.buckets.is_empty() {
@@ -108,8 +110,17 @@
     reply
 }
 
+/// Returns the marks of changes that this host does not know.
+pub(crate) fn unknown(tables: &Tables, news: &[RecordMark]) -> Vec<RecordMark> {
+    let news = news.iter().copied();
+    news.filter(|mark| !tables.digest.contains(*mark)).take(RECORDS_PER_MESSAGE).collect()
+}
+
 /// Adds the recent changes that a peer asks for.
 pub(crate) fn add_asked(tables: &Tables, message: &mut GossipMessage, asks: &[RecordMark]) {
+    if asks.is_empty() {
+        return;
+    }
     let keys: Vec<NewsKey> = tables.news.keys().cloned().collect();
     for key in keys {
         if mark(tables, &key).is_some_and(|mark| asks.contains(&mark)) {
@@ -148,7 +159,7 @@
     if tables.endpoints.merge(now, record.clone()) {
         tables.touch();
         if spread {
-            tables.news.push(key, Some(from.clone()));
+            tables.news.push(now, key, Some(from.clone()));
         }
         return;
     }
@@ -167,6 +178,28 @@
     }
 }
 
+/// Adds the recent changes that a caller neither names nor sent: the fresh ones as records.
+fn answer_news(
+    tables: &Tables,
+    now: Timestamp,
+    reply: &mut GossipMessage,
+    caller: &PeerIdentity,
+    named: &[RecordMark],
+    sent: &HashSet<NewsKey>,
+) {
+    for due in tables.news.due(now, &caller.host, MARKS_PER_MESSAGE) {
+        let Some(mark) = mark(tables, &due.key) else { continue };
+        if named.contains(&mark) || sent.contains(&due.key) {
+            continue;
+        }
+        if due.fresh && records_of(reply) < RECORDS_PER_MESSAGE {
+            add_record(tables, reply, &due.key);
+        } else {
+            reply.news.push(mark);
+        }
+    }
+}
+
 /// Asks a caller that is not known for its record, and tells an earlier life that it was replaced.
 fn answer_identity(tables: &Tables, reply: &mut GossipMessage, caller: &PeerIdentity) {
     let known = tables.members.get(&caller.host).map(|m| m.record.incarnation);
--- a/crates/host/src/membership/limits.rs
+++ b/crates/host/src/membership/limits.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-/// The time between two exchanges that a host begins.
-pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
+pub use masticstair_policy::membership::limits::GOSSIP_INTERVAL;
 
 /// The deadline of an exchange; a peer that misses it is probed through others.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/host/src/membership/membership.rs
+++ b/crates/host/src/membership/membership.rs
@@ -67,7 +67,7 @@
         let changed = self.with_tables(|tables, now| {
             let changed = tables.endpoints.announce(now, announcement)?;
             if changed {
-                tables.originate(NewsKey::Endpoint(id));
+                tables.originate(now, NewsKey::Endpoint(id));
             }
             Ok(changed)
         })?;
@@ -89,7 +89,7 @@
     ) -> Result<(), AnnounceError> {
         self.with_tables(|tables, now| {
             if tables.endpoints.leave(now, id, incarnation)? {
-                tables.originate(NewsKey::Endpoint(id.clone()));
+                tables.originate(now, NewsKey::Endpoint(id.clone()));
             }
             Ok(())
         })?;
--- a/crates/host/src/membership/suspicion.rs
+++ b/crates/host/src/membership/suspicion.rs
@@ -57,7 +57,7 @@
         if heard || !same || !tables.members.suspect(now, &peer.host) {
             return false;
         }
-        tables.originate(NewsKey::Host(peer.host.clone()));
+        tables.originate(now, NewsKey::Host(peer.host.clone()));
         true
     });
     if suspected {
--- a/crates/host/src/membership/sync.rs
+++ b/crates/host/src/membership/sync.rs
@@ -1,7 +1,7 @@
 //! Anti-entropy: compares the tables of two hosts and exchanges what differs.
 
 use super::context::TaskContext;
-use super::exchange::{absorb, add_wanted, header};
+use super::exchange::{absorb, add_wanted, header, question};
 use super::gossip::notify;
 use super::limits::{RECORDS_PER_MESSAGE, SYNC_TIMEOUT};
 use masticstair_core::id::HostId;
@@ -77,8 +77,8 @@
         if wants.is_none() && offers.is_none() {
             return Ok(());
         }
-        let message = cx.membership.with_tables(|tables, now| {
-            let mut message = header(tables, now);
+        let message = cx.membership.with_tables(|tables, _| {
+            let mut message = question(tables);
             add_wanted(tables, &mut message, offers.unwrap_or_default());
             message.wants = wants.map(<[RecordKey]>::to_vec).unwrap_or_default();
             message
--- a/crates/host/src/membership/tables.rs
+++ b/crates/host/src/membership/tables.rs
@@ -48,7 +48,7 @@
 impl Tables {
     pub(crate) fn new(now: Timestamp, local: HostRecord, synced: bool) -> Self {
         let mut news = NewsQueue::default();
-        news.push(NewsKey::Host(local.host.clone()), None);
+        news.push(now, NewsKey::Host(local.host.clone()), None);
         Self {
             endpoints: EndpointTable::new(local.host.clone()),
             members: MemberTable::new(now, local),
@@ -71,8 +71,8 @@
     }
 
     /// Notes a change that this host made itself: it is told to some peers at once.
-    pub(crate) fn originate(&mut self, key: NewsKey) {
-        self.news.push(key, None);
+    pub(crate) fn originate(&mut self, now: Timestamp, key: NewsKey) {
+        self.news.push(now, key, None);
         self.touch();
         self.urgent = true;
     }
@@ -87,11 +87,11 @@
     pub(crate) fn tick(&mut self, now: Timestamp) -> Vec<HostId> {
         let failed = self.members.expire(now);
         for host in &failed {
-            self.originate(NewsKey::Host(host.clone()));
+            self.originate(now, NewsKey::Host(host.clone()));
         }
         let members = &self.members;
         for id in self.endpoints.tick(now, |host| observer_state(members, host)) {
-            self.originate(NewsKey::Endpoint(id));
+            self.originate(now, NewsKey::Endpoint(id));
         }
         failed
     }
@@ -107,9 +107,9 @@
         let key = NewsKey::Host(record.host.clone());
         match self.members.merge(now, record) {
             MergeOutcome::Unchanged => return false,
-            MergeOutcome::Changed if spread => self.news.push(key, Some(from.clone())),
+            MergeOutcome::Changed if spread => self.news.push(now, key, Some(from.clone())),
             MergeOutcome::Changed => {}
-            MergeOutcome::Refuted => self.originate(key),
+            MergeOutcome::Refuted => self.originate(now, key),
             MergeOutcome::Superseded(incarnation) => self.superseded = Some(incarnation),
         }
         self.touch();
@@ -163,7 +163,7 @@
 
     /// Tells whether it is time to compare digests, and notes that it is done.
     pub(crate) fn begin_comparison(&mut self, now: Timestamp) -> bool {
-        self.news.prune(self.members.live_count());
+        self.news.prune(now, self.members.live_count());
         let (after, interval) = match self.news.is_empty() {
             true => (QUIET_DIGEST_AFTER, QUIET_DIGEST_INTERVAL),
             false => (DIGEST_AFTER, DIGEST_INTERVAL),
--- a/crates/host/src/membership/task.rs
+++ b/crates/host/src/membership/task.rs
@@ -138,7 +138,7 @@
     cx.membership.with_tables(|tables, now| {
         tables.members.leave(now);
         let local = tables.members.local().clone();
-        tables.originate(NewsKey::Host(local));
+        tables.originate(now, NewsKey::Host(local));
     });
     exchange_with_some(cx.clone(), LEAVE_PEERS).await;
 }
--- a/crates/net/tests/peer.rs
+++ b/crates/net/tests/peer.rs
@@ -5,96 +5,19 @@
 mod common;
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use common::link::{Link, LinkMode};
-use masticstair_core::id::{HostId, Incarnation, LogIndex, ReplicaId, Revision, Term};
-use masticstair_core::message::{
-    AppendReply, AppendRequest, EntryPayload, LogEntry, VoteReply, VoteRequest,
-};
+use common::host::*;
+use masticstair_core::id::{LogIndex, ReplicaId, Revision, Term};
+use masticstair_core::message::{AppendRequest, EntryPayload, LogEntry, VoteReply, VoteRequest};
 use masticstair_net::peer::limits::{CLIENT_CALLS_LIMIT, MESSAGE_LIMIT};
 use masticstair_net::peer::*;
 use masticstair_net::runtime::block_on;
-use masticstair_policy::membership::GossipMessage;
 use monoio::io::AsyncWriteRentExt;
 use monoio::net::TcpStream;
 use monoio::time::sleep;
 
-const LIMIT: Duration = Duration::from_millis(200);
-
-fn identity(deployment: &str, host: &str, protocol: u16) -> PeerIdentity {
-    PeerIdentity {
-        deployment: deployment.parse().unwrap(),
-        host: host.parse().unwrap(),
-        incarnation: Incarnation::new(7),
-        protocol: ProtocolVersion::new(protocol),
-    }
-}
-
-fn near() -> PeerIdentity {
-    identity("test", "near", 1)
-}
-
-/// Starts a host `far` that answers votes, appends, proposals, gossip and bundles; a proposal of `slow`
-/// never ends.
-fn serve(local: PeerIdentity) -> SocketAddr {
-    let mut handlers = PeerHandlers::refusing();
-    handlers.vote = Box::new(|_, request| {
-        let reply = VoteReply { term: request.message.term, granted: request.message.transfer };
-        Box::pin(async move { Ok(reply) })
-    });
-    handlers.append = Box::new(|_, request| {
-        let reply = AppendReply {
-            term: request.message.term,
-            success: true,
-            match_index: LogIndex::new(request.message.entries.len() as u64),
-            round: request.message.round,
-        };
-        Box::pin(async move { Ok(reply) })
-    });
-    handlers.propose = Box::new(|caller, request| {
-        let (host, command) = (caller.host.clone(), request.message.command);
-        Box::pin(async move {
-            match &*command {
-                b"slow" => std::future::pending().await,
-                b"redirect" => Ok(ProposeReply::Redirect(Some(host))),
-                b"refuse" => Err(CallRefused::new("not now")),
-                _ => Ok(ProposeReply::Applied(command)),
-            }
-        })
-    });
-    handlers.gossip = Box::new(|_, message| Box::pin(async move { Ok(message) }));
-    handlers.formation = Box::new(|_, _| {
-        let answer = FormationAnswer { new: true, replica: Some(ReplicaId::from_bytes([9; 16])) };
-        Box::pin(async move { Ok(answer) })
-    });
-    let server = PeerServer::bind("127.0.0.1:0".parse().unwrap(), local, handlers).unwrap();
-    let address = server.local_addr().unwrap();
-    monoio::spawn(server.run(std::future::pending()));
-    address
-}
-
-fn client(address: SocketAddr, local: PeerIdentity, expected: Option<&str>) -> PeerClient {
-    let expected = expected.map(|host| host.parse::<HostId>().unwrap());
-    PeerClient::spawn(PeerClientConfig { address, expected, local })
-}
-
-fn far_client() -> PeerClient {
-    client(serve(identity("test", "far", 1)), near(), Some("far"))
-}
-
-async fn gossip(client: &PeerClient, revision: u64) -> Result<u64, PeerError> {
-    let message = GossipMessage { revision: Revision::new(revision), ..Default::default() };
-    client.gossip(message, LIMIT).await.map(|reply| reply.revision.get())
-}
-
-async fn propose(client: &PeerClient, command: &[u8]) -> Result<ProposeReply, PeerError> {
-    let proposal = Proposal { command: command.into(), budget: LIMIT };
-    client.propose(GroupId::FIRST, proposal).await
-}
-
 /// Guards against fields that are lost or exchanged on the way.
 #[test]
 fn calls_return_what_the_handler_answers() {
@@ -183,81 +106,6 @@
     .unwrap();
 }
 
-/// Guards against a link fault that outlives the fault: an open but dead connection that is kept, a call
-/// that hangs, or a client that does not come back.
-#[test]
-fn connections_are_replaced_after_link_faults() {
-    struct Case {
-        name: &'static str,
-        fault: fn(&Link),
-        never_sent: bool,
-        /// Whether the client reconnects while the fault lasts.
-        survives: bool,
-    }
-    let cases = [
-        Case {
-            name: "open but dead connection",
-            fault: Link::kill_open_connections,
-            never_sent: false,
-            survives: true,
-        },
-        Case {
-            name: "requests cut",
-            fault: |link| link.set(LinkMode::CutForward),
-            never_sent: false,
-            survives: false,
-        },
-        Case {
-            name: "answers cut",
-            fault: |link| link.set(LinkMode::CutBackward),
-            never_sent: false,
-            survives: false,
-        },
-        Case {
-            name: "silent both ways",
-            fault: |link| link.set(LinkMode::Silent),
-            never_sent: false,
-            survives: false,
-        },
-        Case {
-            name: "delay beyond the deadline",
-            fault: |link| link.set(LinkMode::Delay(LIMIT * 2)),
-            never_sent: false,
-            survives: false,
-        },
-    ];
-    block_on(async {
-        for case in cases {
-            let link = Link::spawn(serve(identity("test", "far", 1)));
-            let client = client(link.address, near(), Some("far"));
-            assert_eq!(gossip(&client, 1).await, Ok(1), "{}", case.name);
-            (case.fault)(&link);
-            let start = Instant::now();
-            let error = gossip(&client, 2).await.unwrap_err();
-            assert!(start.elapsed() < LIMIT + Duration::from_millis(100), "{}", case.name);
-            assert_eq!(error.never_sent(), case.never_sent, "{}: {error}", case.name);
-            if !case.survives {
-                link.set(LinkMode::Pass);
-            }
-            assert!(recovers(&client).await, "{}", case.name);
-            assert!(link.accepted() >= 2, "{}", case.name);
-        }
-    })
-    .unwrap();
-}
-
-/// Tells whether calls succeed again within 3 s: two hellos that time out and the longest wait.
-async fn recovers(client: &PeerClient) -> bool {
-    let start = Instant::now();
-    while start.elapsed() < Duration::from_secs(3) {
-        if gossip(client, 3).await == Ok(3) {
-            return true;
-        }
-        sleep(Duration::from_millis(20)).await;
-    }
-    false
-}
-
 /// Guards against calls that hang, or are called ambiguous, while nothing listens at the address.
 #[test]
 fn calls_to_a_dead_host_fail_at_once_as_never_sent() {
--- /dev/null
+++ b/crates/net/tests/peer_links.rs
@@ -0,0 +1,97 @@
+//! Calls between hosts over links with faults.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::host::*;
+use common::link::{Link, LinkMode};
+use masticstair_net::runtime::block_on;
+
+/// Guards against a link fault that outlives the fault: an open but dead connection that is kept, a call
+/// that hangs, or a client that does not come back.
+#[test]
+fn connections_are_replaced_after_link_faults() {
+    struct Case {
+        name: &'static str,
+        fault: fn(&Link),
+        never_sent: bool,
+        /// Whether the client reconnects while the fault lasts.
+        survives: bool,
+    }
+    let cases = [
+        Case {
+            name: "open but dead connection",
+            fault: Link::kill_open_connections,
+            never_sent: false,
+            survives: true,
+        },
+        Case {
+            name: "requests cut",
+            fault: |link| link.set(LinkMode::CutForward),
+            never_sent: false,
+            survives: false,
+        },
+        Case {
+            name: "answers cut",
+            fault: |link| link.set(LinkMode::CutBackward),
+            never_sent: false,
+            survives: false,
+        },
+        Case {
+            name: "silent both ways",
+            fault: |link| link.set(LinkMode::Silent),
+            never_sent: false,
+            survives: false,
+        },
+        Case {
+            name: "delay beyond the deadline",
+            fault: |link| link.set(LinkMode::Delay(LIMIT * 2)),
+            never_sent: false,
+            survives: false,
+        },
+    ];
+    block_on(async {
+        for case in cases {
+            let link = Link::spawn(serve(identity("test", "far", 1)));
+            let client = client(link.address, near(), Some("far"));
+            assert_eq!(gossip(&client, 1).await, Ok(1), "{}", case.name);
+            (case.fault)(&link);
+            let start = Instant::now();
+            let error = gossip(&client, 2).await.unwrap_err();
+            assert!(start.elapsed() < LIMIT + Duration::from_millis(100), "{}", case.name);
+            assert_eq!(error.never_sent(), case.never_sent, "{}: {error}", case.name);
+            if !case.survives {
+                link.set(LinkMode::Pass);
+            }
+            assert!(recovers(&client).await, "{}", case.name);
+            assert!(link.accepted() >= 2, "{}", case.name);
+        }
+    })
+    .unwrap();
+}
+
+/// Guards against clients that only work on the thread of their connection.
+#[test]
+fn calls_work_from_other_threads() {
+    block_on(async {
+        let client = far_client();
+        let (tx, rx) = futures_channel::oneshot::channel();
+        let thread = std::thread::spawn(move || {
+            let replies = block_on(async {
+                let mut replies = Vec::new();
+                for revision in 1..=20 {
+                    replies.push(gossip(&client, revision).await);
+                }
+                replies
+            });
+            tx.send(replies.unwrap()).unwrap();
+        });
+        let expected: Vec<_> = (1..=20).map(Ok).collect();
+        assert_eq!(rx.await.unwrap(), expected);
+        thread.join().unwrap();
+    })
+    .unwrap();
+}
--- a/crates/policy/src/membership/gossip_message.rs
+++ b/crates/policy/src/membership/gossip_message.rs
@@ -7,7 +7,7 @@
 pub struct GossipMessage {
     /// The newest revision that the sender holds.
     pub revision: Revision,
-    /// Hash over the sender's records; 0 when it is not given.
+    /// Hash over the sender's records; 0 in a message whose answer contains only what it asks for.
     pub table_hash: u64,
     /// Changes of hosts.
     pub hosts: Vec<HostRecord>,
--- a/crates/policy/src/membership/limits.rs
+++ b/crates/policy/src/membership/limits.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// The time between two exchanges that a host begins.
+pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
+
 /// The time from the first missed probe of a host to the suspicion.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(1_000);
 
--- a/crates/policy/src/membership/news_queue.rs
+++ b/crates/policy/src/membership/news_queue.rs
@@ -1,25 +1,36 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::NewsKey;
+use super::limits::GOSSIP_INTERVAL;
 use masticstair_core::id::HostId;
+use masticstair_core::unit::Timestamp;
 
-/// Messages that carry a change beyond log2 of the number of hosts. Without them, a host would be passed
-/// over by a change about once in 50 changes.
+/// Exchanges that a host begins while it passes on a change, beyond log2 of the number of hosts. Without
+/// them, a change would pass a host over about once in 50 times.
 const EXTRA_TRANSMISSIONS: u32 = 3;
 
 /// Messages in which the origin of a change sends the record itself; nobody can know it before.
 const EAGER_TRANSMISSIONS: u32 = 4;
 
-/// Recent changes that a host passes on in the messages that it begins.
+/// The age of a change up to which a host that is asked answers with the record itself. Its caller either
+/// names the change or is likely to lack it.
+const FRESH: Duration = GOSSIP_INTERVAL.saturating_mul(2);
+
+/// Recent changes that a host passes on.
+///
+/// A change is passed on for a time that is the same on all hosts, and not for a number of messages: a host
+/// with more messages than others would otherwise stop naming a change that the others still send it.
 #[derive(Clone, Debug, Default)]
 pub struct NewsQueue {
     news: BTreeMap<NewsKey, News>,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct News {
-    /// Messages that carried the change.
-    sent: u32,
+    learned: Timestamp,
+    /// Messages that still carry the record itself.
+    eager: u32,
     /// The host that it came from; none when this host made the change.
     from: Option<HostId>,
 }
@@ -29,39 +40,44 @@
 pub struct DueNews {
     /// The record.
     pub key: NewsKey,
-    /// Whether the record itself goes into the message, and not only its mark.
+    /// Whether a request carries the record itself, and not only its mark.
     pub eager: bool,
+    /// Whether an answer carries the record itself, and not only its mark.
+    pub fresh: bool,
 }
 
 impl NewsQueue {
     /// Adds a change, or begins again when the record changed once more.
-    pub fn push(&mut self, key: NewsKey, from: Option<HostId>) {
-        self.news.insert(key, News { sent: 0, from });
+    pub fn push(&mut self, now: Timestamp, key: NewsKey, from: Option<HostId>) {
+        let eager = if from.is_none() { EAGER_TRANSMISSIONS } else { 0 };
+        self.news.insert(key, News { learned: now, eager, from });
     }
 
-    /// Returns the changes that concern a host, the least sent first, at most `limit`.
-    pub fn due(&self, to: &HostId, limit: usize) -> Vec<DueNews> {
+    /// Returns the changes that concern a host, the newest first, at most `limit`.
+    pub fn due(&self, now: Timestamp, to: &HostId, limit: usize) -> Vec<DueNews> {
         let mut due: Vec<_> =
             self.news.iter().filter(|(_, news)| news.from.as_ref() != Some(to)).collect();
-        due.sort_by_key(|(_, news)| news.sent);
+        due.sort_by_key(|(_, news)| std::cmp::Reverse(news.learned));
         due.truncate(limit);
-        let eager = |news: &News| news.from.is_none() && news.sent < EAGER_TRANSMISSIONS;
-        due.into_iter()
-            .map(|(key, news)| DueNews { key: key.clone(), eager: eager(news) })
-            .collect()
+        let entry = |(key, news): (&NewsKey, &News)| DueNews {
+            key: key.clone(),
+            eager: news.eager > 0,
+            fresh: now.since(news.learned) < FRESH,
+        };
+        due.into_iter().map(entry).collect()
     }
 
-    /// Notes that a message of this host carried a change.
-    pub fn note_sent(&mut self, key: &NewsKey) {
+    /// Notes that a request of this host carried the record itself.
+    pub fn note_eager(&mut self, key: &NewsKey) {
         if let Some(news) = self.news.get_mut(key) {
-            news.sent += 1;
+            news.eager = news.eager.saturating_sub(1);
         }
     }
 
-    /// Forgets the changes that were sent often enough among this many hosts.
-    pub fn prune(&mut self, hosts: usize) {
-        let limit = Self::transmissions(hosts);
-        self.news.retain(|_, news| news.sent < limit);
+    /// Forgets the changes that were passed on for long enough among this many hosts.
+    pub fn prune(&mut self, now: Timestamp, hosts: usize) {
+        let window = Self::window(hosts);
+        self.news.retain(|_, news| now.since(news.learned) < window);
     }
 
     /// Returns the recent changes.
@@ -74,8 +90,8 @@
         self.news.is_empty()
     }
 
-    /// Returns how many messages carry a change among this many hosts.
-    pub fn transmissions(hosts: usize) -> u32 {
-        hosts.max(1).next_power_of_two().ilog2() + EXTRA_TRANSMISSIONS
+    /// Returns how long a change is passed on among this many hosts.
+    pub fn window(hosts: usize) -> Duration {
+        GOSSIP_INTERVAL * (hosts.max(1).next_power_of_two().ilog2() + EXTRA_TRANSMISSIONS)
     }
 }
--- a/crates/policy/src/membership/tests.rs
+++ b/crates/policy/src/membership/tests.rs
@@ -1,5 +1,5 @@
 use super::digest::{bucket_count, buckets, compare, differing, table_hash};
-use super::limits::{FAILED_RETENTION, LEFT_RETENTION, SUSPICION};
+use super::limits::{FAILED_RETENTION, GOSSIP_INTERVAL, LEFT_RETENTION, SUSPICION};
 use super::*;
 use masticstair_core::id::{HostId, Incarnation};
 use masticstair_core::unit::Timestamp;
@@ -141,7 +141,7 @@
 
 /// Guards against news that is sent for ever, back to its source, or by its origin without the record.
 #[test]
-fn news_is_passed_on_about_log2_times() {
+fn news_is_passed_on_for_about_log2_exchanges() {
     struct Case {
         name: &'static str,
         from: Option<&'static str>,
@@ -154,17 +154,19 @@
     for case in cases {
         let mut queue = NewsQueue::default();
         let key = NewsKey::Host(host("b"));
-        queue.push(key.clone(), case.from.map(host));
-        let to_source = queue.due(&host("c"), 9).len();
+        queue.push(START, key.clone(), case.from.map(host));
+        let to_source = queue.due(START, &host("c"), 9).len();
         assert_eq!(to_source, usize::from(case.from.is_none()), "{}", case.name);
-        let (mut sent, mut eager) = (0, 0);
-        while let Some(due) = queue.due(&host("d"), 9).pop() {
+        let (mut now, mut sent, mut eager, mut fresh) = (START, 0, 0, 0);
+        while let Some(due) = queue.due(now, &host("d"), 9).pop() {
             eager += u32::from(due.eager);
-            queue.note_sent(&key);
-            queue.prune(8);
+            fresh += u32::from(due.fresh);
+            queue.note_eager(&key);
+            now = now.plus(GOSSIP_INTERVAL);
+            queue.prune(now, 8);
             sent += 1;
         }
-        assert_eq!((sent, eager), (6, case.eager), "{}", case.name);
+        assert_eq!((sent, eager, fresh), (6, case.eager, 2), "{}", case.name);
     }
 }
 
