Let operators submit, sign off, roll and watch over HTTP

Cause: bundles could be changed only from inside a process, and nobody could see which host lags. Change: paths under /v1/bundles and /v1/status on every host. Commands carry the operator's signature and go to the replicated log; the host checks the signature first, so that strangers write nothing. Reads carry a signature over the request in headers, accepted within 5 minutes. Refusals are problem documents with the winner of a race and every error of a bundle. The history has pages (query and answer of the state), a survey asks each live host for its revision by a gossip exchange, and the leader tells the progress of the voters to any host. Submitted bundles have a bound of their own (24 MiB, two at once for a worker).

--- a/crates/host/src/control/context.rs
+++ b/crates/host/src/control/context.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::membership::{Membership, PeerPool};
+use crate::membership::{Membership, PeerPool, RevisionSurvey};
 use crate::state::HostState;
 
 /// What the tasks of the control thread share.
@@ -17,6 +17,8 @@
     /// The replica of this host, when it has a data folder.
     pub(super) node: Option<Node>,
     pub(super) leader: Rc<LeaderHint>,
+    /// Asks the other hosts for their revisions.
+    pub(super) survey: Rc<RevisionSurvey>,
 }
 
 /// What is known of the leader without asking.
--- a/crates/host/src/control/handle.rs
+++ b/crates/host/src/control/handle.rs
@@ -2,7 +2,7 @@
 use masticstair_store::state::{Answer, Command, Query, Reply};
 use std::time::Duration;
 
-use super::{ControlError, ControlStatus};
+use super::{ControlError, ControlStatus, LeaderStatus};
 
 /// A question for the control thread.
 pub(super) enum ControlJob {
@@ -10,6 +10,10 @@
     Propose(Box<[u8]>, Duration, oneshot::Sender<Result<Box<[u8]>, ControlError>>),
     /// Asks an encoded query.
     Read(Box<[u8]>, Duration, oneshot::Sender<Result<Box<[u8]>, ControlError>>),
+    /// Asks every live host for its revision.
+    Survey(oneshot::Sender<()>),
+    /// Asks the leader for the state of its replica.
+    LeaderStatus(Duration, oneshot::Sender<Result<Box<[u8]>, ControlError>>),
     /// Asks for the state of the control thread.
     Status(oneshot::Sender<ControlStatus>),
 }
@@ -58,6 +62,27 @@
         self.ask(ControlJob::Status(tx), rx).await
     }
 
+    /// Asks every live host for the revision that it holds; `Membership::host_reports` has the answers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the control thread has ended.
+    pub async fn survey(&self) -> Result<(), ControlError> {
+        let (tx, rx) = oneshot::channel();
+        self.ask(ControlJob::Survey(tx), rx).await
+    }
+
+    /// Asks the leader, wherever it is, for its voters and how far each of them is.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no leader answers in time.
+    pub async fn leader_status(&self, limit: Duration) -> Result<LeaderStatus, ControlError> {
+        let (tx, rx) = oneshot::channel();
+        let answer = self.ask(ControlJob::LeaderStatus(limit, tx), rx).await??;
+        LeaderStatus::decode(&answer).map_err(|e| ControlError::Unknown(e.to_string().into()))
+    }
+
     async fn ask<T>(&self, job: ControlJob, rx: oneshot::Receiver<T>) -> Result<T, ControlError> {
         let ended = |sent: bool| {
             let message = "the control thread has ended".into();
--- a/crates/host/src/control/handlers.rs
+++ b/crates/host/src/control/handlers.rs
@@ -10,6 +10,8 @@
 use std::fmt::Display;
 use std::future::Future;
 
+use super::leader_read::leader_read;
+
 /// Sets the handlers of the replicated log for a host with a replica.
 pub(super) fn install(handlers: &mut PeerHandlers, node: &Node) {
     handlers.vote =
@@ -32,7 +34,7 @@
     });
     handlers.read = handler(node, |node, req: InGroup<ReadQuery>| async move {
         let query = req.message;
-        let answer = node.read(&query.query, query.budget).await;
+        let answer = leader_read(&node, &query.query, query.budget).await;
         Ok::<_, CallRefused>(read_reply(answer))
     });
     handlers.formation = handler(node, |node, _group: GroupId| async move {
--- a/crates/host/src/control/mod.rs
+++ b/crates/host/src/control/mod.rs
@@ -7,6 +7,8 @@
 mod formation;
 mod handle;
 mod handlers;
+mod leader_read;
+mod leader_status;
 mod links;
 mod maintenance;
 mod node_start;
@@ -18,6 +20,7 @@
 
 pub use error::ControlError;
 pub use handle::ControlHandle;
+pub use leader_status::{LeaderStatus, VoterProgress};
 pub use start_error::ControlStartError;
 pub use status::ControlStatus;
 pub use thread::{ControlThread, start_control};
--- a/crates/host/src/control/route.rs
+++ b/crates/host/src/control/route.rs
@@ -8,6 +8,7 @@
 
 use super::ControlError;
 use super::context::ControlContext;
+use super::leader_read::leader_read;
 
 /// The wait before the leader is looked for again.
 const RETRY_WAIT: Duration = Duration::from_millis(50);
@@ -157,7 +158,7 @@
 
 async fn read_here(cx: &ControlContext, query: &[u8], left: Duration) -> Step {
     let Some(node) = &cx.node else { return Step::Retry(None, "no replica here".into()) };
-    match node.read(query, left).await {
+    match leader_read(node, query, left).await {
         Ok(answer) => Step::Done(answer),
         Err(e) => {
             let reason = e.to_string().into();
--- a/crates/host/src/control/thread.rs
+++ b/crates/host/src/control/thread.rs
@@ -12,11 +12,12 @@
 use super::context::ControlContext;
 use super::handle::ControlJob;
 use super::{
-    ControlHandle, ControlStartError, ControlStatus, bundles, discovery, formation, handlers,
-    maintenance, node_start, route,
+    ControlHandle, ControlStartError, ControlStatus, LeaderStatus, bundles, discovery, formation,
+    handlers, maintenance, node_start, route,
 };
 use crate::membership::{
-    Membership, MembershipConfig, MembershipContext, PeerPool, install_handlers, run_membership,
+    Membership, MembershipConfig, MembershipContext, PeerPool, RevisionSurvey, install_handlers,
+    run_membership,
 };
 use crate::state::HostState;
 
@@ -151,7 +152,11 @@
     let _ = state.control.set(handle);
     let _ = state.membership.set(membership.clone());
     let leader = Rc::default();
-    let cx = ControlContext { state: state.clone(), membership, peers, node, leader };
+    let (survey_membership, survey_peers) = (membership.clone(), peers.clone());
+    let survey =
+        RevisionSurvey::new(survey_membership, survey_peers, hooks.clone(), state.log.clone());
+    let survey = Rc::new(survey);
+    let cx = ControlContext { state: state.clone(), membership, peers, node, leader, survey };
     Ok(Parts { cx, server, peer_addr, storage, jobs, hooks })
 }
 
@@ -168,6 +173,13 @@
                 ControlJob::Read(query, limit, tx) => {
                     let _ = tx.send(route::read(&cx, query, limit).await);
                 }
+                ControlJob::LeaderStatus(limit, tx) => {
+                    let _ = tx.send(route::read(&cx, LeaderStatus::QUERY.into(), limit).await);
+                }
+                ControlJob::Survey(tx) => {
+                    cx.survey.ask().await;
+                    let _ = tx.send(());
+                }
                 ControlJob::Status(tx) => {
                     let _ = tx.send(status(&cx));
                 }
--- /dev/null
+++ b/crates/host/src/http_api/admin/admin_problem.rs
@@ -0,0 +1,67 @@
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, StatusCode};
+use masticstair_core::id::SignerName;
+use masticstair_core::prelude::*;
+use masticstair_net::http::server::Response;
+use masticstair_policy::bundle_history::Origin;
+use serde::{Deserialize, Serialize};
+
+/// A problem document with what an operator needs to go on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AdminProblem {
+    /// The problem.
+    #[serde(flatten)]
+    pub problem: Problem,
+    /// The revision in force, when the command expects another one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<Revision>,
+    /// Whose command came first, when that is the reason.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub winner: Option<Winner>,
+    /// The errors of an invalid bundle, in the order of the document.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub errors: Vec<Box<str>>,
+    /// The number of all errors; `errors` has at most 10,000.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub error_count: Option<u32>,
+}
+
+/// The operator whose command came first, and its content.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Winner {
+    /// The operator.
+    pub signer: SignerName,
+    /// The digest of the content.
+    pub sha256: Sha256Digest,
+}
+
+impl AdminProblem {
+    pub(super) fn response(&self) -> Response {
+        let status =
+            StatusCode::from_u16(self.problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let media_type = HeaderValue::from_static("application/problem+json");
+        let response = Response::json(status, self).with_header(CONTENT_TYPE, media_type);
+        match self.problem.retry_after_s {
+            Some(s) => response.with_header(http::header::RETRY_AFTER, HeaderValue::from(s)),
+            None => response,
+        }
+    }
+}
+
+impl From<Problem> for Box<AdminProblem> {
+    fn from(problem: Problem) -> Self {
+        Box::new(AdminProblem {
+            problem,
+            revision: None,
+            winner: None,
+            errors: Vec::new(),
+            error_count: None,
+        })
+    }
+}
+
+impl From<Origin> for Winner {
+    fn from(origin: Origin) -> Self {
+        Self { signer: origin.by, sha256: origin.digest }
+    }
+}
--- /dev/null
+++ b/crates/host/src/http_api/admin/command.rs
@@ -0,0 +1,129 @@
+//! The commands of operators: submit, sign off, roll.
+
+use http::StatusCode;
+use masticstair_core::id::{CommandId, SignerName};
+use masticstair_core::prelude::*;
+use masticstair_net::http::server::{Request, Response};
+use masticstair_policy::bundle_history::{
+    BundleAction, BundleCommand, BundleReply, SignatureError, SignedHeader,
+};
+use masticstair_store::state::{Command, Reply};
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+
+use super::refusal::{bundle_problem, command_problem, unexpected_answer};
+use super::{AdminProblem, CommandDone, CommandRequest, SubmitRequest, control, parse_digest};
+use crate::state::HostState;
+
+/// How long a command may take until its outcome counts as unknown.
+const COMMAND_LIMIT: Duration = Duration::from_secs(5);
+
+/// Answers `POST /v1/bundles`.
+pub(super) async fn submit(
+    state: &HostState,
+    req: &Request,
+) -> Result<Response, Box<AdminProblem>> {
+    let SubmitRequest { command_id, expected_revision, signer, signature, content } = read(req)?;
+    let header = header(command_id, expected_revision, signer, &signature)?;
+    run(state, BundleCommand { header, action: BundleAction::Submit(content) }).await
+}
+
+/// Answers `POST /v1/bundles/{sha256}/sign-off`.
+pub(super) async fn sign_off(
+    state: &HostState,
+    sha256: &str,
+    req: &Request,
+) -> Result<Response, Box<AdminProblem>> {
+    run(state, about(sha256, req, BundleAction::SignOff)?).await
+}
+
+/// Answers `POST /v1/bundles/{sha256}/roll`.
+pub(super) async fn roll(
+    state: &HostState,
+    sha256: &str,
+    req: &Request,
+) -> Result<Response, Box<AdminProblem>> {
+    run(state, about(sha256, req, BundleAction::Roll)?).await
+}
+
+fn about(
+    sha256: &str,
+    req: &Request,
+    action: fn(Sha256Digest) -> BundleAction,
+) -> Result<BundleCommand, Box<AdminProblem>> {
+    let digest = parse_digest(sha256)?;
+    let CommandRequest { command_id, expected_revision, signer, signature } = read(req)?;
+    let header = header(command_id, expected_revision, signer, &signature)?;
+    Ok(BundleCommand { header, action: action(digest) })
+}
+
+fn read<T: DeserializeOwned>(req: &Request) -> Result<T, Box<AdminProblem>> {
+    let malformed = |e: serde_json::Error| {
+        Problem::not_run(400, "command-malformed", e.to_string()).with_field("body")
+    };
+    Ok(serde_json::from_slice(&req.body).map_err(malformed)?)
+}
+
+fn header(
+    id: CommandId,
+    expected: Revision,
+    signer: SignerName,
+    signature: &str,
+) -> Result<SignedHeader, Box<AdminProblem>> {
+    let malformed = |e: SignatureError| {
+        Problem::not_run(400, "signature-malformed", e.to_string()).with_field("signature")
+    };
+    Ok(SignedHeader { id, expected, signer, signature: signature.parse().map_err(malformed)? })
+}
+
+async fn run(state: &HostState, command: BundleCommand) -> Result<Response, Box<AdminProblem>> {
+    let Some(_in_flight) = state.drain.enter() else {
+        let leaving = Problem::not_run(503, "host-leaving", "this host is shutting down");
+        return Err(leaving.with_retry_after(1).into());
+    };
+    let control = control(state)?;
+    check_signature(state, &command)?;
+    let command = Command::Bundle(Box::new(command));
+    match control.propose(&command, COMMAND_LIMIT).await.map_err(command_problem)? {
+        Reply::Bundle(reply) => done(reply).map(|done| Response::json(StatusCode::OK, &done)),
+        _ => Err(unexpected_answer()),
+    }
+}
+
+/// Refuses a command that the replicated state would refuse for its signature. Anybody can send commands,
+/// and each would otherwise be written and synced on every voter.
+fn check_signature(state: &HostState, command: &BundleCommand) -> Result<(), Box<AdminProblem>> {
+    let in_force = state.in_force.get();
+    let signers = in_force.as_ref().map_or(&state.cfg.operators, |c| &c.bundle.signers);
+    let (kind, digest) = (command.action.right(), command.action.digest());
+    let checked = command.header.verify(&state.cfg.deployment, kind, &digest, signers);
+    checked.map_err(|refusal| match newer_revision(state) {
+        Some(newest) => {
+            let detail = format!("revision {newest} is not yet in force on this host: {refusal}");
+            Problem::not_run(503, "host-behind", detail).with_retry_after(1).into()
+        }
+        None => bundle_problem(refusal),
+    })
+}
+
+/// Returns the newest revision when this host holds an older one, whose signers may be others.
+fn newer_revision(state: &HostState) -> Option<Revision> {
+    let newest = state.membership.get()?.snapshot().newest_revision;
+    let held = state.in_force.get().map(|c| c.revision).unwrap_or_default();
+    (newest > held).then_some(newest)
+}
+
+fn done(reply: BundleReply) -> Result<CommandDone, Box<AdminProblem>> {
+    match reply {
+        BundleReply::Submitted { version, digest, by } => {
+            Ok(CommandDone::Submitted { version, sha256: digest, signer: by })
+        }
+        BundleReply::SignedOff { digest, next } => {
+            Ok(CommandDone::SignedOff { sha256: digest, next_revision: next })
+        }
+        BundleReply::Rolled { digest, revision } => {
+            Ok(CommandDone::Rolled { sha256: digest, revision })
+        }
+        BundleReply::Refused(refusal) => Err(bundle_problem(refusal)),
+    }
+}
--- /dev/null
+++ b/crates/host/src/http_api/admin/faults.rs
@@ -0,0 +1,89 @@
+//! Says in plain sentences what needs a look.
+
+use masticstair_core::prelude::*;
+
+use super::{HostLine, StatusReport};
+use crate::control::VoterProgress;
+
+/// A host that is asked answers within 300 ms, so a report of this age means that it did not.
+const REPORT_OLD: Millis = Millis::new(2_000);
+/// The leader hears from a voter every 50 ms; an election begins after 600 ms.
+const VOTER_SILENT: Millis = Millis::new(1_000);
+/// Entries by which a voter may be behind for a moment under load.
+const VOTER_BEHIND: u64 = 1_000;
+
+/// Returns a sentence for each fault of a report.
+pub fn find_faults(report: &StatusReport) -> Vec<Box<str>> {
+    let mut faults = own_faults(report);
+    faults.extend(log_faults(report));
+    faults.extend(report.hosts.iter().filter_map(|host| host_fault(report, host)));
+    let empty = report.pools.iter().filter(|p| p.in_bundle && p.endpoints.get() == 0);
+    faults.extend(empty.map(|p| format!("Pool {} has no endpoint.", p.pool)));
+    let unconfirmed = report.pools.iter().filter(|p| p.unconfirmed.get() > 0);
+    faults.extend(unconfirmed.map(|p| {
+        let (some, all) = (p.unconfirmed, p.endpoints);
+        format!("{some} of {all} endpoints of pool {} are observed by suspected hosts.", p.pool)
+    }));
+    faults.into_iter().map(Into::into).collect()
+}
+
+fn own_faults(report: &StatusReport) -> Vec<String> {
+    let own = &report.this_host;
+    let host = &own.host;
+    let mut faults = Vec::new();
+    if let Some(reason) = &own.not_serving {
+        faults.push(format!("Host {host} serves no requests: {reason}."));
+    }
+    if own.leaving {
+        faults.push(format!("Host {host} is shutting down."));
+    }
+    if let Some(fault) = &own.storage_fault {
+        faults.push(format!("The replica of host {host} stopped acknowledging: {fault}."));
+    }
+    faults
+}
+
+fn log_faults(report: &StatusReport) -> Vec<String> {
+    let mut faults = Vec::new();
+    if !report.confirmed {
+        let revision = report.revision;
+        faults.push(format!(
+            "No quorum of voters answered: commands and run-once calls are refused; revision \
+             {revision} is the newest one known to host {}.",
+            report.this_host.host
+        ));
+    }
+    if report.voters_changing {
+        faults.push("A change of the voters is in progress.".into());
+    }
+    let last = report.last.map_or(0, |last| last.get());
+    faults.extend(report.voters.iter().filter_map(|voter| voter_fault(voter, last)));
+    faults
+}
+
+fn voter_fault(voter: &VoterProgress, last: u64) -> Option<String> {
+    let host = &voter.host;
+    let kind = if voter.voter { "Voter" } else { "Replica" };
+    if let Some(silent) = voter.silent_ms.filter(|silent| *silent > VOTER_SILENT) {
+        return Some(format!("{kind} {host} has not answered the leader for {silent} ms."));
+    }
+    let behind = last.saturating_sub(voter.matched?.get());
+    (behind > VOTER_BEHIND).then(|| format!("{kind} {host} is {behind} entries behind the leader."))
+}
+
+fn host_fault(report: &StatusReport, line: &HostLine) -> Option<String> {
+    let host = &line.host;
+    if line.suspected {
+        return Some(format!("Host {host} is suspected to have failed: it answers no probes."));
+    }
+    let (Some(revision), Some(age)) = (line.revision, line.reported_ms) else {
+        return Some(format!("Host {host} has not reported its revision."));
+    };
+    if line.lags {
+        let in_force = report.revision;
+        return Some(format!(
+            "Host {host} reports revision {revision}, but {in_force} is in force."
+        ));
+    }
+    (age > REPORT_OLD).then(|| format!("Host {host} reported last {age} ms ago."))
+}
--- /dev/null
+++ b/crates/host/src/http_api/admin/mod.rs
@@ -0,0 +1,93 @@
+//! The administration of a deployment: bundles and status, for operators.
+//!
+//! Commands are authenticated by the operator's signature over the command itself, reads by a signature
+//! over the request in headers. Every host answers; commands and confirmed reads go to the leader of the
+//! replicated log.
+
+mod admin_problem;
+mod bundle_content;
+mod bundle_diff;
+mod command;
+mod command_done;
+mod command_request;
+mod content;
+mod diff;
+mod faults;
+mod history;
+mod history_entry;
+mod history_list;
+mod host_line;
+mod own_host;
+mod pool_line;
+mod read_auth;
+mod refusal;
+mod status;
+mod status_report;
+mod submit_request;
+mod table_changes;
+
+pub use admin_problem::{AdminProblem, Winner};
+pub use bundle_content::BundleContent;
+pub use bundle_diff::{BundleDiff, DiffSide};
+pub use command_done::CommandDone;
+pub use command_request::CommandRequest;
+pub use faults::find_faults;
+pub use history_entry::HistoryEntry;
+pub use history_list::HistoryList;
+pub use host_line::HostLine;
+pub use own_host::OwnHost;
+pub use pool_line::PoolLine;
+pub use status_report::StatusReport;
+pub use submit_request::SubmitRequest;
+pub use table_changes::TableChanges;
+
+use http::Method;
+use masticstair_core::prelude::*;
+use masticstair_net::http::server::{Request, Response};
+use std::time::Duration;
+
+use crate::control::ControlHandle;
+use crate::state::HostState;
+
+/// The path of the bundles.
+pub const BUNDLES_PATH: &str = "/v1/bundles";
+/// The path of the status.
+pub const STATUS_PATH: &str = "/v1/status";
+/// The header with the name of the operator who reads.
+pub const SIGNER_HEADER: &str = "masticstair-signer";
+/// The header with the time of the read in Unix milliseconds.
+pub const TIME_HEADER: &str = "masticstair-time";
+/// The header with the signature of the read.
+pub const SIGNATURE_HEADER: &str = "masticstair-signature";
+
+/// How long a read of the replicated state may take.
+const READ_LIMIT: Duration = Duration::from_secs(2);
+
+/// Answers a request below `/v1/bundles` or `/v1/status`; `None` when there is no such path.
+pub(super) async fn handle(state: &HostState, parts: &[&str], req: &Request) -> Option<Response> {
+    let get = req.head.method == Method::GET;
+    let post = req.head.method == Method::POST;
+    let result = match parts {
+        ["bundles"] if post => command::submit(state, req).await,
+        ["bundles", sha256, "sign-off"] if post => command::sign_off(state, sha256, req).await,
+        ["bundles", sha256, "roll"] if post => command::roll(state, sha256, req).await,
+        ["bundles"] if get => history::list(state, req).await,
+        ["bundles", sha256] if get => content::show(state, sha256, req).await,
+        ["bundles", sha256, "diff"] if get => diff::compare(state, sha256, req).await,
+        ["status"] if get => status::report(state, req).await,
+        _ => return None,
+    };
+    Some(result.unwrap_or_else(|problem| problem.response()))
+}
+
+fn control(state: &HostState) -> Result<&ControlHandle, Box<AdminProblem>> {
+    let starting = || Problem::not_run(503, "starting", "this host is still starting");
+    Ok(state.control.get().ok_or_else(|| starting().with_retry_after(1))?)
+}
+
+fn parse_digest(text: &str) -> Result<Sha256Digest, Box<AdminProblem>> {
+    let invalid = |e: masticstair_core::unit::DigestError| {
+        Problem::not_run(400, "digest-invalid", format!("{text:?}: {e}")).with_field("sha256")
+    };
+    Ok(text.parse().map_err(invalid)?)
+}
--- /dev/null
+++ b/crates/host/src/http_api/admin/status.rs
@@ -0,0 +1,130 @@
+//! The status of the deployment at a glance.
+
+use futures_util::join;
+use http::StatusCode;
+use masticstair_core::bundle::StageKind;
+use masticstair_core::prelude::*;
+use masticstair_net::http::server::{Request, Response};
+use masticstair_policy::endpoint_table::EndpointView;
+use masticstair_policy::membership::HostState as MemberState;
+use masticstair_store::state::{Answer, Query};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::read_auth::check_read;
+use super::{AdminProblem, HostLine, OwnHost, PoolLine, StatusReport, control, find_faults};
+use crate::control::{ControlStatus, LeaderStatus, VoterProgress};
+use crate::membership::HostReport;
+use crate::state::{BundleInForce, HostState};
+
+/// How long the leader may take; without one, the status tells what this host knows.
+const LEADER_LIMIT: Duration = Duration::from_secs(1);
+
+/// Answers `GET /v1/status`.
+pub(super) async fn report(
+    state: &HostState,
+    req: &Request,
+) -> Result<Response, Box<AdminProblem>> {
+    check_read(state, req)?;
+    let control = control(state)?;
+    let (_, leader, revision, own) = join!(
+        control.survey(),
+        control.leader_status(LEADER_LIMIT),
+        control.read(&Query::Revision, LEADER_LIMIT),
+        control.status(),
+    );
+    let confirmed = match revision {
+        Ok(Answer::Revision(revision)) => Some(revision),
+        _ => None,
+    };
+    let mut report = gather(state, leader.ok(), confirmed, own.ok());
+    report.unhealthy = find_faults(&report);
+    Ok(Response::json(StatusCode::OK, &report))
+}
+
+fn gather(
+    state: &HostState,
+    group: Option<LeaderStatus>,
+    confirmed: Option<Revision>,
+    own: Option<ControlStatus>,
+) -> StatusReport {
+    let in_force = state.in_force.get();
+    let snapshot = state.membership.get().map(|m| m.snapshot()).unwrap_or_default();
+    let reports = state.membership.get().map(|m| m.host_reports()).unwrap_or_default();
+    let revision = confirmed.unwrap_or(snapshot.newest_revision);
+    let node = own.as_ref().and_then(|own| own.node.as_ref());
+    let known_voters = || node.map(VoterProgress::all).unwrap_or_default();
+    StatusReport {
+        deployment: state.cfg.deployment.clone(),
+        unhealthy: Vec::new(),
+        revision,
+        confirmed: confirmed.is_some(),
+        version: in_force.as_ref().map(|c| c.bundle.version.clone()),
+        sha256: in_force.as_ref().map(|c| c.bundle.digest),
+        this_host: own_host(state, own.as_ref()),
+        hosts: reports.iter().map(|r| host_line(r, revision)).collect(),
+        leader: match &group {
+            Some(group) => Some(group.leader.clone()),
+            None => own.as_ref().and_then(|own| own.leader.clone()),
+        },
+        term: group.as_ref().map(|g| g.term),
+        last: group.as_ref().map(|g| g.last),
+        commit: group.as_ref().map(|g| g.commit),
+        voters_changing: group.as_ref().is_some_and(|g| g.changing),
+        voters: group.map_or_else(known_voters, |g| g.voters),
+        pools: pool_lines(in_force.as_deref(), &snapshot.endpoints),
+    }
+}
+
+fn own_host(state: &HostState, own: Option<&ControlStatus>) -> OwnHost {
+    let fault = own.and_then(|own| own.node.as_ref()).and_then(|node| node.fault.as_ref());
+    OwnHost {
+        host: state.cfg.host.clone(),
+        region: state.cfg.region.clone(),
+        data_centre: state.cfg.data_centre.clone(),
+        incarnation: state.incarnation,
+        not_serving: state.serving().err().map(|e| e.to_string().into()),
+        leaving: state.drain.is_leaving(),
+        waiting: Slots::new(u32::try_from(state.traffic.waiting()).unwrap_or(u32::MAX)),
+        in_flight: Slots::new(state.drain.in_flight()),
+        connections: state.connections.open(),
+        storage_fault: fault.map(|fault| fault.0.clone()),
+    }
+}
+
+fn host_line(report: &HostReport, in_force: Revision) -> HostLine {
+    let record = &report.record;
+    HostLine {
+        host: record.host.clone(),
+        data_centre: record.data_centre.clone(),
+        peer_address: record.address,
+        incarnation: record.incarnation,
+        suspected: record.state == MemberState::Suspect,
+        revision: report.reported.map(|r| r.revision),
+        reported_ms: report.reported.map(|r| Millis::new(r.age.as_millis() as u64)),
+        lags: report.reported.is_none_or(|r| r.revision < in_force),
+    }
+}
+
+fn pool_lines(in_force: Option<&BundleInForce>, endpoints: &[EndpointView]) -> Vec<PoolLine> {
+    let mut pools = BTreeMap::new();
+    for pool in in_force.iter().flat_map(|c| &c.bundle.pools) {
+        pools.insert(pool.name.clone(), empty_line(&pool.name, pool.kind, true));
+    }
+    for view in endpoints {
+        let record = &view.record;
+        let new = || empty_line(&record.pool, record.kind, false);
+        let line: &mut PoolLine = pools.entry(record.pool.clone()).or_insert_with(new);
+        let add = |to: &mut Slots, more: u32| *to = Slots::new(to.get().saturating_add(more));
+        add(&mut line.endpoints, 1);
+        add(&mut line.unconfirmed, u32::from(!view.confirmed));
+        add(&mut line.capacity, record.capacity.get());
+    }
+    pools.into_values().collect()
+}
+
+fn empty_line(pool: &PoolName, kind: StageKind, in_bundle: bool) -> PoolLine {
+    let none = Slots::new(0);
+    let pool = pool.clone();
+    PoolLine { pool, kind, in_bundle, endpoints: none, unconfirmed: none, capacity: none }
+}
--- a/crates/host/src/http_api/mod.rs
+++ b/crates/host/src/http_api/mod.rs
@@ -1,8 +1,11 @@
 //! The HTTP interface of a host.
 
+pub mod admin;
 mod announce;
 mod health;
 
+pub(crate) use admin::BUNDLES_PATH;
+
 use futures_util::FutureExt;
 use http::{Method, StatusCode};
 use masticstair_core::prelude::*;
@@ -23,6 +26,10 @@
         (&Method::POST, ["v1", "pipelines", pipeline]) => handle_pipeline(cx, pipeline, req).await,
         (&Method::PUT, ["v1", "endpoints", id]) => announce::announce(&cx.state, id, &req),
         (&Method::DELETE, ["v1", "endpoints", id]) => announce::leave(&cx.state, id, &req),
+        (_, ["v1", rest @ ..]) if matches!(rest, ["bundles" | "status", ..]) => {
+            let answer = admin::handle(&cx.state, rest, &req).await;
+            answer.unwrap_or_else(|| Response::problem(&unknown_path(&req.head.method, &path)))
+        }
         (&Method::GET, ["healthz"]) => Response::new(StatusCode::OK, "text/plain", "ok\n"),
         (&Method::GET, ["readyz"]) => health::readiness(&cx.state),
         (&Method::GET, ["metrics"]) => health::metrics(&cx.state),
--- a/crates/host/src/membership/exchange.rs
+++ b/crates/host/src/membership/exchange.rs
@@ -46,6 +46,7 @@
     let mut older = Vec::new();
     tables.members.note_heard(now, from);
     tables.note_revision(message.revision, from);
+    tables.reported.note(now, from, message.revision);
     for record in std::mem::take(&mut message.hosts) {
         let key = NewsKey::Host(record.host.clone());
         let known = tables.members.get(&record.host).map(|m| m.record.clone());
--- a/crates/host/src/membership/membership.rs
+++ b/crates/host/src/membership/membership.rs
@@ -3,7 +3,7 @@
 use super::config::{Clock, MembershipConfig};
 use super::tables::{Tables, observer_state};
 use super::wake::Wake;
-use super::{HostView, MembershipSnapshot};
+use super::{HostReport, HostView, MembershipSnapshot, ReportedRevision};
 use masticstair_core::id::{EndpointId, HostId, Incarnation, Revision};
 use masticstair_core::unit::{Millis, Timestamp};
 use masticstair_net::peer::{PeerClient, PeerIdentity};
@@ -12,6 +12,7 @@
 use masticstair_policy::membership::{HostRecord, HostState, NewsKey, Refutation};
 use parking_lot::{Mutex, RwLock};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// What a host knows of the deployment; shared by all threads.
 pub struct Membership {
@@ -110,6 +111,22 @@
         }
     }
 
+    /// Returns the live hosts with the revision that each reported last, this one included.
+    pub fn host_reports(&self) -> Vec<HostReport> {
+        self.with_tables(|tables, now| {
+            let local = tables.members.local();
+            let own = ReportedRevision { revision: tables.revision, age: Duration::ZERO };
+            let live = tables.members.iter().filter(|m| m.is_live());
+            live.map(|m| {
+                let host = &m.record.host;
+                let reported =
+                    if host == local { Some(own) } else { tables.reported.get(now, host) };
+                HostReport { record: m.record.clone(), reported }
+            })
+            .collect()
+        })
+    }
+
     /// Runs a table operation with the time of now.
     pub(crate) fn with_tables<T>(&self, f: impl FnOnce(&mut Tables, Timestamp) -> T) -> T {
         let now = (self.clock)();
--- a/crates/host/src/membership/tables.rs
+++ b/crates/host/src/membership/tables.rs
@@ -2,6 +2,7 @@
 
 use super::digest_cache::DigestCache;
 use super::limits::{BUNDLE_SOURCES, DIGEST_AFTER, DIGEST_INTERVAL};
+use super::reported_revisions::ReportedRevisions;
 use masticstair_core::id::{HostId, Incarnation, Revision};
 use masticstair_core::unit::Timestamp;
 use masticstair_policy::endpoint_table::{EndpointTable, ObserverState};
@@ -21,6 +22,8 @@
     pub(crate) newest: Revision,
     /// Peers that hold `newest`; at most `BUNDLE_SOURCES`.
     pub(crate) sources: Vec<HostId>,
+    /// What each peer reported with its last message.
+    pub(crate) reported: ReportedRevisions,
     /// A revision whose bundle this host refused, and when it may be fetched again.
     pub(crate) refused: Option<(Revision, Timestamp)>,
     /// Whether this host has had the records of a peer.
@@ -57,6 +60,7 @@
             urgent: false,
             dirty: true,
             refused: None,
+            reported: ReportedRevisions::default(),
             in_doubt: BTreeSet::new(),
             equal_at: now,
             compared_at: now,
--- a/crates/host/src/settings/read.rs
+++ b/crates/host/src/settings/read.rs
@@ -3,11 +3,17 @@
 use masticstair_core::bundle::Signer;
 use masticstair_core::prelude::*;
 use masticstair_core::toml_reader::TomlReader;
-use masticstair_net::http::server::ServerLimits;
+use masticstair_net::http::server::{LargeBody, ServerLimits};
 use std::collections::HashSet;
 use std::path::PathBuf;
 
 use super::{LogLevel, Settings};
+use crate::http_api::BUNDLES_PATH;
+
+/// Large enough for the largest content of a bundle with every line break and quote escaped.
+const BUNDLE_BODY: u64 = 24 << 20;
+/// Bundles that a worker reads at the same time; operators seldom submit at once.
+const BUNDLE_BODIES: Slots = Slots::new(2);
 
 /// More voters than this slow down every commit and gain no failure that matters.
 const MAX_VOTERS: usize = 7;
@@ -74,6 +80,7 @@
     let head_timeout = r.number_or("head_timeout_ms", 10..=600_000, default.head_timeout.get());
     let body = r.number_or("body_bytes", 1..=1_073_741_824, default.body.get());
     let body_timeout = r.number_or("body_timeout_ms", 10..=600_000, default.body_timeout.get());
+    let bundle_body = r.number_or("bundle_body_bytes", 1..=1_073_741_824, BUNDLE_BODY);
     let requests = u64::from(default.requests_per_connection.get());
     let requests = r.number_or("requests_per_connection", 1..=1_000_000, requests);
     let connections = u64::from(default.connections.get());
@@ -82,6 +89,11 @@
         head: head?.into(),
         head_timeout: head_timeout?.into(),
         body: body?.into(),
+        large: Some(LargeBody {
+            path: BUNDLES_PATH,
+            body: bundle_body?.into(),
+            at_once: BUNDLE_BODIES,
+        }),
         body_timeout: body_timeout?.into(),
         requests_per_connection: Slots::new(requests? as u32),
         connections: Slots::new(connections? as u32),
--- a/crates/net/src/http/server/connection.rs
+++ b/crates/net/src/http/server/connection.rs
@@ -14,17 +14,18 @@
 
 use super::read_body::read_body;
 use super::response_body::ResponseBody;
-use super::{Handler, Request, Response, ResponseContent, ServerLimits};
+use super::{ConnectionCount, Handler, Request, Response, ResponseContent, ServerLimits};
 
 /// Serves one connection to its end.
 pub(super) async fn serve_connection(
     stream: TcpStream,
     limits: Rc<ServerLimits>,
     handler: Handler,
+    large: ConnectionCount,
 ) {
     let Ok(stream) = stream.into_poll_io() else { return };
     let served = Rc::new(Cell::new(0));
-    let service = service_fn(|req| serve_request(req, &limits, &handler, &served));
+    let service = service_fn(|req| serve_request(req, &limits, &handler, &served, &large));
     let mut connection = http1::Builder::new()
         .timer(MonoioTimer)
         .header_read_timeout(limits.head_timeout.duration())
@@ -63,11 +64,12 @@
     limits: &ServerLimits,
     handler: &Handler,
     served: &Cell<u32>,
+    large: &ConnectionCount,
 ) -> Result<http::Response<ResponseBody>, Infallible> {
     served.set(served.get() + 1);
     let last = served.get() >= limits.requests_per_connection.get();
     let (head, body) = req.into_parts();
-    let response = match read_body(body, limits).await {
+    let response = match read_body(&head, body, limits, large).await {
         Ok(body) => handle(handler, Request { head, body }).await,
         Err(problem) => Response::problem(&problem).closing(),
     };
--- a/crates/net/src/http/server/connection_count.rs
+++ b/crates/net/src/http/server/connection_count.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-/// Counts the open connections of the process, over all workers.
+/// Counts the open connections of the process, over all workers; or the large bodies of one worker.
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionCount(Arc<AtomicU32>);
 
--- a/crates/net/src/http/server/listen.rs
+++ b/crates/net/src/http/server/listen.rs
@@ -33,17 +33,19 @@
     stop: impl Future<Output = ()>,
 ) {
     let limits = Rc::new(limits);
+    let large = ConnectionCount::default();
     let mut stop = pin!(stop);
     loop {
         match select(&mut stop, pin!(listener.accept())).await {
             Either::Left(_) => return,
             Either::Right((Ok((stream, _)), _)) => {
                 let (limits, handler, count) = (limits.clone(), handler.clone(), count.clone());
+                let large = large.clone();
                 monoio::spawn(async move {
                     // A token is one small write; waiting for more would delay it.
                     let _ = stream.set_nodelay(true);
                     match count.enter(limits.connections) {
-                        Some(_counted) => serve_connection(stream, limits, handler).await,
+                        Some(_counted) => serve_connection(stream, limits, handler, large).await,
                         None => send_and_close(stream, &too_many(&limits)).await,
                     }
                 });
--- a/crates/net/src/http/server/mod.rs
+++ b/crates/net/src/http/server/mod.rs
@@ -3,6 +3,7 @@
 mod body_stream;
 mod connection;
 mod connection_count;
+mod large_body;
 mod limits;
 mod listen;
 mod read_body;
@@ -12,6 +13,7 @@
 
 pub use body_stream::{BodyClosed, BodySender, BodyStream, body_stream};
 pub use connection_count::ConnectionCount;
+pub use large_body::LargeBody;
 pub use limits::ServerLimits;
 pub use listen::{bind, serve};
 pub use request::Request;
--- a/crates/net/src/http/server/read_body.rs
+++ b/crates/net/src/http/server/read_body.rs
@@ -1,13 +1,36 @@
 use bytes::Bytes;
+use http::request::Parts;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use masticstair_core::prelude::*;
 
-use super::ServerLimits;
+use super::{ConnectionCount, ServerLimits};
 
-/// Reads a whole body within the bounds of size and time.
-pub(super) async fn read_body(body: Incoming, limits: &ServerLimits) -> Result<Bytes, Problem> {
-    let limit = limits.body.get();
+/// Reads a whole body within the bounds of size and time. `large` counts the large ones of the worker.
+pub(super) async fn read_body(
+    head: &Parts,
+    body: Incoming,
+    limits: &ServerLimits,
+    large: &ConnectionCount,
+) -> Result<Bytes, Problem> {
+    let Some(bound) = limits.large.filter(|bound| bound.covers(head)) else {
+        return read_bounded(body, limits.body, limits).await;
+    };
+    match large.enter(bound.at_once) {
+        Some(_counted) => read_bounded(body, bound.body, limits).await,
+        None => {
+            let detail = format!("{} bodies of this path are read already", bound.at_once);
+            Err(Problem::not_run(429, "too-many-bodies", detail).with_retry_after(1))
+        }
+    }
+}
+
+async fn read_bounded(
+    body: Incoming,
+    limit: ByteCount,
+    limits: &ServerLimits,
+) -> Result<Bytes, Problem> {
+    let limit = limit.get();
     let limited = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX));
     match monoio::time::timeout(limits.body_timeout.duration(), limited.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
--- a/crates/policy/src/bundle_history/mod.rs
+++ b/crates/policy/src/bundle_history/mod.rs
@@ -21,6 +21,7 @@
 mod diff;
 mod entry;
 mod execute;
+mod history_page;
 mod origin;
 mod outcome;
 mod parts;
@@ -44,6 +45,7 @@
 pub use command_signature::{CommandSignature, SignatureError};
 pub use diff::diff_bundles;
 pub use entry::BundleEntry;
+pub use history_page::HistoryPage;
 pub use masticstair_core::id::DeploymentName;
 pub use origin::Origin;
 pub use outcome::BundleOutcome;
@@ -175,6 +177,18 @@
         self.entries.iter().rev().take(last).map(BundleEntry::summary).collect()
     }
 
+    /// Describes up to `limit` bundles that are older than the one with the digest `after`, or the newest
+    /// ones without it. Returns `None` when `after` is no longer in the history.
+    pub fn page(&self, after: Option<&Sha256Digest>, limit: usize) -> Option<HistoryPage> {
+        let end = match after {
+            None => self.entries.len(),
+            Some(digest) => self.entries.iter().position(|e| e.digest == *digest)?,
+        };
+        let start = end.saturating_sub(limit);
+        let bundles = self.entries.range(start..end).rev().map(BundleEntry::summary).collect();
+        Some(HistoryPage { bundles, more: start > 0 })
+    }
+
     /// Returns the bundle with this content.
     pub fn find(&self, digest: &Sha256Digest) -> Option<&BundleEntry> {
         self.entries.iter().find(|e| e.digest == *digest)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod issuer;
 pub mod limits;
 pub mod membership;
+pub mod operator_read;
 pub mod retry;
 pub mod routing;
 pub mod run_once;
--- /dev/null
+++ b/crates/policy/src/operator_read/read_header.rs
@@ -0,0 +1,51 @@
+use masticstair_core::bundle::Signer;
+use masticstair_core::id::{DeploymentName, SignerName};
+use masticstair_core::prelude::*;
+
+use super::{ReadRefusal, signed_read_text};
+use crate::bundle_history::CommandSignature;
+
+/// How far the time of a read may be from that of the host, in either direction. Clocks of operators are
+/// seldom off by minutes; a longer time would let a captured read be repeated for longer.
+pub const MAX_AGE: Millis = Millis::new(300_000);
+
+/// Who signs a read, and when.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReadHeader {
+    /// The operator.
+    pub signer: SignerName,
+    /// The time of the operator's clock.
+    pub time: WallTime,
+    /// The operator's signature over `signed_read_text`.
+    pub signature: CommandSignature,
+}
+
+impl ReadHeader {
+    /// Checks that one of `signers` signed this read lately. No right is needed to read.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first check that failed.
+    pub fn verify(
+        &self,
+        now: WallTime,
+        deployment: &DeploymentName,
+        method: &str,
+        target: &str,
+        signers: &[Signer],
+    ) -> Result<(), ReadRefusal> {
+        let name = &self.signer;
+        let Some(signer) = signers.iter().find(|s| s.name == *name) else {
+            return Err(ReadRefusal::UnknownSigner(name.clone()));
+        };
+        let text = signed_read_text(deployment, name, method, target, self.time);
+        if !signer.key.verifies(text.as_bytes(), self.signature.as_bytes()) {
+            return Err(ReadRefusal::BadSignature(name.clone()));
+        }
+        let off = Millis::new(now.get().abs_diff(self.time.get()));
+        if off > MAX_AGE {
+            return Err(ReadRefusal::Expired { off, limit: MAX_AGE });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/policy/src/operator_read/read_refusal.rs
@@ -0,0 +1,22 @@
+use masticstair_core::id::SignerName;
+use masticstair_core::prelude::*;
+use thiserror::Error;
+
+/// The reason for which a read is refused.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum ReadRefusal {
+    /// No signer has this name.
+    #[error("signer {0} is not among the signers in force")]
+    UnknownSigner(SignerName),
+    /// The signature belongs to another read or another key.
+    #[error("the signature does not verify with the key of signer {0}")]
+    BadSignature(SignerName),
+    /// The time of the read is too far from that of the host.
+    #[error("the time of the read is {off} ms off the clock of this host (at most {limit} ms)")]
+    Expired {
+        /// The difference of the clocks.
+        off: Millis,
+        /// The bound.
+        limit: Millis,
+    },
+}
--- a/crates/store/src/state/answer.rs
+++ b/crates/store/src/state/answer.rs
@@ -1,5 +1,5 @@
 use masticstair_core::prelude::*;
-use masticstair_policy::bundle_history::{BundleSummary, RevisionEntry};
+use masticstair_policy::bundle_history::{BundleSummary, HistoryPage, RevisionEntry};
 use masticstair_policy::issuer::IssuerLease;
 use masticstair_policy::run_once::RunOnceReply;
 
@@ -25,6 +25,8 @@
     History(Vec<BundleSummary>),
     /// The lease of a group.
     Issuer(IssuerLease),
+    /// A part of the history; none when the bundle that it was to follow is no longer listed.
+    HistoryPage(Option<HistoryPage>),
     /// The query could not be decoded; this is why.
     Undecodable(Box<str>),
 }
@@ -68,6 +70,13 @@
                 w.byte(7);
                 codec::issuer::put_lease(w, lease);
             }
+            Self::HistoryPage(page) => {
+                w.byte(10);
+                w.option(page.as_ref(), |w, page| {
+                    w.list(page.bundles.iter(), codec::bundle::put_summary);
+                    w.flag(page.more);
+                });
+            }
             Self::Undecodable(why) => {
                 w.byte(8);
                 w.text(why);
@@ -95,6 +104,10 @@
                 6 => Self::History(r.list(codec::bundle::get_summary)?),
                 7 => Self::Issuer(codec::issuer::get_lease(r)?),
                 8 => Self::Undecodable(r.text()?.into()),
+                10 => Self::HistoryPage(r.option(|r| {
+                    let bundles = r.list(codec::bundle::get_summary)?;
+                    Ok(HistoryPage { bundles, more: r.flag()? })
+                })?),
                 tag => return Err(CodecError::Tag { what: "answer", tag }),
             })
         })
--- a/crates/store/src/state/mod.rs
+++ b/crates/store/src/state/mod.rs
@@ -88,6 +88,10 @@
             }
             Query::Content(digest) => Answer::Content(self.bundles.content(digest)),
             Query::History => Answer::History(self.bundles.summaries(MAX_LISTED)),
+            Query::HistoryPage { after, limit } => {
+                let limit = usize::try_from(limit.get()).unwrap_or(MAX_LISTED).min(MAX_LISTED);
+                Answer::HistoryPage(self.bundles.page(after.as_ref(), limit))
+            }
             Query::Issuer(group) => Answer::Issuer(self.issuers.lease(group)),
         }
     }
--- a/crates/store/src/state/query.rs
+++ b/crates/store/src/state/query.rs
@@ -22,6 +22,13 @@
     History,
     /// The lease of a group of order issuers.
     Issuer(PoolName),
+    /// A part of the history, newest first.
+    HistoryPage {
+        /// The digest of the last bundle of the page before; none for the first page.
+        after: Option<Sha256Digest>,
+        /// The most bundles of the answer; `MAX_LISTED` when it is larger.
+        limit: Slots,
+    },
 }
 
 impl Query {
@@ -48,6 +55,11 @@
                 w.byte(7);
                 w.text(group.as_str());
             }
+            Self::HistoryPage { after, limit } => {
+                w.byte(9);
+                w.option(after.as_ref(), |w, digest| w.fixed(digest.as_bytes()));
+                w.number(limit.get().into());
+            }
         })
     }
 
@@ -67,6 +79,10 @@
                 5 => Self::Content(r.fixed().map(Sha256Digest::from_bytes)?),
                 6 => Self::History,
                 7 => Self::Issuer(r.parse()?),
+                9 => Self::HistoryPage {
+                    after: r.option(|r| r.fixed().map(Sha256Digest::from_bytes))?,
+                    limit: r.number_u32()?.into(),
+                },
                 tag => return Err(CodecError::Tag { what: "query", tag }),
             })
         })
