--- a/crates/store/src/state/mod.rs
+++ b/crates/store/src/state/mod.rs
@@ -95,6 +95,10 @@
                 Answer::Change(change.map(Box::new))
             }
             Query::History => Answer::History(self.bundles.summaries(MAX_LISTED)),
+            Query::HistoryPage { after, limit } => {
+                let limit = usize::try_from(limit.get()).unwrap_or(MAX_LISTED).min(MAX_LISTED);
+                Answer::HistoryPage(self.bundles.page(after.as_ref(), limit))
+            }
             Query::Issuer(group) => Answer::Issuer(self.issuers.lease(group)),
         }
     }
--- a/crates/store/src/state/query.rs
+++ b/crates/store/src/state/query.rs
@@ -29,6 +29,13 @@
     History,
     /// The lease of a group of order issuers.
     Issuer(PoolName),
+    /// A part of the history, newest first.
+    HistoryPage {
+        /// The digest of the last bundle of the page before; none for the first page.
+        after: Option<Sha256Digest>,
+        /// The most bundles of the answer; `MAX_LISTED` when it is larger.
+        limit: Slots,
+    },
 }
 
 impl Query {
@@ -60,6 +67,11 @@
                 w.byte(7);
                 w.text(group.as_str());
             }
+            Self::HistoryPage { after, limit } => {
+                w.byte(9);
+                w.option(after.as_ref(), |w, digest| w.fixed(digest.as_bytes()));
+                w.number(limit.get().into());
+            }
         })
     }
 
@@ -80,6 +92,10 @@
                 6 => Self::History,
                 7 => Self::Issuer(r.parse()?),
                 8 => Self::Change { from: codec::get_digest(r)?, to: codec::get_digest(r)? },
+                9 => Self::HistoryPage {
+                    after: r.option(|r| r.fixed().map(Sha256Digest::from_bytes))?,
+                    limit: r.number_u32()?.into(),
+                },
                 tag => return Err(CodecError::Tag { what: "query", tag }),
             })
         })
--- a/crates/store/tests/state_support/mod.rs
+++ b/crates/store/tests/state_support/mod.rs
@@ -5,7 +5,7 @@
 use masticstair_core::prelude::*;
 use masticstair_policy::bundle_history::{
     BundleAction, BundleOutcome, BundleRefusal, BundleReply, BundleSummary, ContentChange,
-    ContentPart, Origin,
+    ContentPart, HistoryPage, Origin,
 };
 use masticstair_policy::issuer::{Holder, IssuerCommand, IssuerLease, IssuerReply, RenewalCount};
 use masticstair_policy::run_once::{
@@ -167,6 +167,8 @@
         Query::Content(digest()),
         Query::Change { from: digest(), to: Sha256Digest::of(b"") },
         Query::History,
+        Query::HistoryPage { after: Some(digest()), limit: Slots::new(3) },
+        Query::HistoryPage { after: None, limit: Slots::new(u32::MAX) },
         Query::Issuer("engines".parse().unwrap()),
     ]
 }
@@ -191,7 +193,9 @@
         Answer::Content(None),
         Answer::Change(Some(Box::new(change()))),
         Answer::Change(None),
-        Answer::History(vec![summary, submitted]),
+        Answer::History(vec![summary.clone(), submitted]),
+        Answer::HistoryPage(Some(HistoryPage { bundles: vec![summary], more: true })),
+        Answer::HistoryPage(None),
         Answer::Issuer(lease()),
         Answer::Undecodable("why".into()),
     ];
