--- a/crates/host/tests/endpoint_faults.rs
+++ b/crates/host/tests/endpoint_faults.rs
@@ -1,5 +1,7 @@
 //! Endpoints that fail, answer for others, fall silent or break their streams.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use masticstair_standins::{CallLog, Faults};
