Hold back an append that a peer refuses without progress

Cause: in a trial with a broken vote rule two leaders of one term refused each other's probes, and their tasks sent the next probe at once without end, at the cost of two cores.

Change: a refusal that does not lower the next index is retried after a heartbeat.

Conclusion: a peer that contradicts the protocol costs one message for each heartbeat.

--- a/crates/store/src/consensus/tasks/handle_answer.rs
+++ b/crates/store/src/consensus/tasks/handle_answer.rs
@@ -20,12 +20,12 @@
     let peer_term = match answer {
         Answer::Heartbeat { last, reply } => {
             p.heartbeats -= 1;
-            reply.ok().map(|reply| note_append(p, term, last, reply, false))
+            reply.ok().map(|reply| note_append(p, term, last, reply, None))
         }
         Answer::Append { last, reply } => {
             p.in_flight -= 1;
             match reply {
-                Ok(reply) => Some(note_append(p, term, last, reply, true)),
+                Ok(reply) => Some(note_append(p, term, last, reply, Some(retry_at))),
                 Err(_) => {
                     p.fall_back(retry_at);
                     None
@@ -60,13 +60,14 @@
     }
 }
 
-/// Notes the answer to an append or a heartbeat, and returns the term of the peer.
+/// Notes the answer to an append or, without a time for the next attempt, to a heartbeat; returns the
+/// term of the peer.
 fn note_append(
     p: &mut Progress,
     term: Term,
     last: LogIndex,
     reply: AppendReply,
-    is_data: bool,
+    retry_at: Option<Instant>,
 ) -> Term {
     if reply.term != term {
         return reply.term;
@@ -75,7 +76,9 @@
     p.acked_round = p.acked_round.max(reply.round);
     if reply.success {
         p.matched = p.matched.max(reply.match_index.min(last));
-        if is_data && let ProgressMode::Probe = p.mode {
+        if retry_at.is_some()
+            && let ProgressMode::Probe = p.mode
+        {
             // The peer may hold more than it has synced; sending that again brings its acknowledgement.
             p.next = next(p.matched);
             p.mode = ProgressMode::Stream;
@@ -86,7 +89,10 @@
     }
     if !matches!(p.mode, ProgressMode::Snapshot { .. }) {
         // The match falls too: a replica whose disk was restored from an older copy has lost entries.
-        p.next = reply.match_index.min(last).max(LogIndex::new(1));
+        let retry_from = reply.match_index.min(last).max(LogIndex::new(1));
+        // A refusal without progress is not retried at once.
+        p.retry_at = retry_at.filter(|_| retry_from >= p.next);
+        p.next = retry_from;
         p.matched = p.matched.min(prev(p.next));
         p.mode = ProgressMode::Probe;
     }
