Send each change to a host once, in a shorter form

Cause: at 32 hosts with 20 endpoint changes a second a host sent 8.7 KB/s, most of it records of 176 bytes and the messages that answered questions for them. Idle messages carried eight list pointers. Change: the origin tells log2 of the number of hosts at once; other hosts get a change with an answer to their own requests. An endpoint record holds its names in one text. Rare lists stand behind one pointer.

--- a/crates/host/src/membership/exchange.rs
+++ b/crates/host/src/membership/exchange.rs
@@ -18,7 +18,7 @@
     let hosts = tables.members.live_count();
     tables.news.prune(now, hosts);
     let mut message = header(tables, now);
-    for due in tables.news.due(now, to, MARKS_PER_MESSAGE) {
+    for due in tables.news.due(now, to, hosts, MARKS_PER_MESSAGE) {
         if due.eager && records_of(&message) < RECORDS_PER_MESSAGE {
             add_record(tables, &mut message, &due.key);
             tables.news.note_eager(&due.key);
@@ -80,8 +80,9 @@
     older
 }
 
-/// Merges a request and makes its answer: recent changes that the caller does not name, and questions for
-/// those that this host does not know.
+/// Merges a request and makes its answer: recent changes that the caller does not name. Changes that the
+/// caller names and this host lacks come with an answer to one of its own next requests, which costs less
+/// than another message now.
 pub(crate) fn answer(
     tables: &mut Tables,
     now: Timestamp,
@@ -100,7 +101,6 @@
         return reply;
     }
     answer_news(tables, now, &mut reply, caller, &request.news, &sent);
-    reply.asks = unknown(tables, &request.news);
     add_objection(tables, &mut reply, &caller.host);
     answer_identity(tables, &mut reply, caller);
     reply.loads = loads(tables, load_reports(tables.members.live_count()));
@@ -187,7 +187,11 @@
     named: &[RecordMark],
     sent: &HashSet<NewsKey>,
 ) {
-    for due in tables.news.due(now, &caller.host, MARKS_PER_MESSAGE) {
+    let hosts = tables.members.live_count();
+    for due in tables.news.due(now, &caller.host, hosts, MARKS_PER_MESSAGE) {
+        if !due.answerable {
+            continue;
+        }
         let Some(mark) = mark(tables, &due.key) else { continue };
         if named.contains(&mark) || sent.contains(&due.key) {
             continue;
--- a/crates/host/src/membership/gossip.rs
+++ b/crates/host/src/membership/gossip.rs
@@ -1,7 +1,7 @@
 //! Exchanges with peers.
 
 use super::context::TaskContext;
-use super::exchange::{absorb, add_asked, add_wanted, compose, question, unknown};
+use super::exchange::{absorb, add_wanted, compose, question, unknown};
 use super::limits::PROBE_TIMEOUT;
 use super::suspicion::probe_through_others;
 use futures_util::future::join_all;
@@ -67,12 +67,11 @@
     let follow_up = cx.membership.with_tables(|tables, now| {
         absorb(tables, now, host, &mut reply, true);
         let asks = unknown(tables, &reply.news);
-        if reply.wants.is_empty() && reply.asks.is_empty() && asks.is_empty() {
+        if reply.wants.is_empty() && asks.is_empty() {
             return None;
         }
         let mut message = GossipMessage { asks, ..question(tables) };
         add_wanted(tables, &mut message, &reply.wants);
-        add_asked(tables, &mut message, &reply.asks);
         Some(message)
     });
     notify(cx);
--- a/crates/host/src/membership/limits.rs
+++ b/crates/host/src/membership/limits.rs
@@ -13,9 +13,6 @@
 /// Peers that are asked to probe a host that did not answer.
 pub const INDIRECT_PEERS: usize = 2;
 
-/// Peers that the origin of a change tells at once.
-pub const BURST_PEERS: usize = 3;
-
 /// The shortest time between two such bursts; other changes wait for the next exchange.
 pub const BURST_INTERVAL: Duration = Duration::from_millis(100);
 
--- a/crates/host/src/membership/task.rs
+++ b/crates/host/src/membership/task.rs
@@ -8,14 +8,14 @@
 use super::gossip::{exchange_or_probe, exchange_with_some};
 use super::join::{heal, join};
 use super::limits::{
-    BURST_INTERVAL, BURST_PEERS, GOSSIP_INTERVAL, HEAL_INTERVAL, LEAVE_PEERS, REVISION_PUSH_PEERS,
+    BURST_INTERVAL, GOSSIP_INTERVAL, HEAL_INTERVAL, LEAVE_PEERS, REVISION_PUSH_PEERS,
 };
 use super::sync::synchronize;
 use futures_util::future::{AbortHandle, Abortable};
 use futures_util::{FutureExt, select};
 use masticstair_core::id::Revision;
 use masticstair_core::unit::Draw;
-use masticstair_policy::membership::NewsKey;
+use masticstair_policy::membership::{NewsKey, NewsQueue};
 use monoio::time::sleep_until;
 
 /// Takes part in the membership until `stop` completes, and then tells the peers that this host leaves.
@@ -121,7 +121,8 @@
     }
     rhythm.pushed = revision;
     rhythm.last_burst = Instant::now();
-    let count = if pushes { REVISION_PUSH_PEERS } else { BURST_PEERS };
+    let hosts = cx.membership.with_tables(|tables, _| tables.members.live_count());
+    let count = if pushes { REVISION_PUSH_PEERS } else { NewsQueue::burst(hosts) };
     monoio::spawn(exchange_with_some(cx.clone(), count));
 }
 
--- a/crates/net/src/peer/wire/endpoint_record.rs
+++ b/crates/net/src/peer/wire/endpoint_record.rs
@@ -1,9 +1,12 @@
 //! Records of endpoints.
 
-use super::address;
-use super::text::{check_count, read_name};
+use std::fmt::Display;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::str::FromStr;
+
+use super::text::{check_count, read_text};
 use crate::generated::peer_capnp::{
-    EndpointState as WireState, StageKind as WireKind, endpoint_news, model_version,
+    EndpointState as WireState, StageKind as WireKind, endpoint_news,
 };
 use crate::peer::DecodeError;
 use crate::peer::limits::MODELS_LIMIT;
@@ -11,53 +14,82 @@
 use masticstair_core::id::Incarnation;
 use masticstair_core::unit::Slots;
 use masticstair_policy::endpoint_table::{EndpointRecord, EndpointState, Sequence, ServedModel};
+use smallvec::SmallVec;
 
 /// Writes the record of an endpoint.
 pub(crate) fn write(mut out: endpoint_news::Builder<'_>, record: &EndpointRecord) {
-    out.set_id(record.id.as_str());
     out.set_incarnation(record.incarnation.get());
     out.set_sequence(record.sequence.get());
-    out.set_observer(record.observer.as_str());
     out.set_state(write_state(record.state));
     out.set_kind(write_kind(record.kind));
     out.set_capacity(record.capacity.get());
-    out.set_address(&address::write(record.address));
-    out.set_pool(record.pool.as_str());
-    out.set_data_centre(record.data_centre.as_str());
-    if record.models.is_empty() {
-        return;
-    }
-    let mut models = out.init_models(record.models.len() as u32);
-    for (i, model) in record.models.iter().enumerate() {
-        let mut out = models.reborrow().get(i as u32);
-        out.set_name(model.name.as_str());
-        out.set_version(model.version.as_str());
+    out.set_port(record.address.port());
+    match record.address.ip() {
+        IpAddr::V4(ip) => out.set_ipv4(ip.to_bits()),
+        IpAddr::V6(ip) => out.set_ipv6(&ip.octets()),
     }
+    out.set_names(&*write_names(record));
 }
 
 /// Reads the record of an endpoint.
 pub(crate) fn read(news: endpoint_news::Reader<'_>) -> Result<EndpointRecord, DecodeError> {
-    let models = news.get_models()?;
-    check_count("models", models.len(), MODELS_LIMIT)?;
+    let names = read_text("endpoint names", news.get_names())?;
+    let mut names = names.split(' ');
     Ok(EndpointRecord {
-        id: read_name("endpoint", news.get_id())?,
+        id: parse_name("endpoint", names.next())?,
+        observer: parse_name("observer", names.next())?,
+        pool: parse_name("pool", names.next())?,
+        data_centre: parse_name("data centre", names.next())?,
+        models: read_models(names)?,
         incarnation: Incarnation::new(news.get_incarnation()),
         state: read_state(news)?,
         sequence: Sequence::new(news.get_sequence()),
-        observer: read_name("observer", news.get_observer())?,
-        address: address::read("endpoint address", news.get_address())?,
-        pool: read_name("pool", news.get_pool())?,
+        address: SocketAddr::new(read_ip(news)?, news.get_port()),
         kind: read_kind(news)?,
-        data_centre: read_name("data centre", news.get_data_centre())?,
         capacity: Slots::new(news.get_capacity()),
-        models: models.iter().map(read_model).collect::<Result<_, _>>()?,
     })
 }
 
-fn read_model(model: model_version::Reader<'_>) -> Result<ServedModel, DecodeError> {
-    Ok(ServedModel {
-        name: read_name("model", model.get_name())?,
-        version: read_name("model version", model.get_version())?,
+fn write_names(record: &EndpointRecord) -> String {
+    let EndpointRecord { id, observer, pool, data_centre, models, .. } = record;
+    let mut names = format!("{id} {observer} {pool} {data_centre}");
+    for model in models {
+        names.extend([" ", model.name.as_str(), "=", model.version.as_str()]);
+    }
+    names
+}
+
+fn parse_name<T>(field: &'static str, name: Option<&str>) -> Result<T, DecodeError>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    name.unwrap_or_default().parse().map_err(|e| DecodeError::value(field, e))
+}
+
+fn read_models<'a>(
+    models: impl Iterator<Item = &'a str>,
+) -> Result<SmallVec<[ServedModel; 2]>, DecodeError> {
+    let mut read = SmallVec::new();
+    for model in models {
+        check_count("models", read.len() as u32 + 1, MODELS_LIMIT)?;
+        let (name, version) = model.split_once('=').unwrap_or((model, ""));
+        read.push(ServedModel {
+            name: parse_name("model", Some(name))?,
+            version: parse_name("model version", Some(version))?,
+        });
+    }
+    Ok(read)
+}
+
+fn read_ip(news: endpoint_news::Reader<'_>) -> Result<IpAddr, DecodeError> {
+    let ipv6 = news.get_ipv6()?;
+    if ipv6.is_empty() {
+        return Ok(Ipv4Addr::from_bits(news.get_ipv4()).into());
+    }
+    <[u8; 16]>::try_from(ipv6).map(IpAddr::from).map_err(|_| {
+        let reason = format_args!("{} bytes (0 or 16 are allowed)", ipv6.len());
+        DecodeError::value("endpoint address", reason)
     })
 }
 
--- a/crates/net/src/peer/wire/gossip.rs
+++ b/crates/net/src/peer/wire/gossip.rs
@@ -2,9 +2,10 @@
 
 use super::text::{check_count, read_name};
 use super::{endpoint_record, host_record};
-use crate::generated::peer_capnp::gossip_message;
+use crate::generated::peer_capnp::{gossip_message, gossip_rest, load_report, record_summary};
 use crate::peer::DecodeError;
 use crate::peer::limits::{BUCKETS_LIMIT, GOSSIP_RECORDS_LIMIT, SUMMARIES_LIMIT};
+use capnp::primitive_list;
 use masticstair_core::id::Revision;
 use masticstair_policy::endpoint_table::LoadReport;
 use masticstair_policy::membership::{GossipMessage, RecordKey, RecordMark, RecordSummary};
@@ -14,41 +15,60 @@
     out.set_revision(message.revision.get());
     out.set_table_hash(message.table_hash);
     write_records(out.reborrow(), message);
-    write_marks(out, message);
+    if !message.news.is_empty() {
+        write_marks(out.reborrow().init_news(message.news.len() as u32), &message.news);
+    }
+    let GossipMessage { loads, buckets, summaries, wants, asks, .. } = message;
+    let rest = [loads.len(), buckets.len(), summaries.len(), wants.len(), asks.len()];
+    if rest.iter().any(|len| *len > 0) {
+        write_rest(out.init_rest(), message);
+    }
 }
 
 /// Reads a gossip message.
 pub(crate) fn read(message: gossip_message::Reader<'_>) -> Result<GossipMessage, DecodeError> {
     let (hosts, endpoints) = (message.get_hosts()?, message.get_endpoints()?);
-    let (loads, buckets) = (message.get_loads()?, message.get_buckets()?);
-    let (summaries, wants) = (message.get_summaries()?, message.get_wants()?);
-    let (news, asks) = (message.get_news()?, message.get_asks()?);
+    let news = message.get_news()?;
     check_count("hosts", hosts.len(), GOSSIP_RECORDS_LIMIT)?;
     check_count("endpoints", endpoints.len(), GOSSIP_RECORDS_LIMIT)?;
+    check_count("news", news.len(), SUMMARIES_LIMIT)?;
+    let read = GossipMessage {
+        revision: Revision::new(message.get_revision()),
+        table_hash: message.get_table_hash(),
+        hosts: hosts.iter().map(host_record::read).collect::<Result<_, _>>()?,
+        endpoints: endpoints.iter().map(endpoint_record::read).collect::<Result<_, _>>()?,
+        news: news.iter().map(RecordMark::new).collect(),
+        ..GossipMessage::default()
+    };
+    if message.has_rest() { read_rest(message.get_rest()?, read) } else { Ok(read) }
+}
+
+fn read_rest(
+    rest: gossip_rest::Reader<'_>,
+    message: GossipMessage,
+) -> Result<GossipMessage, DecodeError> {
+    let (loads, buckets) = (rest.get_loads()?, rest.get_buckets()?);
+    let (summaries, wants, asks) = (rest.get_summaries()?, rest.get_wants()?, rest.get_asks()?);
     check_count("loads", loads.len(), GOSSIP_RECORDS_LIMIT)?;
     check_count("buckets", buckets.len(), BUCKETS_LIMIT)?;
     check_count("summaries", summaries.len(), SUMMARIES_LIMIT)?;
     check_count("wants", wants.len(), SUMMARIES_LIMIT)?;
-    check_count("news", news.len(), SUMMARIES_LIMIT)?;
     check_count("asks", asks.len(), SUMMARIES_LIMIT)?;
     if !buckets.is_empty() && !buckets.len().is_power_of_two() {
         let reason = format_args!("{} buckets (a power of two is allowed)", buckets.len());
         return Err(DecodeError::value("buckets", reason));
     }
+    let summary = |s: record_summary::Reader<'_>| RecordSummary {
+        key: RecordKey::new(s.get_key()),
+        version: s.get_version(),
+    };
     Ok(GossipMessage {
-        revision: Revision::new(message.get_revision()),
-        table_hash: message.get_table_hash(),
-        hosts: hosts.iter().map(host_record::read).collect::<Result<_, _>>()?,
-        endpoints: endpoints.iter().map(endpoint_record::read).collect::<Result<_, _>>()?,
         loads: loads.iter().map(read_load).collect::<Result<_, _>>()?,
         buckets: buckets.iter().collect(),
-        summaries: summaries
-            .iter()
-            .map(|s| RecordSummary { key: RecordKey::new(s.get_key()), version: s.get_version() })
-            .collect(),
+        summaries: summaries.iter().map(summary).collect(),
         wants: wants.iter().map(RecordKey::new).collect(),
-        news: news.iter().map(RecordMark::new).collect(),
         asks: asks.iter().map(RecordMark::new).collect(),
+        ..message
     })
 }
 
@@ -60,60 +80,45 @@
         }
     }
     if !message.endpoints.is_empty() {
-        let mut endpoints = out.reborrow().init_endpoints(message.endpoints.len() as u32);
+        let mut endpoints = out.init_endpoints(message.endpoints.len() as u32);
         for (i, record) in message.endpoints.iter().enumerate() {
             endpoint_record::write(endpoints.reborrow().get(i as u32), record);
         }
     }
-    if !message.loads.is_empty() {
-        let mut loads = out.init_loads(message.loads.len() as u32);
-        for (i, load) in message.loads.iter().enumerate() {
-            let mut out = loads.reborrow().get(i as u32);
-            out.set_endpoint(load.endpoint.as_str());
-            out.set_running(load.running);
-            out.set_queued(load.queued);
-        }
-    }
 }
 
-fn write_marks(mut out: gossip_message::Builder<'_>, message: &GossipMessage) {
-    if !message.buckets.is_empty() {
-        let mut buckets = out.reborrow().init_buckets(message.buckets.len() as u32);
-        for (i, hash) in message.buckets.iter().enumerate() {
-            buckets.set(i as u32, *hash);
-        }
+fn write_rest(mut out: gossip_rest::Builder<'_>, message: &GossipMessage) {
+    let mut loads = out.reborrow().init_loads(message.loads.len() as u32);
+    for (i, load) in message.loads.iter().enumerate() {
+        let mut out = loads.reborrow().get(i as u32);
+        out.set_endpoint(load.endpoint.as_str());
+        out.set_running(load.running);
+        out.set_queued(load.queued);
     }
-    if !message.summaries.is_empty() {
-        let mut summaries = out.reborrow().init_summaries(message.summaries.len() as u32);
-        for (i, summary) in message.summaries.iter().enumerate() {
-            let mut out = summaries.reborrow().get(i as u32);
-            out.set_key(summary.key.get());
-            out.set_version(summary.version);
-        }
+    let mut buckets = out.reborrow().init_buckets(message.buckets.len() as u32);
+    for (i, hash) in message.buckets.iter().enumerate() {
+        buckets.set(i as u32, *hash);
     }
-    if !message.wants.is_empty() {
-        let mut wants = out.reborrow().init_wants(message.wants.len() as u32);
-        for (i, key) in message.wants.iter().enumerate() {
-            wants.set(i as u32, key.get());
-        }
+    let mut summaries = out.reborrow().init_summaries(message.summaries.len() as u32);
+    for (i, summary) in message.summaries.iter().enumerate() {
+        let mut out = summaries.reborrow().get(i as u32);
+        out.set_key(summary.key.get());
+        out.set_version(summary.version);
     }
-    if !message.news.is_empty() {
-        let mut news = out.reborrow().init_news(message.news.len() as u32);
-        for (i, mark) in message.news.iter().enumerate() {
-            news.set(i as u32, mark.get());
-        }
+    let mut wants = out.reborrow().init_wants(message.wants.len() as u32);
+    for (i, key) in message.wants.iter().enumerate() {
+        wants.set(i as u32, key.get());
     }
-    if !message.asks.is_empty() {
-        let mut asks = out.init_asks(message.asks.len() as u32);
-        for (i, mark) in message.asks.iter().enumerate() {
-            asks.set(i as u32, mark.get());
-        }
+    write_marks(out.init_asks(message.asks.len() as u32), &message.asks);
+}
+
+fn write_marks(mut out: primitive_list::Builder<'_, u32>, marks: &[RecordMark]) {
+    for (i, mark) in marks.iter().enumerate() {
+        out.set(i as u32, mark.get());
     }
 }
 
-fn read_load(
-    load: crate::generated::peer_capnp::load_report::Reader<'_>,
-) -> Result<LoadReport, DecodeError> {
+fn read_load(load: load_report::Reader<'_>) -> Result<LoadReport, DecodeError> {
     Ok(LoadReport {
         endpoint: read_name("endpoint", load.get_endpoint())?,
         running: load.get_running(),
--- a/crates/net/src/peer/wire/tests.rs
+++ b/crates/net/src/peer/wire/tests.rs
@@ -45,12 +45,17 @@
             version: "3".parse().unwrap()
         }],
     };
+    let other = EndpointRecord {
+        address: "[2001:db8::7]:9000".parse().unwrap(),
+        models: smallvec![],
+        ..endpoint.clone()
+    };
     let load = LoadReport { endpoint: "engine-1".parse().unwrap(), running: 3, queued: 1 };
     GossipMessage {
         revision: Revision::new(8),
         table_hash: 77,
         hosts: vec![host],
-        endpoints: vec![endpoint],
+        endpoints: vec![endpoint, other],
         loads: vec![load],
         buckets: vec![1, 2, 3, 4],
         summaries: vec![RecordSummary { key: RecordKey::new(5), version: 6 }],
--- a/crates/policy/src/membership/news_queue.rs
+++ b/crates/policy/src/membership/news_queue.rs
@@ -10,11 +10,8 @@
 /// them, a change would pass a host over about once in 50 times.
 const EXTRA_TRANSMISSIONS: u32 = 3;
 
-/// Messages in which the origin of a change sends the record itself; nobody can know it before.
-const EAGER_TRANSMISSIONS: u32 = 4;
-
-/// The age of a change up to which a host that is asked answers with the record itself. Its caller either
-/// names the change or is likely to lack it.
+/// The age of a change up to which an answer carries the record itself. A caller that does not name such a
+/// change lacks it: it would still name it if it had heard of it two exchanges earlier.
 const FRESH: Duration = GOSSIP_INTERVAL.saturating_mul(2);
 
 /// Recent changes that a host passes on.
@@ -29,8 +26,8 @@
 #[derive(Clone, Debug)]
 struct News {
     learned: Timestamp,
-    /// Messages that still carry the record itself.
-    eager: u32,
+    /// Requests that carried the record itself.
+    eager: usize,
     /// The host that it came from; none when this host made the change.
     from: Option<HostId>,
 }
@@ -44,25 +41,31 @@
     pub eager: bool,
     /// Whether an answer carries the record itself, and not only its mark.
     pub fresh: bool,
+    /// Whether an answer carries the change at all. A caller that heard of it earlier may have stopped to
+    /// name it in the second half of the time.
+    pub answerable: bool,
 }
 
 impl NewsQueue {
     /// Adds a change, or begins again when the record changed once more.
     pub fn push(&mut self, now: Timestamp, key: NewsKey, from: Option<HostId>) {
-        let eager = if from.is_none() { EAGER_TRANSMISSIONS } else { 0 };
-        self.news.insert(key, News { learned: now, eager, from });
+        self.news.insert(key, News { learned: now, eager: 0, from });
     }
 
-    /// Returns the changes that concern a host, the newest first, at most `limit`.
-    pub fn due(&self, now: Timestamp, to: &HostId, limit: usize) -> Vec<DueNews> {
+    /// Returns the changes that concern a host, the newest first, at most `limit`. The origin of a change
+    /// sends the record itself in a burst and the next request.
+    pub fn due(&self, now: Timestamp, to: &HostId, hosts: usize, limit: usize) -> Vec<DueNews> {
+        let eager = |news: &News| news.from.is_none() && news.eager <= Self::burst(hosts);
+        let half = Self::window(hosts) / 2;
         let mut due: Vec<_> =
             self.news.iter().filter(|(_, news)| news.from.as_ref() != Some(to)).collect();
         due.sort_by_key(|(_, news)| std::cmp::Reverse(news.learned));
         due.truncate(limit);
         let entry = |(key, news): (&NewsKey, &News)| DueNews {
             key: key.clone(),
-            eager: news.eager > 0,
+            eager: eager(news),
             fresh: now.since(news.learned) < FRESH,
+            answerable: now.since(news.learned) < half,
         };
         due.into_iter().map(entry).collect()
     }
@@ -70,7 +73,7 @@
     /// Notes that a request of this host carried the record itself.
     pub fn note_eager(&mut self, key: &NewsKey) {
         if let Some(news) = self.news.get_mut(key) {
-            news.eager = news.eager.saturating_sub(1);
+            news.eager += 1;
         }
     }
 
@@ -90,6 +93,11 @@
         self.news.is_empty()
     }
 
+    /// Returns how many peers the origin of a change tells at once: log2 of the number of hosts.
+    pub fn burst(hosts: usize) -> usize {
+        hosts.max(2).next_power_of_two().ilog2() as usize
+    }
+
     /// Returns how long a change is passed on among this many hosts.
     pub fn window(hosts: usize) -> Duration {
         GOSSIP_INTERVAL * (hosts.max(1).next_power_of_two().ilog2() + EXTRA_TRANSMISSIONS)
--- a/crates/policy/src/membership/tests.rs
+++ b/crates/policy/src/membership/tests.rs
@@ -155,10 +155,10 @@
         let mut queue = NewsQueue::default();
         let key = NewsKey::Host(host("b"));
         queue.push(START, key.clone(), case.from.map(host));
-        let to_source = queue.due(START, &host("c"), 9).len();
+        let to_source = queue.due(START, &host("c"), 8, 9).len();
         assert_eq!(to_source, usize::from(case.from.is_none()), "{}", case.name);
         let (mut now, mut sent, mut eager, mut fresh) = (START, 0, 0, 0);
-        while let Some(due) = queue.due(now, &host("d"), 9).pop() {
+        while let Some(due) = queue.due(now, &host("d"), 8, 9).pop() {
             eager += u32::from(due.eager);
             fresh += u32::from(due.fresh);
             queue.note_eager(&key);
