Extend suspicions over a pause of this process

Cause: a process that was stopped for longer than a suspicion declared the suspected hosts failed when it went on, although their refutations waited in its sockets. Change: `expire` moves the end of suspicions by the pause, as the endpoint table does with leases. Conclusion: pauses of a host do not take others out of service.

--- a/crates/policy/src/membership/limits.rs
+++ b/crates/policy/src/membership/limits.rs
@@ -11,6 +11,9 @@
 /// The time from the suspicion to the failure on a healthy host: 3 s after the first missed probe.
 pub const SUSPICION: Duration = Duration::from_millis(2_000);
 
+/// The time between two calls of `MemberTable::expire` from which on this process counts as paused.
+pub const PAUSE: Duration = Duration::from_millis(500);
+
 /// How long a host that left stays in the table, so that older news does not bring it back.
 pub const LEFT_RETENTION: Duration = Duration::from_secs(60);
 
--- a/crates/policy/src/membership/member_table.rs
+++ b/crates/policy/src/membership/member_table.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::limits::HOSTS_LIMIT;
+use super::limits::{HOSTS_LIMIT, PAUSE};
 use super::{HostRecord, HostState, Member, MergeOutcome, ProbeHealth};
 use masticstair_core::id::HostId;
 use masticstair_core::unit::Timestamp;
@@ -18,6 +18,8 @@
     members: BTreeMap<HostId, Member>,
     /// How well this host gets answers itself.
     pub health: ProbeHealth,
+    /// When `expire` last ran.
+    expired: Option<Timestamp>,
 }
 
 impl MemberTable {
@@ -30,6 +32,7 @@
             local: host.clone(),
             members: BTreeMap::from([(host, member)]),
             health: ProbeHealth::default(),
+            expired: None,
         }
     }
 
@@ -99,6 +102,7 @@
     /// Turns suspicions that were not refuted in time into failures and forgets old records. Returns the
     /// hosts that failed.
     pub fn expire(&mut self, now: Timestamp) -> Vec<HostId> {
+        self.extend_suspicions_after_pause(now);
         self.members.retain(|_, m| !m.is_forgettable(now));
         let due = |m: &&Member| m.suspect_until.is_some_and(|until| until <= now);
         let mut failed: Vec<HostId> =
@@ -107,6 +111,18 @@
         failed
     }
 
+    /// Moves suspicions by the time in which this process was paused: refutations of that time still wait in
+    /// its sockets.
+    fn extend_suspicions_after_pause(&mut self, now: Timestamp) {
+        let pause = now.since(self.expired.replace(now).unwrap_or(now));
+        if pause < PAUSE {
+            return;
+        }
+        for until in self.members.values_mut().filter_map(|m| m.suspect_until.as_mut()) {
+            *until = until.plus(pause);
+        }
+    }
+
     /// Answers what others say of this host: refutes a suspicion or failure of this life.
     fn merge_local(&mut self, now: Timestamp, record: &HostRecord) -> MergeOutcome {
         let Some(own) = self.members.get(&self.local).map(|m| m.record.clone()) else {
--- a/crates/policy/src/membership/tests.rs
+++ b/crates/policy/src/membership/tests.rs
@@ -105,6 +105,22 @@
     assert!(table.get(&host("b")).is_none());
 }
 
+/// Guards against hosts that are declared failed because this process was paused.
+#[test]
+fn pause_of_this_process_fails_nobody() {
+    let mut table = table();
+    table.expire(START);
+    table.suspect(START, &host("b"));
+    let awake = START.plus(SUSPICION * 5);
+    assert!(table.expire(awake).is_empty());
+    let mut now = awake;
+    while now < awake.plus(SUSPICION) {
+        assert!(table.expire(now).is_empty());
+        now = now.plus(GOSSIP_INTERVAL);
+    }
+    assert_eq!(table.expire(now), [host("b")]);
+}
+
 /// Guards against a table that grows with every host that ever left.
 #[test]
 fn left_hosts_are_forgotten_after_their_retention() {
