--- a/crates/policy/src/membership/tests.rs
+++ b/crates/policy/src/membership/tests.rs
@@ -105,6 +105,22 @@
     assert!(table.get(&host("b")).is_none());
 }
 
+/// Guards against hosts that are declared failed because this process was paused.
+#[test]
+fn pause_of_this_process_fails_nobody() {
+    let mut table = table();
+    table.expire(START);
+    table.suspect(START, &host("b"));
+    let awake = START.plus(SUSPICION * 5);
+    assert!(table.expire(awake).is_empty());
+    let mut now = awake;
+    while now < awake.plus(SUSPICION) {
+        assert!(table.expire(now).is_empty());
+        now = now.plus(GOSSIP_INTERVAL);
+    }
+    assert_eq!(table.expire(now), [host("b")]);
+}
+
 /// Guards against a table that grows with every host that ever left.
 #[test]
 fn left_hosts_are_forgotten_after_their_retention() {
@@ -155,10 +171,10 @@
         let mut queue = NewsQueue::default();
         let key = NewsKey::Host(host("b"));
         queue.push(START, key.clone(), case.from.map(host));
-        let to_source = queue.due(START, &host("c"), 9).len();
+        let to_source = queue.due(START, &host("c"), 8, 9).len();
         assert_eq!(to_source, usize::from(case.from.is_none()), "{}", case.name);
         let (mut now, mut sent, mut eager, mut fresh) = (START, 0, 0, 0);
-        while let Some(due) = queue.due(now, &host("d"), 9).pop() {
+        while let Some(due) = queue.due(now, &host("d"), 8, 9).pop() {
             eager += u32::from(due.eager);
             fresh += u32::from(due.fresh);
             queue.note_eager(&key);
