--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -3,7 +3,9 @@
 mod options;
 
 use masticstair_host::daemon::run;
-use masticstair_host::settings::Settings;
+use masticstair_host::settings::{Settings, cross_check};
+use std::error::Error;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use options::{Command, parse_options};
@@ -18,16 +20,33 @@
     }
 }
 
-fn execute(command: Command) -> Result<(), Box<dyn std::error::Error>> {
+fn execute(command: Command) -> Result<(), Box<dyn Error>> {
     match command {
         Command::Run { config } => run(Settings::load(&config)?)?,
-        Command::Check { config } => {
-            let cfg = Settings::load(&config)?;
-            for warning in cfg.warnings() {
-                println!("warning: {warning}");
+        Command::Check { configs } => check(&configs)?,
+    }
+    Ok(())
+}
+
+/// Reads every file before it reports, so that the errors of all come at once.
+fn check(configs: &[PathBuf]) -> Result<(), Box<dyn Error>> {
+    let loaded: Vec<_> = configs.iter().map(|file| (file, Settings::load(file))).collect();
+    let mut valid = Vec::new();
+    let mut errors = Vec::new();
+    for (file, result) in loaded {
+        match result {
+            Ok(cfg) => {
+                println!("{}: settings of host {} are valid", file.display(), cfg.host);
+                for warning in cfg.warnings() {
+                    println!("{}: warning: {warning}", file.display());
+                }
+                valid.push(cfg);
             }
-            println!("{}: settings of host {} are valid", config.display(), cfg.host);
+            Err(e) => errors.push(e.to_string()),
         }
     }
-    Ok(())
+    for warning in cross_check(&valid) {
+        println!("warning: {warning}");
+    }
+    if errors.is_empty() { Ok(()) } else { Err(errors.join("\n").into()) }
 }
--- a/crates/host/src/options.rs
+++ b/crates/host/src/options.rs
@@ -11,8 +11,8 @@
     },
     /// Check the settings only.
     Check {
-        /// The settings file.
-        config: PathBuf,
+        /// The settings files of one or more hosts of a deployment.
+        configs: Vec<PathBuf>,
     },
 }
 
@@ -26,9 +26,10 @@
         .to_options()
         .descr("Runs a host until SIGTERM; requests in flight are finished first")
         .command("run");
-    let check = construct!(Command::Check { config() })
+    let configs = config().some("at least one --config is needed");
+    let check = construct!(Command::Check { configs })
         .to_options()
-        .descr("Checks a settings file and prints every error and warning")
+        .descr("Checks settings files, each by itself and all together, and prints every error and warning")
         .command("check");
     construct!([run, check])
         .to_options()
--- a/crates/host/src/settings/mod.rs
+++ b/crates/host/src/settings/mod.rs
@@ -1,9 +1,11 @@
 //! The settings of a host: read from one TOML file, checked once, with every error reported at once.
 
+mod cross_check;
 mod error;
 mod log_level;
 mod read;
 
+pub use cross_check::cross_check;
 pub use error::SettingsError;
 pub use log_level::{LogLevel, ParseLogLevelError};
 
@@ -83,6 +85,9 @@
                     .into(),
             );
         }
+        if self.initial_voters.contains(&self.host) && self.data_folder.is_none() {
+            warnings.push("this host is an initial voter, but data_folder is missing".into());
+        }
         if self.operators.is_empty() {
             warnings.push("operators is empty: no first bundle can be signed off".into());
         }
