Let answers leave before a host stops, and test frozen and late hosts

Cause: a stopping worker waited for its requests but not for their answers to be written, and refused requests as soon as /readyz changed, before the load balancer could see it. The cancel message to engines is gone: closing the connection of a call cancels it.

--- a/crates/cli/src/demo/host.rs
+++ b/crates/cli/src/demo/host.rs
@@ -62,7 +62,7 @@
     }
 
     pub(super) fn stop(self) {
-        self.state.drain.leave();
+        self.state.drain.close();
         self.workers.stop();
         self.control.stop();
     }
--- a/crates/core/src/endpoint_api/mod.rs
+++ b/crates/core/src/endpoint_api/mod.rs
@@ -1,7 +1,6 @@
 //! Messages between hosts and endpoints (JSON over HTTP/1.1).
 
 mod announcement;
-mod cancel_request;
 mod run_error;
 mod run_request;
 mod run_response;
@@ -9,7 +8,6 @@
 mod usage;
 
 pub use announcement::{Announcement, EndpointState, Lease, LoadReport, LoadedModel};
-pub use cancel_request::CancelRequest;
 pub use run_error::RunError;
 pub use run_request::{Resume, RunRequest};
 pub use run_response::RunResponse;
--- a/crates/host/src/daemon/run.rs
+++ b/crates/host/src/daemon/run.rs
@@ -56,6 +56,7 @@
     state.drain.leave();
     let left = Instant::now();
     thread::sleep(state.cfg.drain_notice.duration());
+    state.drain.close();
     workers.stop();
     control.stop();
     info!(log, "stopped"; "drain_ms" => left.elapsed().as_millis() as u64);
--- a/crates/host/src/daemon/worker.rs
+++ b/crates/host/src/daemon/worker.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 
 use crate::http_api::handler;
@@ -17,6 +17,9 @@
 /// How often a worker that stops looks whether its requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
+/// How long the last answers may take to leave after every request has ended.
+const LAST_WRITES: Duration = Duration::from_secs(5);
+
 /// The reason for which a host did not start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -88,6 +91,18 @@
     bound.map_err(|source| StartError::Bind { addr, source })
 }
 
+/// Waits until every request has ended and its answer has left; a caller that does not read its answer is
+/// waited for only for a bounded time.
+async fn wait_until_idle(state: &HostState) {
+    while state.drain.in_flight() > 0 {
+        monoio::time::sleep(DRAIN_POLL).await;
+    }
+    let ended = Instant::now();
+    while state.connections.open().get() > 0 && ended.elapsed() < LAST_WRITES {
+        monoio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
 fn run_worker(
     state: &Arc<HostState>,
     addr: SocketAddr,
@@ -112,9 +127,7 @@
         };
         let (bounds, count) = (state.cfg.bounds, state.connections.clone());
         serve(listener, bounds, count, handler(cx), stopped).await;
-        while state.drain.in_flight() > 0 {
-            monoio::time::sleep(DRAIN_POLL).await;
-        }
+        wait_until_idle(state).await;
     };
     if let Err(e) = block_on(main) {
         let _ = bound.send(Err(e));
--- a/crates/host/src/state/drain.rs
+++ b/crates/host/src/state/drain.rs
@@ -4,7 +4,10 @@
 /// Requests in flight and whether the host leaves.
 #[derive(Debug, Default)]
 pub struct Drain {
+    /// The load balancer is told to send no more.
     leaving: AtomicBool,
+    /// New requests are refused.
+    closed: AtomicBool,
     in_flight: Arc<AtomicU32>,
 }
 
@@ -18,15 +21,21 @@
         // Counting before the check makes sure that a request that passes is seen by the shutdown.
         self.in_flight.fetch_add(1, Ordering::SeqCst);
         let entered = InFlight(self.in_flight.clone());
-        (!self.is_leaving()).then_some(entered)
+        (!self.closed.load(Ordering::SeqCst)).then_some(entered)
     }
 
-    /// Stops taking new requests.
+    /// Tells the load balancer that the host leaves; requests are still taken.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
     }
 
-    /// Tells whether the host has stopped taking new requests.
+    /// Stops taking new requests.
+    pub fn close(&self) {
+        self.leave();
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether the host leaves.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::SeqCst)
     }
--- a/crates/host/tests/cluster.rs
+++ b/crates/host/tests/cluster.rs
@@ -92,9 +92,8 @@
         post(addr, "draft", &[("accept", "text/event-stream")], "{\"tokens\":120}")
     });
     std::thread::sleep(Duration::from_millis(300));
+    cluster.signal(4, "TERM");
     let mut child = cluster.hosts[4].child.take().unwrap();
-    let kill = std::process::Command::new("kill").arg(child.id().to_string()).status().unwrap();
-    assert!(kill.success());
     std::thread::sleep(Duration::from_millis(50));
     let ready = get(addr, "/readyz").unwrap();
     assert_eq!(ready.status, 503, "{ready:?}");
@@ -103,3 +102,61 @@
     assert!(answer.body.contains("event: end"), "{answer:?}");
     assert!(child.wait().unwrap().success());
 }
+
+/// Guards against a process that misses many changes and then needs long to catch up, or serves old ones.
+#[test]
+fn hosts_that_missed_many_changes_are_current_within_2_s() {
+    const CHANGES: u64 = 170;
+    let mut cluster = Cluster::start(HOSTS);
+    let missing = [0, HOSTS - 1];
+    missing.iter().for_each(|i| cluster.kill(*i));
+    for revision in 2..2 + CHANGES {
+        let version = format!("version = \"{revision}\"");
+        let content = BUNDLE.replace("version = \"1\"\n[limits]", &format!("{version}\n[limits]"));
+        cluster.roll(&content, revision - 1);
+    }
+    for i in missing {
+        cluster.start_host(i);
+        let started = Instant::now();
+        cluster.wait_ready(i, 1 + CHANGES, Duration::from_secs(2));
+        println!("host {i} current after {:?}", started.elapsed());
+    }
+}
+
+/// Guards against a paused leader that wakes up and acts on what it knew before: it must neither run a key
+/// a second time nor answer under a revision that was replaced.
+#[test]
+fn a_frozen_voter_does_no_harm_when_it_wakes_up() {
+    let cluster = Cluster::start(HOSTS);
+    for victim in 0..VOTERS {
+        let orders: Vec<_> = (0..8)
+            .map(|n| {
+                let (addr, key) = (cluster.hosts[victim].addr, format!("frozen-{victim}-{n}"));
+                std::thread::spawn(move || {
+                    let body = format!("{{\"topic\":\"{key}\"}}");
+                    post(addr, "order", &[("idempotency-key", &key)], &body)
+                })
+            })
+            .collect();
+        cluster.signal(victim, "STOP");
+        std::thread::sleep(Duration::from_millis(1_500));
+        for n in 0..8 {
+            let (key, host) = (format!("frozen-{victim}-{n}"), (victim + 1) % HOSTS);
+            let repeat = cluster.order(host, &key, &key).unwrap();
+            if repeat.status == 200 {
+                assert_eq!(cluster.executions(&key), 1, "{repeat:?}");
+            }
+        }
+        cluster.signal(victim, "CONT");
+        for (n, order) in orders.into_iter().enumerate() {
+            let first = order.join().unwrap();
+            let key = format!("frozen-{victim}-{n}");
+            assert!(cluster.executions(&key) <= 1, "key {key} ran twice: {first:?}");
+            let answer = cluster.order(HOSTS - 1, &key, &key).unwrap();
+            if answer.status == 200 {
+                assert_eq!(cluster.executions(&key), 1, "{answer:?}");
+            }
+        }
+        cluster.wait_ready(victim, 1, Duration::from_secs(4));
+    }
+}
--- a/crates/host/tests/support/cluster.rs
+++ b/crates/host/tests/support/cluster.rs
@@ -78,6 +78,13 @@
         self.hosts[i].child = Some(command.stderr(Stdio::inherit()).spawn().unwrap());
     }
 
+    /// Sends a signal to a host.
+    pub fn signal(&self, i: usize, signal: &str) {
+        let pid = self.hosts[i].child.as_ref().unwrap().id().to_string();
+        let sent = std::process::Command::new("kill").args(["-s", signal, &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
     /// Kills a host without notice.
     pub fn kill(&mut self, i: usize) {
         let mut child = self.hosts[i].child.take().unwrap();
--- a/crates/net/src/http/server/connection.rs
+++ b/crates/net/src/http/server/connection.rs
@@ -1,4 +1,5 @@
 use futures_util::FutureExt;
+use futures_util::future::{Either, select};
 use http::StatusCode;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -10,18 +11,20 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
 use std::rc::Rc;
 
 use super::read_body::read_body;
 use super::response_body::ResponseBody;
-use super::{ConnectionCount, Handler, Request, Response, ResponseContent, ServerLimits};
+use super::{ConnectionCount, Handler, Request, Response, ResponseContent, ServerLimits, Stop};
 
-/// Serves one connection to its end.
+/// Serves one connection to its end; after `stop` only the request in progress is answered.
 pub(super) async fn serve_connection(
     stream: TcpStream,
     limits: Rc<ServerLimits>,
     handler: Handler,
     large: ConnectionCount,
+    stop: Stop,
 ) {
     let Ok(stream) = stream.into_poll_io() else { return };
     let served = Rc::new(Cell::new(0));
@@ -31,7 +34,20 @@
         .header_read_timeout(limits.head_timeout.duration())
         .max_header_size(usize::try_from(limits.head.get()).unwrap_or(usize::MAX))
         .serve_connection(MonoioIo::new(stream), service);
-    let ended = AssertUnwindSafe(&mut connection).catch_unwind().await;
+    let serving = async {
+        let ended = match select(&mut connection, stop).await {
+            Either::Left((ended, _)) => Some(ended),
+            Either::Right(_) => None,
+        };
+        match ended {
+            Some(ended) => ended,
+            None => {
+                Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
+            }
+        }
+    };
+    let ended = AssertUnwindSafe(serving).catch_unwind().await;
     let Ok(Err(error)) = ended else { return };
     if error.is_timeout() {
         let stream = connection.into_parts().io.inner();
--- a/crates/net/src/http/server/listen.rs
+++ b/crates/net/src/http/server/listen.rs
@@ -7,10 +7,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use futures_util::future::{Either, select};
 
 use super::connection::{send_and_close, serve_connection};
-use super::{ConnectionCount, Handler, ServerLimits};
+use super::{ConnectionCount, Handler, ServerLimits, Stop};
 
 /// How long to wait after a failed accept, which means that the process ran out of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -24,28 +25,30 @@
     TcpListener::bind_with_config(addr, &ListenerOpts::new())
 }
 
-/// Serves connections until `stop` completes; connections that are open then go on.
+/// Serves connections until `stop` completes; requests in progress are then still answered.
 pub async fn serve(
     listener: TcpListener,
     limits: ServerLimits,
     count: ConnectionCount,
     handler: Handler,
-    stop: impl Future<Output = ()>,
+    stop: impl Future<Output = ()> + 'static,
 ) {
     let limits = Rc::new(limits);
     let large = ConnectionCount::default();
-    let mut stop = pin!(stop);
+    let stop: Stop = stop.boxed_local().shared();
     loop {
-        match select(&mut stop, pin!(listener.accept())).await {
+        match select(stop.clone(), pin!(listener.accept())).await {
             Either::Left(_) => return,
             Either::Right((Ok((stream, _)), _)) => {
                 let (limits, handler, count) = (limits.clone(), handler.clone(), count.clone());
-                let large = large.clone();
+                let (large, stop) = (large.clone(), stop.clone());
                 monoio::spawn(async move {
                     // A token is one small write; waiting for more would delay it.
                     let _ = stream.set_nodelay(true);
                     match count.enter(limits.connections) {
-                        Some(_counted) => serve_connection(stream, limits, handler, large).await,
+                        Some(_counted) => {
+                            serve_connection(stream, limits, handler, large, stop).await
+                        }
                         None => send_and_close(stream, &too_many(&limits)).await,
                     }
                 });
--- a/crates/net/src/http/server/mod.rs
+++ b/crates/net/src/http/server/mod.rs
@@ -19,8 +19,11 @@
 pub use request::Request;
 pub use response::{Response, ResponseContent};
 
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{LocalBoxFuture, Shared};
 use std::rc::Rc;
 
+/// Completes when the server stops.
+pub(crate) type Stop = Shared<LocalBoxFuture<'static, ()>>;
+
 /// Answers one request. The future is dropped when the caller closes the connection.
 pub type Handler = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response>>;
--- a/crates/standins/src/stand_in.rs
+++ b/crates/standins/src/stand_in.rs
@@ -128,7 +128,6 @@
             Ok(run) => run_stage(running, run).await,
             Err(e) => Response::new(StatusCode::BAD_REQUEST, "text/plain", e.to_string()),
         },
-        (&Method::POST, "/v1/cancel") => Response::json(StatusCode::OK, &serde_json::json!({})),
         _ => Response::new(StatusCode::NOT_FOUND, "text/plain", "no such path"),
     }
 }
