--- a/crates/host/src/http_api/health.rs
+++ b/crates/host/src/http_api/health.rs
@@ -29,6 +29,9 @@
 pub(super) fn metrics(state: &HostState) -> Response {
     let metrics = &state.metrics;
     metrics.in_flight.set(i64::from(state.drain.in_flight()));
+    if let Some(membership) = state.membership.get() {
+        metrics.endpoints.set(membership.snapshot().endpoints.len() as i64);
+    }
     if let Some(config) = state.in_force.get() {
         metrics.revision.set(config.revision.get() as i64);
     }
--- a/crates/host/src/telemetry/metrics.rs
+++ b/crates/host/src/telemetry/metrics.rs
@@ -37,7 +37,7 @@
     pub pipeline: String,
     /// The name of the stage.
     pub stage: String,
-    /// `ok`, `error` or `wasted` (the answer was not used).
+    /// `ok` or `error`.
     pub result: &'static str,
 }
 
