Promote a learner before a lost voter is voted out

Host 0 was down and about to be replaced when host 1 lost its disk. The leader still counted host 1 as live, appended the set {1, 2}, and no quorum of it existed any more; the return of host 0 could not help, since host 2 refuses its shorter log.

Change: while there are fewer than 7 voters, a learner is promoted first and the lost voter is voted out of the even set after that; a voter that returns in between shrinks the set again. A full set still votes out first, and so does the replacement of a replica whose host came back under a new id, because that replica cannot return.

Conclusion: the loss of a disk during the replacement of a host that returns no longer stops the group.

--- a/crates/store/src/consensus/rules/check_change.rs
+++ b/crates/store/src/consensus/rules/check_change.rs
@@ -4,7 +4,7 @@
 use super::{ChangeError, MembershipView};
 
 /// The largest number of voters.
-const MAX_VOTERS: usize = 7;
+pub(crate) const MAX_VOTERS: usize = 7;
 
 /// Checks whether a change of the voters may be proposed now.
 ///
--- a/crates/store/src/consensus/rules/plan_change.rs
+++ b/crates/store/src/consensus/rules/plan_change.rs
@@ -2,18 +2,17 @@
 use masticstair_core::message::{Replica, VoterSet};
 
 use super::MembershipView;
-use super::check_change;
+use super::check_change::{MAX_VOTERS, check_change};
 
 /// Returns the next change of the voters that the leader should propose, if any.
 ///
-/// The order is: vote out a voter whose successor on the same host has caught up, vote out a lost voter
-/// while a learner has caught up, promote a learner, drop a lost learner, add an announced replica as a
-/// learner. A voter is voted out before its successor is voted in, so that no step changes two voters
-/// and the set never exceeds its size.
+/// The order is: vote out a voter whose successor on the same host has caught up, vote out a lost voter,
+/// vote out one voter too many, promote a learner, drop a lost learner, add an announced replica as a
+/// learner. Each step changes at most one voter.
 pub fn plan_change(view: &MembershipView) -> Option<VoterSet> {
-    let plans =
-        [replace_reborn, remove_lost, promote, drop_lost_learner, add_announced].into_iter();
-    plans.filter_map(|plan| plan(view)).find(|set| check_change(view, set).is_ok())
+    let plans = [replace_reborn, remove_lost, shrink, promote, drop_lost_learner, add_announced];
+    let mut sets = plans.iter().filter_map(|plan| plan(view));
+    sets.find(|set| check_change(view, set).is_ok())
 }
 
 /// Votes out a voter whose host came back with a new, caught-up replica.
@@ -26,16 +25,49 @@
     Some(without_voter(&view.set, voter.id))
 }
 
-/// Votes out a lost voter when a learner can take its place.
+/// Votes out a lost voter once a learner was promoted beside it, which leaves an even set.
+///
+/// The promotion comes first because a lost voter may return. If two of three voters were left and one
+/// of them lost its disk, the return of the third one could not restore a quorum. Only a full set has to
+/// vote out first.
 fn remove_lost(view: &MembershipView) -> Option<VoterSet> {
-    view.set.learners.iter().find(|l| view.is_caught_up(l.id))?;
-    let voter = view.set.voters.iter().find(|v| v.id != view.leader && view.is_lost(v.id))?;
+    let count = view.set.voters.len();
+    let has_successor = view.set.learners.iter().any(|l| view.is_caught_up(l.id));
+    let is_due = count.is_multiple_of(2) || (count >= MAX_VOTERS && has_successor);
+    let voter = lost_voters(view).next().filter(|_| is_due)?;
+    Some(without_voter(&view.set, voter.id))
+}
+
+/// Votes out a voter of the fullest data centre when a promoted learner turned out not to be needed.
+fn shrink(view: &MembershipView) -> Option<VoterSet> {
+    if view.set.voters.len() <= wanted(view) {
+        return None;
+    }
+    let others = view.set.voters.iter().filter(|v| v.id != view.leader);
+    let key = |v: &&Replica| (voters_in(&view.set, &v.data_centre), v.host.clone());
+    let voter = others.max_by_key(key)?;
     Some(without_voter(&view.set, voter.id))
 }
 
-/// Promotes the learner that spreads the voters best while there are fewer than wanted.
+/// Returns the number of voters to keep: an even set above the target tolerates no more losses than the
+/// odd one below it.
+fn wanted(view: &MembershipView) -> usize {
+    let count = view.set.voters.len();
+    match count > view.target_voters && count.is_multiple_of(2) {
+        true => count - 1,
+        false => count.max(view.target_voters),
+    }
+}
+
+/// Returns the voters that may be replaced.
+fn lost_voters(view: &MembershipView) -> impl Iterator<Item = &Replica> {
+    view.set.voters.iter().filter(|v| v.id != view.leader && view.is_lost(v.id))
+}
+
+/// Promotes the learner that spreads the voters best while fewer than wanted are not lost.
 fn promote(view: &MembershipView) -> Option<VoterSet> {
-    if view.set.voters.len() >= view.target_voters {
+    let healthy = view.set.voters.len() - lost_voters(view).count();
+    if healthy >= wanted(view) || view.set.voters.len() >= MAX_VOTERS {
         return None;
     }
     let has_voter = |l: &Replica| view.set.voters.iter().any(|v| v.host == l.host);
