Give operators commands for keys, bundles and status

Cause: the administration API could be used only by programs that sign requests themselves. Change: masticstair key, bundle and status, with options in files by group, help for every option and completions. Usage errors now exit with 2.

--- /dev/null
+++ b/crates/cli/src/admin/format_status.rs
@@ -0,0 +1,109 @@
+//! Prints the status for people.
+
+use masticstair_host::http_api::admin::{HostLine, StatusReport};
+use std::fmt::{Display, Write};
+
+/// Prints a status at a glance: what needs a look first.
+pub fn format_status(report: &StatusReport) -> String {
+    let mut out = format!("Deployment {}: ", report.deployment);
+    match report.unhealthy.as_slice() {
+        [] => out.push_str("healthy\n"),
+        faults => {
+            let _ = writeln!(out, "needs a look ({})", faults.len());
+            faults.iter().for_each(|fault| {
+                let _ = writeln!(out, "  {fault}");
+            });
+        }
+    }
+    push_summary(&mut out, report);
+    push_hosts(&mut out, &report.hosts);
+    push_voters(&mut out, report);
+    push_pools(&mut out, report);
+    out
+}
+
+fn push_summary(out: &mut String, report: &StatusReport) {
+    let confirmed = if report.confirmed { "confirmed" } else { "not confirmed by a quorum" };
+    let _ = writeln!(
+        out,
+        "Revision {} ({confirmed}), version {}",
+        report.revision,
+        shown(report.version.as_ref())
+    );
+    let own = &report.this_host;
+    let _ = writeln!(
+        out,
+        "Asked host {}: {} requests in flight, {} waiting, {} connections",
+        own.host, own.in_flight, own.waiting, own.connections
+    );
+}
+
+fn push_hosts(out: &mut String, hosts: &[HostLine]) {
+    let _ = writeln!(
+        out,
+        "\n{:<20} {:<16} {:>14} {:>9} state",
+        "host", "data centre", "incarnation", "revision"
+    );
+    for line in hosts {
+        let state = match (line.suspected, line.lags) {
+            (true, _) => "suspected",
+            (false, true) => "lags",
+            (false, false) => "ok",
+        };
+        let _ = writeln!(
+            out,
+            "{:<20} {:<16} {:>14} {:>9} {state}",
+            line.host.to_string(),
+            line.data_centre.to_string(),
+            line.incarnation.to_string(),
+            shown(line.revision)
+        );
+    }
+}
+
+fn push_voters(out: &mut String, report: &StatusReport) {
+    let _ = writeln!(
+        out,
+        "\nLeader {}, term {}, last entry {}, committed {}",
+        shown(report.leader.as_ref()),
+        shown(report.term),
+        shown(report.last),
+        shown(report.commit)
+    );
+    let _ = writeln!(
+        out,
+        "{:<20} {:<16} {:>14} {:>9} vote",
+        "voter", "data centre", "matched", "silent"
+    );
+    for voter in &report.voters {
+        let silent = voter.silent_ms.map(|ms| format!("{ms} ms"));
+        let vote = if voter.voter { "yes" } else { "no" };
+        let _ = writeln!(
+            out,
+            "{:<20} {:<16} {:>14} {:>9} {vote}",
+            voter.host.to_string(),
+            voter.data_centre.to_string(),
+            shown(voter.matched),
+            shown(silent)
+        );
+    }
+}
+
+fn push_pools(out: &mut String, report: &StatusReport) {
+    let _ = writeln!(out, "\n{:<20} {:<16} {:>14} {:>9}", "pool", "kind", "endpoints", "capacity");
+    for line in &report.pools {
+        let _ = writeln!(
+            out,
+            "{:<20} {:<16} {:>14} {:>9}{}",
+            line.pool.to_string(),
+            line.kind.as_str(),
+            line.endpoints.to_string(),
+            line.capacity.to_string(),
+            if line.in_bundle { "" } else { " not in the bundle" }
+        );
+    }
+}
+
+fn shown<T: Display>(value: Option<T>) -> String {
+    value.map_or_else(|| "-".into(), |value| value.to_string())
+}
--- /dev/null
+++ b/crates/cli/src/admin/mod.rs
@@ -0,0 +1,20 @@
+//! The commands of operators: keys, bundles and status.
+
+mod admin_error;
+mod bundle;
+mod client;
+mod command;
+mod format_bundles;
+mod format_status;
+mod key;
+mod output;
+mod status;
+mod wait;
+
+pub use admin_error::AdminError;
+pub use bundle::run_bundle;
+pub use client::AdminClient;
+pub use format_bundles::{format_diff, format_done, format_history, format_lagging};
+pub use format_status::format_status;
+pub use key::run_key;
+pub use status::run_status;
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,4 +1,5 @@
-//! Runs the commands. Exit status: 0 done, 1 a stated outcome did not come about, 2 the command failed.
+//! Runs the commands. Exit status: 0 done, 1 refused or a stated outcome did not come about, 2 usage or
+//! file error, 3 outcome unknown.
 
 use masticstair_core::prelude::*;
 use masticstair_core::toml_reader::FieldErrors;
@@ -11,6 +12,7 @@
 use std::rc::Rc;
 use thiserror::Error;
 
+use crate::admin::{AdminError, run_bundle, run_key, run_status};
 use crate::demo::{DemoError, DemoOptions, run_demo};
 use crate::options::{Command, DeploymentProfile};
 use crate::replay::{ReplayOptions, Report, format_table, replay};
@@ -54,11 +56,24 @@
     /// The output cannot be encoded.
     #[error("cannot encode the output: {0}")]
     Encode(#[from] serde_json::Error),
+    /// A command of an operator was not done.
+    #[error(transparent)]
+    Admin(#[from] AdminError),
     /// Settings or a bundle have errors.
     #[error("{0}")]
     Fields(#[from] FieldErrors),
 }
 
+impl CommandError {
+    /// Returns the exit status of the process.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Admin(e) => ExitCode::from(e.exit_status()),
+            _ => ExitCode::from(2),
+        }
+    }
+}
+
 /// Runs a command.
 ///
 /// # Errors
@@ -66,6 +81,9 @@
 /// The message names the file or the value that is wrong.
 pub fn execute(command: Command) -> Result<ExitCode, CommandError> {
     match command {
+        Command::Key(command) => Ok(run_key(command)?),
+        Command::Bundle(command) => Ok(run_bundle(command)?),
+        Command::Status(options) => Ok(run_status(&options)?),
         Command::Demo { json } => {
             let report = run_demo(DemoOptions { progress: true })?;
             print_report(&report, json)
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,5 +1,6 @@
 //! Command line of masticstair for operators and users.
 
+pub mod admin;
 pub mod commands;
 pub mod demo;
 pub mod operator;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,11 +5,15 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match execute(parse_options()) {
+    let command = match parse_options() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    match execute(command) {
         Ok(code) => code,
         Err(e) => {
             eprintln!("masticstair: {e}");
-            ExitCode::from(2)
+            e.exit_code()
         }
     }
 }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options/mod.rs
@@ -1,15 +1,36 @@
 //! The command line: every command and option with its help.
 
-use bpaf::{OptionParser, Parser, construct, long};
+mod bundle;
+mod change;
+mod connection;
+mod format;
+mod key;
+mod status;
+
+pub use bundle::BundleCommand;
+pub use change::Change;
+pub use connection::Connection;
+pub use format::{Format, ParseFormatError};
+pub use key::KeyCommand;
+pub use status::StatusOptions;
+
+use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long};
 use masticstair_core::prelude::*;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::ExitCode;
 use std::str::FromStr;
 use thiserror::Error;
 
 /// What the command line is asked to do.
 #[derive(Clone, Debug)]
 pub enum Command {
+    /// Make or show a key.
+    Key(KeyCommand),
+    /// Work with bundles.
+    Bundle(BundleCommand),
+    /// Show the status.
+    Status(StatusOptions),
     /// Run the demo.
     Demo {
         /// Print JSON instead of a table.
@@ -65,9 +86,22 @@
     }
 }
 
-/// Reads the arguments of the process; prints help or an error and exits where that is asked for.
-pub fn parse_options() -> Command {
-    options().run()
+/// The width of help and errors in columns.
+const WIDTH: usize = 100;
+
+/// Reads the arguments of the process.
+///
+/// # Errors
+///
+/// Prints help or a usage error, and returns the exit status that goes with it.
+pub fn parse_options() -> Result<Command, ExitCode> {
+    options().run_inner(Args::current_args()).map_err(|failure| {
+        failure.print_message(WIDTH);
+        match failure {
+            ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
+            ParseFailure::Stderr(_) => ExitCode::from(2),
+        }
+    })
 }
 
 /// The parser of the command line.
@@ -78,7 +112,10 @@
         .command("demo");
     let trace = trace_command();
     let replay = replay_command();
-    construct!([demo, trace, replay])
+    let key = key::key().map(Command::Key);
+    let bundle = bundle::bundle().map(Command::Bundle);
+    let status = status::status().map(Command::Status);
+    construct!([key, bundle, status, demo, trace, replay])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operates and tries out masticstair, a serving system for model pipelines")
--- a/crates/policy/src/bundle_history/mod.rs
+++ b/crates/policy/src/bundle_history/mod.rs
@@ -16,6 +16,7 @@
 
 mod action;
 mod check;
+mod check_content;
 mod command;
 mod command_signature;
 mod diff;
@@ -41,6 +42,7 @@
 mod table_diff;
 
 pub use action::BundleAction;
+pub use check_content::check_content;
 pub use command::BundleCommand;
 pub use command_signature::{CommandSignature, SignatureError};
 pub use diff::diff_bundles;
