--- a/crates/policy/src/bundle_history/mod.rs
+++ b/crates/policy/src/bundle_history/mod.rs
@@ -16,6 +16,7 @@
 
 mod action;
 mod check;
+mod check_content;
 mod command;
 mod command_signature;
 mod content_change;
@@ -43,6 +44,7 @@
 mod table_diff;
 
 pub use action::BundleAction;
+pub use check_content::check_content;
 pub use command::BundleCommand;
 pub use command_signature::{CommandSignature, SignatureError};
 pub use content_change::ContentChange;
