Take bundles of 37,000 accounts through the log

Cause: a command had at most 1 MiB, an entry on disk 4 MiB and a message 4 MiB, so that a bundle of the stated size (5.9 MB) was refused as not proposed.

--- a/crates/host/src/control/links.rs
+++ b/crates/host/src/control/links.rs
@@ -19,6 +19,7 @@
 ) -> Box<dyn Fn(&Replica) -> PeerLink> {
     let call_limit = cfg.call_timeout.duration();
     let snapshot_limit = cfg.snapshot_timeout.duration();
+    let cfg = Rc::new(cfg.clone());
     Box::new(move |replica| {
         let lookup = {
             let (membership, peers) = (membership.clone(), peers.clone());
@@ -27,12 +28,14 @@
         };
         let [a, b, c] = [lookup.clone(), lookup.clone(), lookup];
         let group = GroupId::FIRST;
+        let cfg = cfg.clone();
         PeerLink {
             vote: Box::new(move |req| {
                 call(a(), async move |peer| peer.vote(group, req, call_limit).await)
             }),
             append: Box::new(move |req| {
-                call(b(), async move |peer| peer.append(group, req, call_limit).await)
+                let limit = cfg.append_timeout(&req).duration();
+                call(b(), async move |peer| peer.append(group, req, limit).await)
             }),
             snapshot: Box::new(move |chunk| {
                 call(c(), async move |peer| peer.snapshot(group, chunk, snapshot_limit).await)
--- a/crates/net/src/peer/limits.rs
+++ b/crates/net/src/peer/limits.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-/// The largest message that a host sends, in bytes. The largest bundle travels in chunks.
-pub const MESSAGE_LIMIT: usize = 4 * 1024 * 1024;
+/// The largest message that a host sends, in bytes: a log entry with a bundle of 16 MiB. Bundles in force
+/// travel in chunks.
+pub const MESSAGE_LIMIT: usize = 20 * 1024 * 1024;
 
 /// The largest message that a host reads, in words of 8 bytes. Twice the limit of a sender, because the
 /// reader counts what it traverses a second time.
--- a/crates/store/src/consensus/config.rs
+++ b/crates/store/src/consensus/config.rs
@@ -1,6 +1,9 @@
+use masticstair_core::message::AppendRequest;
 use masticstair_core::unit::{ByteCount, Millis, Slots};
 use std::time::Duration;
 
+use super::log::size_of;
+
 /// Timings and bounds of a node.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Config {
@@ -10,7 +13,7 @@
     pub election_max: Millis,
     /// The time between heartbeats.
     pub heartbeat: Millis,
-    /// How long a vote or an append may take before the call counts as lost.
+    /// How long a vote or a small append may take before the call counts as lost.
     pub call_timeout: Millis,
     /// How long one piece of a snapshot may take; the last one includes the restore and the sync.
     pub snapshot_timeout: Millis,
@@ -47,8 +50,9 @@
             snapshot_timeout: Millis::new(3_000),
             batch: ByteCount::new(256 << 10),
             window: Slots::new(8),
-            max_command: ByteCount::new(1 << 20),
-            max_uncommitted: ByteCount::new(8 << 20),
+            // A bundle has at most 16 MiB.
+            max_command: ByteCount::new(17 << 20),
+            max_uncommitted: ByteCount::new(34 << 20),
             compact_above: ByteCount::new(8 << 20),
             keep_tail: ByteCount::new(1 << 20),
             max_snapshot: ByteCount::new(256 << 20),
@@ -59,7 +63,16 @@
     }
 }
 
+/// The least throughput that a link and the disk behind it are expected to have.
+const MIN_BYTES_PER_MS: u64 = 8 << 10;
+
 impl Config {
+    /// Returns how long an append may take: a bundle of a large deployment needs more time than a vote.
+    pub fn append_timeout(&self, req: &AppendRequest) -> Millis {
+        let size: u64 = req.entries.iter().map(|e| size_of(e) as u64).sum();
+        Millis::new(self.call_timeout.get() + size / MIN_BYTES_PER_MS)
+    }
+
     /// Maps a fraction in `[0, 1)` to an election timeout.
     pub(crate) fn election_timeout(&self, fraction: f64) -> Duration {
         let (min, max) = (self.election_min.duration(), self.election_max.duration());
--- a/crates/store/src/consensus/tasks/replicate.rs
+++ b/crates/store/src/consensus/tasks/replicate.rs
@@ -69,7 +69,8 @@
 
 fn append(shared: &Shared, link: &PeerLink, req: AppendRequest) -> LocalBoxFuture<'static, Answer> {
     let last = req.entries.last().map_or(req.prev_index, |e| e.index);
-    let call = bounded((link.append)(req), shared.cfg.call_timeout);
+    let limit = shared.cfg.append_timeout(&req);
+    let call = bounded((link.append)(req), limit);
     call.map(move |reply| Answer::Append { last, reply }).boxed_local()
 }
 
