--- a/crates/cli/src/admin/admin_error.rs
+++ b/crates/cli/src/admin/admin_error.rs
@@ -38,6 +38,12 @@
         "no host answered; nothing was done:\n{0}\nTry again, or name other hosts with --host."
     )]
     Unreachable(Box<str>),
+    /// No host took a command; nothing was done.
+    #[error(
+        "no host took the command; nothing was done:\n  {0}\nTry again, name other hosts with --host, \
+         or look at the voters with: masticstair status"
+    )]
+    NotRun(Box<str>),
     /// A host refused the request; nothing was done.
     #[error("{}", describe(.0))]
     Refused(Box<AdminProblem>),
--- a/crates/cli/src/admin/command.rs
+++ b/crates/cli/src/admin/command.rs
@@ -93,7 +93,7 @@
     if may_have_run {
         return Err(Failed::Unknown(reason));
     }
-    Err(Failed::Known(Box::new(AdminError::Unreachable(format!("  {reason}").into()))))
+    Err(Failed::Known(Box::new(AdminError::NotRun(reason))))
 }
 
 async fn attempt(client: &AdminClient, host: SocketAddr, path: &str, body: &Bytes) -> Attempt {
--- a/crates/cli/tests/admin_formats.rs
+++ b/crates/cli/tests/admin_formats.rs
@@ -31,7 +31,7 @@
             host("h3", true, json!(7), false), host("h4", false, Value::Null, true)],
         "leader": "h1", "term": 3, "last": 5200, "commit": 5200, "voters_changing": false,
         "voters": [voter("h1", json!(5200), json!(0)), voter("h2", json!(40), json!(12)),
-            voter("h3", json!(5100), json!(4100))],
+            voter("h3", json!(5100), json!(4100)), voter("h5", Value::Null, Value::Null)],
         "pools": [pool("orders", 0, true), pool("stock", 4, true), pool("old", 1, false)],
     })
 }
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -58,11 +58,7 @@
             key.save(&folder.path().join(format!("{name}.key"))).unwrap();
             text.push_str(&listing(&key, "operators"));
         }
-        let cfg = Settings::parse(&text).unwrap();
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let state = Arc::new(HostState::new(cfg, log));
-        let control = start_control(&state).unwrap();
-        let workers = start_workers(&state).unwrap();
+        let (control, workers) = start_threads(&text);
         let addr = workers.addr;
         let deployment = Self { addr, folder, workers: Some(workers), control: Some(control) };
         // Reads wait for the first leader, so one that succeeds tells that it is there.
@@ -146,6 +142,21 @@
     }
 }
 
+/// Starts the threads of a host. A host frees the port that it picked before it binds it, so another test
+/// may take it meanwhile; the host is then started again.
+fn start_threads(settings: &str) -> (ControlThread, Workers) {
+    for _ in 0..5 {
+        let cfg = Settings::parse(settings).unwrap();
+        let state = Arc::new(HostState::new(cfg, slog::Logger::root(slog::Discard, slog::o!())));
+        let Ok(control) = start_control(&state) else { continue };
+        match start_workers(&state) {
+            Ok(workers) => return (control, workers),
+            Err(_) => control.stop(),
+        }
+    }
+    panic!("the host found no free ports in 5 attempts");
+}
+
 /// Forwards connections to a host but loses the first `lost` answers to commands: the host has answered,
 /// and the connection to the operator ends without a byte.
 pub fn losing_proxy(target: SocketAddr, lost: usize) -> SocketAddr {
--- a/crates/host/src/http_api/admin/faults.rs
+++ b/crates/host/src/http_api/admin/faults.rs
@@ -57,16 +57,19 @@
         faults.push("A change of the voters is in progress.".into());
     }
     let last = report.last.map_or(0, |last| last.get());
-    faults.extend(report.voters.iter().filter_map(|voter| voter_fault(voter, last)));
+    faults.extend(report.voters.iter().filter_map(|voter| voter_fault(report, voter, last)));
     faults
 }
 
-fn voter_fault(voter: &VoterProgress, last: u64) -> Option<String> {
+fn voter_fault(report: &StatusReport, voter: &VoterProgress, last: u64) -> Option<String> {
     let host = &voter.host;
     let kind = if voter.voter { "Voter" } else { "Replica" };
     if let Some(silent) = voter.silent_ms.filter(|silent| *silent > VOTER_SILENT) {
         return Some(format!("{kind} {host} has not answered the leader for {silent} ms."));
     }
+    if !report.hosts.iter().any(|line| line.host == *host) {
+        return Some(format!("{kind} {host} is not among the live hosts."));
+    }
     let behind = last.saturating_sub(voter.matched?.get());
     (behind > VOTER_BEHIND).then(|| format!("{kind} {host} is {behind} entries behind the leader."))
 }
--- a/crates/host/tests/support/admin.rs
+++ b/crates/host/tests/support/admin.rs
@@ -134,11 +134,7 @@
             text.push_str(&format!("data_folder = {:?}\n", folder.path().display().to_string()));
         }
         operators.iter().for_each(|operator| text.push_str(&operator.table("operators")));
-        let cfg = Settings::parse(&text).unwrap();
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let state = Arc::new(HostState::new(cfg, log));
-        let control = start_control(&state).unwrap();
-        let workers = start_workers(&state).unwrap();
+        let (state, control, workers) = start_threads(&text);
         let peer_addr = control.peer_addr;
         let (workers, control) = (Some(workers), Some(control));
         Self { state, peer_addr, workers, control, _folder: folder }
@@ -191,6 +187,21 @@
     }
 }
 
+/// Starts the threads of a host. A host frees the port that it picked before it binds it, so another test
+/// may take it meanwhile; the host is then started again.
+fn start_threads(settings: &str) -> (Arc<HostState>, ControlThread, Workers) {
+    for _ in 0..5 {
+        let cfg = Settings::parse(settings).unwrap();
+        let state = Arc::new(HostState::new(cfg, slog::Logger::root(slog::Discard, slog::o!())));
+        let Ok(control) = start_control(&state) else { continue };
+        match start_workers(&state) {
+            Ok(workers) => return (state, control, workers),
+            Err(_) => control.stop(),
+        }
+    }
+    panic!("the host found no free ports in 5 attempts");
+}
+
 impl Drop for AdminHost {
     fn drop(&mut self) {
         self.state.drain.leave();
