--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use thiserror::Error;
 
+use crate::bench::{BenchError, BenchReport, format_bench_table, run_bench};
 use crate::demo::{DemoError, DemoOptions, run_demo};
 use crate::options::{Command, DeploymentProfile};
 use crate::replay::{ReplayOptions, Report, format_table, replay};
@@ -21,6 +22,9 @@
 /// The reason for which a command failed.
 #[derive(Debug, Error)]
 pub enum CommandError {
+    /// The measurement failed.
+    #[error(transparent)]
+    Bench(#[from] BenchError),
     /// The demo failed.
     #[error(transparent)]
     Demo(#[from] DemoError),
@@ -66,6 +70,10 @@
 /// The message names the file or the value that is wrong.
 pub fn execute(command: Command) -> Result<ExitCode, CommandError> {
     match command {
+        Command::Bench { json, options } => {
+            let report = run_bench(options, |step| eprintln!("{step}"))?;
+            print_bench(&report, json)
+        }
         Command::Demo { json } => {
             let report = run_demo(DemoOptions { progress: true })?;
             print_report(&report, json)
@@ -81,6 +89,17 @@
     }
 }
 
+fn print_bench(report: &BenchReport, json: bool) -> Result<ExitCode, CommandError> {
+    let mut out = io::stdout().lock();
+    if json {
+        serde_json::to_writer_pretty(&mut out, report)?;
+        writeln!(out)?;
+    } else {
+        out.write_all(format_bench_table(report).as_bytes())?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn print_report(report: &Report, json: bool) -> Result<ExitCode, CommandError> {
     let mut out = io::stdout().lock();
     if json {
--- a/crates/cli/src/demo/host.rs
+++ b/crates/cli/src/demo/host.rs
@@ -25,10 +25,10 @@
 const EXAMPLE_KEY_FILE: &str = "examples/operator.key";
 
 /// A running host.
-pub(super) struct DemoHost {
-    pub(super) state: Arc<HostState>,
-    pub(super) workers: Workers,
-    control: ControlThread,
+pub(crate) struct DemoHost {
+    pub(crate) state: Arc<HostState>,
+    pub(crate) workers: Workers,
+    pub(crate) control: ControlThread,
     key: OperatorKey,
     /// Removed when the host is dropped.
     _folder: TempDir,
@@ -36,9 +36,16 @@
 
 impl DemoHost {
     pub(super) fn start(deployment: &Deployment) -> Result<Self, DemoError> {
+        Self::start_with(|folder, key| settings_text(deployment, folder, key))
+    }
+
+    /// Starts a host with the settings that `settings` writes for a data folder and an operator.
+    pub(crate) fn start_with(
+        settings: impl FnOnce(&TempDir, &OperatorKey) -> String,
+    ) -> Result<Self, DemoError> {
         let folder = tempfile::tempdir()?;
         let key = OperatorKey::parse(EXAMPLE_KEY, Path::new(EXAMPLE_KEY_FILE))?;
-        let text = settings_text(deployment, &folder, &key);
+        let text = settings(&folder, &key);
         let cfg = Settings::parse(&text).map_err(DemoError::Settings)?;
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let state = Arc::new(HostState::new(cfg, log));
@@ -48,7 +55,7 @@
     }
 
     /// Submits the bundle, signs it off and rolls it, as operators do.
-    pub(super) async fn roll_bundle(&self, content: &str) -> Result<(), DemoError> {
+    pub(crate) async fn roll_bundle(&self, content: &str) -> Result<(), DemoError> {
         let digest = Sha256Digest::of(content.as_bytes());
         let actions = [
             ("submit", BundleAction::Submit(content.into())),
@@ -61,7 +68,7 @@
         Ok(())
     }
 
-    pub(super) fn stop(self) {
+    pub(crate) fn stop(self) {
         self.state.drain.leave();
         self.workers.stop();
         self.control.stop();
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -8,4 +8,6 @@
 mod run;
 
 pub use error::DemoError;
+pub(crate) use host::DemoHost;
+pub(crate) use run::wait_for_endpoints;
 pub use run::{DemoOptions, run_demo};
--- a/crates/cli/src/demo/run.rs
+++ b/crates/cli/src/demo/run.rs
@@ -80,7 +80,7 @@
     Ok(report)
 }
 
-async fn wait_for_endpoints(
+pub(crate) async fn wait_for_endpoints(
     host: &DemoHost,
     bundle: &Bundle,
     expected: usize,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,5 +1,6 @@
 //! Command line of masticstair for operators and users.
 
+pub mod bench;
 pub mod commands;
 pub mod demo;
 pub mod operator;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -7,9 +7,18 @@
 use std::str::FromStr;
 use thiserror::Error;
 
+use crate::bench::{BenchOptions, SceneName};
+
 /// What the command line is asked to do.
 #[derive(Clone, Debug)]
 pub enum Command {
+    /// Measure hosts on real connections.
+    Bench {
+        /// Print JSON instead of a table.
+        json: bool,
+        /// What is measured.
+        options: BenchOptions,
+    },
     /// Run the demo.
     Demo {
         /// Print JSON instead of a table.
@@ -78,7 +87,8 @@
         .command("demo");
     let trace = trace_command();
     let replay = replay_command();
-    construct!([demo, trace, replay])
+    let bench = bench_command();
+    construct!([bench, demo, trace, replay])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operates and tries out masticstair, a serving system for model pipelines")
@@ -125,6 +135,23 @@
         .command("replay")
 }
 
+fn bench_command() -> impl Parser<Command> {
+    let seed = long("seed")
+        .help("Seed of the requests; the same seed gives the same requests")
+        .argument("N")
+        .fallback(1)
+        .display_fallback();
+    let scene = long("scene")
+        .help("The only scene to run: overhead, tokens, throughput or faults")
+        .argument::<SceneName>("NAME")
+        .optional();
+    let options = construct!(BenchOptions { seed, scene });
+    construct!(Command::Bench { json(), options })
+        .to_options()
+        .descr("Measures hosts on real loopback connections against the stated targets")
+        .command("bench")
+}
+
 fn json() -> impl Parser<bool> {
     long("json").help("Print JSON instead of a table").switch()
 }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -32,6 +32,7 @@
         output: json!({ "text": tokens.concat() }),
         tokens,
         token_time: speed.decode_token,
+        stamped: false,
         usage: Usage {
             input_tokens: prompt.into(),
             output_tokens: count.into(),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 mod slot_queue;
 mod stage_work;
 mod stand_in;
+mod token_stamp;
 
 pub use call_log::{CallLog, CallRecord};
 pub use engine::{EngineSpeed, engine_work};
@@ -16,3 +17,4 @@
 pub use slot_queue::SlotQueue;
 pub use stage_work::StageWork;
 pub use stand_in::{StandIn, StandInHandle, WorkFn};
+pub use token_stamp::{stamp_age, stamp_now};
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -32,5 +32,12 @@
 
 fn whole_answer(output: Value, time: Duration) -> StageWork {
     let usage = Usage::default();
-    StageWork { time, output, tokens: Vec::new(), token_time: Duration::ZERO, usage }
+    StageWork {
+        time,
+        output,
+        tokens: Vec::new(),
+        token_time: Duration::ZERO,
+        stamped: false,
+        usage,
+    }
 }
--- a/crates/standins/src/stage_work.rs
+++ b/crates/standins/src/stage_work.rs
@@ -13,6 +13,8 @@
     pub tokens: Vec<Box<str>>,
     /// Time before each further token.
     pub token_time: Duration,
+    /// Whether a streamed token carries the time of its sending in place of its text.
+    pub stamped: bool,
     /// What the call costs; the engine's time is measured.
     pub usage: Usage,
 }
--- a/crates/standins/src/stand_in.rs
+++ b/crates/standins/src/stand_in.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use super::announcer::announce_forever;
-use super::{Faults, SlotQueue, StageWork};
+use super::{Faults, SlotQueue, StageWork, stamp_now};
 
 /// Makes the work of a call.
 pub type WorkFn = Rc<dyn Fn(&RunRequest) -> StageWork>;
@@ -117,8 +117,11 @@
         }
     }
 
-    fn scaled(&self, time: Duration) -> Duration {
-        time.mul_f64(self.faults.slowdown())
+    /// Takes as long as the work does. Work without a time takes none: the timer rounds up to 1 ms.
+    async fn work_for(&self, time: Duration) {
+        if !time.is_zero() {
+            sleep(time.mul_f64(self.faults.slowdown())).await;
+        }
     }
 }
 
@@ -151,7 +154,7 @@
     let started = Instant::now();
     let work = (running.stand_in.work)(&run);
     let token_time = work.token_time * work.tokens.len().saturating_sub(1) as u32;
-    sleep(running.scaled(work.time + token_time)).await;
+    running.work_for(work.time + token_time).await;
     let request_id = if running.faults.foreign() { RequestId::random() } else { run.request_id };
     let usage = Usage { engine_us: elapsed_us(started), ..work.usage };
     let answer = RunResponse { request_id, attempt_id: run.attempt_id, output: work.output, usage };
@@ -172,9 +175,10 @@
             return;
         }
         let time = if sent == 0 { work.time } else { work.token_time };
-        sleep(running.scaled(time)).await;
+        running.work_for(time).await;
+        let text = if work.stamped { stamp_now() } else { text.clone() };
         let index = TokenCount::new(index as u64);
-        let token = StreamToken { request_id, attempt_id, index, text: text.clone() };
+        let token = StreamToken { request_id, attempt_id, index, text };
         if send(&mut tx, SseEvent::encode_json("token", &token)).await.is_err() {
             return;
         }
