Encode a call without copies of its parts

Cause: a profile of the worker shows 12% in building a call: the input, a JSON value, and six names were cloned to be encoded once; header values were formatted and copied; the header map was cloned. Change: the message borrows its parts, header values are moved or made from numbers, and the pool takes the call's headers by value.

--- a/crates/host/src/request/attempt.rs
+++ b/crates/host/src/request/attempt.rs
@@ -1,7 +1,8 @@
 //! One call of a stage to one endpoint.
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use masticstair_core::endpoint_api::*;
 use masticstair_core::id::TraceParent;
 use masticstair_core::prelude::*;
@@ -10,11 +11,15 @@
 use std::net::SocketAddr;
 
 use super::attempt_error::AttemptError;
+use super::run_message::RunMessage;
 use super::stage_context::StageContext;
 use super::stage_error::StageError;
 use crate::telemetry::Span;
 use crate::traffic::{CallGuard, CallStart};
 
+/// Headers of a call, with `Host` and `Content-Length`, which are set when it is sent.
+const HEADERS: usize = 7;
+
 /// The endpoint of an attempt.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
@@ -112,17 +117,17 @@
     stream: Option<Option<Resume>>,
 ) -> Call {
     let timeout = cx.time_left();
-    let run = RunRequest {
+    let run = RunMessage {
         request_id: cx.caller.id,
         attempt_id: attempt,
-        pipeline: cx.caller.pipeline.name.clone(),
-        stage: cx.stage.name.clone(),
+        pipeline: &cx.caller.pipeline.name,
+        stage: &cx.stage.name,
         kind: cx.stage.kind,
-        model: cx.stage.model.clone(),
-        account: cx.caller.account.id.clone(),
-        input: cx.input.clone(),
+        model: cx.stage.model.as_ref(),
+        account: &cx.caller.account.id,
+        input: cx.input,
         stream: stream.is_some(),
-        resume_from: stream.flatten(),
+        resume_from: stream.as_ref().and_then(Option::as_ref),
     };
     Call {
         addr: target.addr,
@@ -142,16 +147,17 @@
     trace: TraceParent,
     timeout: Millis,
 ) -> HeaderMap {
-    let mut headers = HeaderMap::new();
+    let mut headers = HeaderMap::with_capacity(HEADERS);
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(HeaderName::from_static(ATTEMPT_ID_HEADER), attempt.get().into());
+    headers.insert(HeaderName::from_static(DEADLINE_HEADER), timeout.get().into());
     let mut set = |name: &'static str, value: String| {
-        if let Ok(value) = HeaderValue::from_str(&value) {
-            headers.insert(name, value);
+        // The text is moved into the value, not copied.
+        if let Ok(value) = HeaderValue::from_maybe_shared(Bytes::from(value)) {
+            headers.insert(HeaderName::from_static(name), value);
         }
     };
-    set("content-type", "application/json".to_owned());
     set(REQUEST_ID_HEADER, cx.caller.id.to_string());
-    set(ATTEMPT_ID_HEADER, attempt.to_string());
-    set(DEADLINE_HEADER, timeout.to_string());
     set(TRACEPARENT_HEADER, trace.to_string());
     headers
 }
--- a/crates/host/src/request/mod.rs
+++ b/crates/host/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod attempt_error;
 mod caller_request;
+mod run_message;
 mod run_once_stage;
 mod run_pipeline;
 mod run_stage;
--- a/crates/net/src/http/client/pool.rs
+++ b/crates/net/src/http/client/pool.rs
@@ -1,6 +1,6 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST};
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use masticstair_core::prelude::*;
 use monoio::time::Instant;
 use std::cell::RefCell;
@@ -69,11 +69,12 @@
             Some(connection) => connection,
             None => Connection::open(call.addr, deadline).await?,
         };
-        let req = build_request(&call)?;
+        let addr = call.addr;
+        let req = build_request(call)?;
         let response = connection.exchange(req, deadline).await;
         if response.is_err() {
             // Connections of the same age have likely been lost with this one.
-            self.0.forget(call.addr);
+            self.0.forget(addr);
         }
         let (head, decoder) = response?.into_parts();
         let keep = head
@@ -135,10 +136,12 @@
     }
 }
 
-fn build_request(call: &Call) -> Result<Request<Bytes>, http::Error> {
-    let mut builder = Request::builder().method(call.method.clone()).uri(call.path.as_ref());
-    if let Some(headers) = builder.headers_mut() {
-        headers.extend(call.headers.clone());
-    }
-    builder.header(HOST, call.addr.to_string()).body(call.body.clone())
+fn build_request(call: Call) -> Result<Request<Bytes>, http::Error> {
+    let host = HeaderValue::from_maybe_shared(Bytes::from(call.addr.to_string()))?;
+    let mut req = Request::new(call.body);
+    *req.method_mut() = call.method;
+    *req.uri_mut() = call.path.parse()?;
+    *req.headers_mut() = call.headers;
+    req.headers_mut().insert(HOST, host);
+    Ok(req)
 }
