--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! Command line of masticstair for operators and users.
 
 pub mod admin;
+pub mod bench;
 pub mod commands;
 pub mod demo;
 pub mod operator;
--- a/crates/cli/src/options/mod.rs
+++ b/crates/cli/src/options/mod.rs
@@ -22,6 +22,8 @@
 use std::str::FromStr;
 use thiserror::Error;
 
+use crate::bench::{BenchOptions, SceneName};
+
 /// What the command line is asked to do.
 #[derive(Clone, Debug)]
 pub enum Command {
@@ -31,6 +33,13 @@
     Bundle(BundleCommand),
     /// Show the status.
     Status(StatusOptions),
+    /// Measure hosts on real connections.
+    Bench {
+        /// Print JSON instead of a table.
+        json: bool,
+        /// What is measured.
+        options: BenchOptions,
+    },
     /// Run the demo.
     Demo {
         /// Print JSON instead of a table.
@@ -115,7 +124,8 @@
     let key = key::key().map(Command::Key);
     let bundle = bundle::bundle().map(Command::Bundle);
     let status = status::status().map(Command::Status);
-    construct!([key, bundle, status, demo, trace, replay])
+    let bench = bench_command();
+    construct!([key, bundle, status, bench, demo, trace, replay])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operates and tries out masticstair, a serving system for model pipelines")
@@ -162,6 +172,23 @@
         .command("replay")
 }
 
+fn bench_command() -> impl Parser<Command> {
+    let seed = long("seed")
+        .help("Seed of the requests; the same seed gives the same requests")
+        .argument("N")
+        .fallback(1)
+        .display_fallback();
+    let scene = long("scene")
+        .help("The only scene to run: overhead, tokens, throughput or faults")
+        .argument::<SceneName>("NAME")
+        .optional();
+    let options = construct!(BenchOptions { seed, scene });
+    construct!(Command::Bench { json(), options })
+        .to_options()
+        .descr("Measures hosts on real loopback connections against the stated targets")
+        .command("bench")
+}
+
 fn json() -> impl Parser<bool> {
     long("json").help("Print JSON instead of a table").switch()
 }
