Run endpoints as a process of their own for a local trial

Cause: the hosts of a deployment could not be tried by hand with all their pools. Change: masticstair stand-ins serves the pools of an example bundle, spread over data centres, for a time, and fails when a call that must not be repeated ran twice.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -17,6 +17,7 @@
 use crate::demo::{DemoError, DemoOptions, run_demo};
 use crate::options::{Command, DeploymentProfile};
 use crate::replay::{ReplayOptions, Report, format_table, replay};
+use crate::stand_ins::{StandInsError, run_stand_ins};
 use crate::trace::{
     TraceError, TraceOptions, council_profile, generate_trace, parse_trace, trepiserv_profile,
 };
@@ -27,6 +28,9 @@
     /// The measurement failed.
     #[error(transparent)]
     Bench(#[from] BenchError),
+    /// The stand-ins failed.
+    #[error(transparent)]
+    StandIns(#[from] StandInsError),
     /// The demo failed.
     #[error(transparent)]
     Demo(#[from] DemoError),
@@ -96,6 +100,15 @@
             let report = run_demo(DemoOptions { progress: true })?;
             print_report(&report, json)
         }
+        Command::StandIns(options) => {
+            let (calls, repeated) = run_stand_ins(&options)?;
+            println!(
+                "{calls} calls that must not be repeated ran, {} of them twice",
+                repeated.len()
+            );
+            repeated.iter().for_each(|line| println!("  {line}"));
+            Ok(if repeated.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
         Command::Trace { deployment, seed, length, rate } => {
             print_trace(deployment, TraceOptions { seed, length, rate })
         }
--- a/crates/cli/src/demo/deployment.rs
+++ b/crates/cli/src/demo/deployment.rs
@@ -1,19 +1,21 @@
 use masticstair_core::bundle::StageKind;
 use std::time::Duration;
 
+use crate::options::DeploymentProfile;
+
 /// What the demo runs for one of the users.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Deployment {
+pub(crate) struct Deployment {
     pub(super) name: &'static str,
     pub(super) region: &'static str,
-    pub(super) bundle: &'static str,
+    pub(crate) bundle: &'static str,
     pub(super) trace: &'static str,
     pub(super) pools: &'static [DemoPool],
 }
 
 /// A pool of the demo.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct DemoPool {
+pub(crate) struct DemoPool {
     pub(super) name: &'static str,
     pub(super) kind: StageKind,
     pub(super) replicas: u32,
@@ -58,6 +60,14 @@
     },
 ];
 
+/// Returns what the demo runs for a deployment.
+pub(crate) const fn deployment(profile: DeploymentProfile) -> Deployment {
+    match profile {
+        DeploymentProfile::Trepiserv => DEPLOYMENTS[0],
+        DeploymentProfile::Council => DEPLOYMENTS[1],
+    }
+}
+
 const fn model_pool(name: &'static str, kind: StageKind, ms: u64) -> DemoPool {
     let time = Duration::from_millis(ms);
     DemoPool { name, kind, replicas: 3, reports_load: true, once: false, time }
--- a/crates/cli/src/demo/endpoints.rs
+++ b/crates/cli/src/demo/endpoints.rs
@@ -20,17 +20,26 @@
 const TOKEN_TIMES: [Duration; 3] =
     [Duration::from_millis(3), Duration::from_millis(6), Duration::from_millis(12)];
 
-/// Starts every endpoint; they announce themselves to `host`.
-pub(super) fn start_endpoints(
+/// Where endpoints are and whom they announce themselves to.
+#[derive(Clone, Debug)]
+pub(crate) struct Placement {
+    /// The endpoints of each pool are spread over them in turn; not empty.
+    pub(crate) data_centres: Vec<DataCentreId>,
+    /// In the order of their data centres; an endpoint tries the one of its own first. Not empty.
+    pub(crate) hosts: Vec<SocketAddr>,
+}
+
+/// Starts every endpoint of a deployment.
+pub(crate) fn start_endpoints(
     deployment: &Deployment,
     bundle: &Bundle,
-    host: SocketAddr,
+    placement: &Placement,
     log: &CallLog,
 ) -> io::Result<Vec<StandInHandle>> {
     let mut handles = Vec::new();
     for pool in deployment.pools {
         for number in 0..pool.replicas {
-            let Some(stand_in) = make_stand_in(deployment, bundle, pool, number, host, log) else {
+            let Some(stand_in) = make_stand_in(bundle, pool, number, placement, log) else {
                 return Err(io::Error::other(format!("pool {} has an invalid name", pool.name)));
             };
             handles.push(stand_in.start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?);
@@ -40,24 +49,27 @@
 }
 
 fn make_stand_in(
-    deployment: &Deployment,
     bundle: &Bundle,
     pool: &DemoPool,
     number: u32,
-    host: SocketAddr,
+    placement: &Placement,
     log: &CallLog,
 ) -> Option<StandIn> {
+    let position = number as usize % placement.data_centres.len();
+    let mut hosts = placement.hosts.clone();
+    let shift = position % hosts.len();
+    hosts.rotate_left(shift);
     let models = bundle.models.iter().filter(|_| pool.kind == StageKind::Generate);
     let models = models.map(|m| LoadedModel { name: m.name.clone(), version: m.version.clone() });
     Some(StandIn {
         id: format!("{}-{number}", pool.name).parse().ok()?,
         kind: pool.kind,
         pool: pool.name.parse().ok()?,
-        data_centre: format!("{}-1", deployment.region).parse().ok()?,
+        data_centre: placement.data_centres[position].clone(),
         capacity: CAPACITY,
         models: models.collect(),
         reports_load: pool.reports_load,
-        hosts: vec![host],
+        hosts,
         work: make_work(*pool, number, log.clone()),
     })
 }
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -5,9 +5,13 @@
 mod endpoints;
 mod error;
 mod host;
+mod repeated_calls;
 mod run;
 
+pub(crate) use deployment::deployment;
+pub(crate) use endpoints::{Placement, start_endpoints};
 pub use error::DemoError;
 pub(crate) use host::DemoHost;
+pub(crate) use repeated_calls::repeated_calls;
 pub(crate) use run::wait_for_endpoints;
 pub use run::{DemoOptions, run_demo};
--- a/crates/cli/src/demo/run.rs
+++ b/crates/cli/src/demo/run.rs
@@ -3,15 +3,16 @@
 use masticstair_net::runtime::block_on;
 use masticstair_standins::CallLog;
 use monoio::time::{Instant, sleep};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
 
 use super::DemoError;
 use super::deployment::{DEPLOYMENTS, Deployment};
-use super::endpoints::start_endpoints;
+use super::endpoints::{Placement, start_endpoints};
 use super::host::DemoHost;
+use super::repeated_calls::repeated_calls;
 use crate::replay::{ReplayOptions, Report, replay};
 use crate::trace::{TraceRecord, parse_trace};
 
@@ -62,7 +63,11 @@
 ) -> Result<Report, DemoError> {
     host.roll_bundle(deployment.bundle).await?;
     let log = CallLog::default();
-    let handles = start_endpoints(&deployment, bundle, host.workers.addr, &log)?;
+    let placement = Placement {
+        data_centres: vec![host.state.cfg.data_centre.clone()],
+        hosts: vec![host.workers.addr],
+    };
+    let handles = start_endpoints(&deployment, bundle, &placement, &log)?;
     wait_for_endpoints(host, bundle, handles.len()).await?;
     let tokens = bundle.accounts.iter();
     let tokens: HashMap<AccountId, Box<str>> =
@@ -100,14 +105,3 @@
         sleep(ANNOUNCE_POLL).await;
     }
 }
-
-/// Returns a line for each call that a service executed more than once for the same order.
-fn repeated_calls(log: &CallLog) -> Vec<Box<str>> {
-    let mut seen = HashSet::new();
-    let topic = |input: &serde_json::Value| input.get("topic").map(|t| t.to_string());
-    let repeated = log.records().into_iter().filter_map(|record| {
-        let topic = topic(&record.input)?;
-        (!seen.insert(topic.clone())).then(|| format!("call {topic} ran twice").into())
-    });
-    repeated.collect()
-}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod operator;
 pub mod options;
 pub mod replay;
+pub mod stand_ins;
 pub mod trace;
--- a/crates/cli/src/options/mod.rs
+++ b/crates/cli/src/options/mod.rs
@@ -23,6 +23,7 @@
 use thiserror::Error;
 
 use crate::bench::{BenchOptions, SceneName};
+use crate::stand_ins::StandInsOptions;
 
 /// What the command line is asked to do.
 #[derive(Clone, Debug)]
@@ -45,6 +46,8 @@
         /// Print JSON instead of a table.
         json: bool,
     },
+    /// Run the endpoints of a deployment.
+    StandIns(StandInsOptions),
     /// Make a trace.
     Trace {
         /// Whose callers are imitated.
@@ -121,11 +124,12 @@
         .command("demo");
     let trace = trace_command();
     let replay = replay_command();
+    let stand_ins = stand_ins_command();
     let key = key::key().map(Command::Key);
     let bundle = bundle::bundle().map(Command::Bundle);
     let status = status::status().map(Command::Status);
     let bench = bench_command();
-    construct!([key, bundle, status, bench, demo, trace, replay])
+    construct!([key, bundle, status, bench, demo, stand_ins, trace, replay])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operates and tries out masticstair, a serving system for model pipelines")
@@ -157,6 +161,29 @@
         .command("trace")
 }
 
+fn stand_ins_command() -> impl Parser<Command> {
+    let deployment =
+        long("deployment").help("Whose pools are served: trepiserv or council").argument("NAME");
+    let hosts = long("target")
+        .help("Address of a host; give them in the order of their data centres")
+        .argument("ADDR")
+        .some("at least one --target is needed");
+    let data_centres = long("data-centre")
+        .help("A data centre; the endpoints of each pool are spread over those given")
+        .argument("NAME")
+        .some("at least one --data-centre is needed");
+    let time = long("time-ms")
+        .help("How long the endpoints run, in milliseconds")
+        .argument("MS")
+        .fallback(Millis::new(60_000))
+        .display_fallback();
+    let options = construct!(StandInsOptions { deployment, hosts, data_centres, time });
+    construct!(Command::StandIns(options))
+        .to_options()
+        .descr("Runs endpoints for a local trial; fails when a call that must not be repeated ran twice")
+        .command("stand-ins")
+}
+
 fn replay_command() -> impl Parser<Command> {
     let targets = long("target")
         .help("Address of a host; give one for each host, requests go to them in turn")
