--- a/crates/cli/src/bench/report/mod.rs
+++ b/crates/cli/src/bench/report/mod.rs
@@ -11,3 +11,6 @@
 pub use table::format_bench_table;
 pub use target::Target;
 pub use verdict::Verdict;
+
+#[cfg(test)]
+mod tests;
--- a/crates/cli/src/demo/deployment.rs
+++ b/crates/cli/src/demo/deployment.rs
@@ -1,29 +1,35 @@
 use masticstair_core::bundle::StageKind;
+use masticstair_core::prelude::*;
 use std::time::Duration;
 
+/// Calls that a stand-in runs at the same time.
+const SLOTS: Slots = Slots::new(8);
+
 /// What the demo runs for one of the users.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Deployment {
-    pub(super) name: &'static str,
-    pub(super) region: &'static str,
-    pub(super) bundle: &'static str,
-    pub(super) trace: &'static str,
-    pub(super) pools: &'static [DemoPool],
+pub(crate) struct Deployment {
+    pub(crate) name: &'static str,
+    pub(crate) region: &'static str,
+    pub(crate) bundle: &'static str,
+    pub(crate) trace: &'static str,
+    pub(crate) pools: &'static [DemoPool],
 }
 
 /// A pool of the demo.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct DemoPool {
-    pub(super) name: &'static str,
-    pub(super) kind: StageKind,
-    pub(super) replicas: u32,
-    pub(super) reports_load: bool,
+pub(crate) struct DemoPool {
+    pub(crate) name: &'static str,
+    pub(crate) kind: StageKind,
+    pub(crate) replicas: u32,
+    pub(crate) reports_load: bool,
     /// Whether calls are recorded and must not be repeated.
-    pub(super) once: bool,
-    pub(super) time: Duration,
+    pub(crate) once: bool,
+    pub(crate) time: Duration,
+    /// Calls that a replica runs at the same time.
+    pub(crate) slots: Slots,
 }
 
-pub(super) const DEPLOYMENTS: [Deployment; 2] = [
+pub(crate) const DEPLOYMENTS: [Deployment; 2] = [
     Deployment {
         name: "trepiserv",
         region: "ee-north",
@@ -60,16 +66,24 @@
 
 const fn model_pool(name: &'static str, kind: StageKind, ms: u64) -> DemoPool {
     let time = Duration::from_millis(ms);
-    DemoPool { name, kind, replicas: 3, reports_load: true, once: false, time }
+    DemoPool { name, kind, replicas: 3, reports_load: true, once: false, time, slots: SLOTS }
 }
 
 const fn engine_pool() -> DemoPool {
     let time = Duration::ZERO;
     let kind = StageKind::Generate;
-    DemoPool { name: "engines", kind, replicas: 12, reports_load: true, once: false, time }
+    DemoPool {
+        name: "engines",
+        kind,
+        replicas: 12,
+        reports_load: true,
+        once: false,
+        time,
+        slots: SLOTS,
+    }
 }
 
 const fn service(name: &'static str, replicas: u32, reports_load: bool, once: bool) -> DemoPool {
     let time = Duration::from_millis(8);
-    DemoPool { name, kind: StageKind::Service, replicas, reports_load, once, time }
+    DemoPool { name, kind: StageKind::Service, replicas, reports_load, once, time, slots: SLOTS }
 }
--- a/crates/cli/src/demo/endpoints.rs
+++ b/crates/cli/src/demo/endpoints.rs
@@ -2,7 +2,6 @@
 
 use masticstair_core::bundle::{Bundle, StageKind};
 use masticstair_core::endpoint_api::LoadedModel;
-use masticstair_core::prelude::*;
 use masticstair_standins::{
     CallLog, EngineSpeed, StandIn, StandInHandle, WorkFn, engine_work, lookup_work, order_work,
     pool_work,
@@ -14,14 +13,12 @@
 
 use super::deployment::{DemoPool, Deployment};
 
-/// Calls that a stand-in runs at the same time.
-const CAPACITY: Slots = Slots::new(8);
 /// Time for each generated token on the engines, in turn: the back ends differ in speed.
 const TOKEN_TIMES: [Duration; 3] =
     [Duration::from_millis(3), Duration::from_millis(6), Duration::from_millis(12)];
 
 /// Starts every endpoint; they announce themselves to `host`.
-pub(super) fn start_endpoints(
+pub(crate) fn start_endpoints(
     deployment: &Deployment,
     bundle: &Bundle,
     host: SocketAddr,
@@ -54,7 +51,7 @@
         kind: pool.kind,
         pool: pool.name.parse().ok()?,
         data_centre: format!("{}-1", deployment.region).parse().ok()?,
-        capacity: CAPACITY,
+        capacity: pool.slots,
         models: models.collect(),
         reports_load: pool.reports_load,
         hosts: vec![host],
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -7,6 +7,8 @@
 mod host;
 mod run;
 
+pub(crate) use deployment::{DEPLOYMENTS, DemoPool, Deployment};
+pub(crate) use endpoints::start_endpoints;
 pub use error::DemoError;
 pub(crate) use host::DemoHost;
 pub(crate) use run::wait_for_endpoints;
--- a/crates/cli/src/replay/check.rs
+++ b/crates/cli/src/replay/check.rs
@@ -27,7 +27,7 @@
 }
 
 /// Tells whether a request was answered completely within its deadline.
-pub(super) fn attained(record: &TraceRecord, result: &CallResult) -> bool {
+pub(crate) fn attained(record: &TraceRecord, result: &CallResult) -> bool {
     matches!(result.outcome, CallOutcome::Complete { .. }) && result.latency <= record.deadline_ms
 }
 
--- a/crates/cli/src/replay/mod.rs
+++ b/crates/cli/src/replay/mod.rs
@@ -10,6 +10,7 @@
 mod table;
 
 pub use call_result::{CallOutcome, CallResult};
+pub(crate) use check::attained;
 pub use check::{Violation, check_results};
 pub use pipeline_summary::{PipelineSummary, StageSummary};
 pub use report::Report;
