--- a/crates/cli/src/demo/endpoints.rs
+++ b/crates/cli/src/demo/endpoints.rs
@@ -14,8 +14,6 @@
 
 use super::deployment::{DemoPool, Deployment};
 
-/// Calls that a stand-in runs at the same time.
-const CAPACITY: Slots = Slots::new(8);
 /// Time for each generated token on the engines, in turn: the back ends differ in speed.
 const TOKEN_TIMES: [Duration; 3] =
     [Duration::from_millis(3), Duration::from_millis(6), Duration::from_millis(12)];
@@ -66,7 +64,7 @@
         kind: pool.kind,
         pool: pool.name.parse().ok()?,
         data_centre: placement.data_centres[position].clone(),
-        capacity: CAPACITY,
+        capacity: pool.slots,
         models: models.collect(),
         reports_load: pool.reports_load,
         hosts,
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -8,7 +8,7 @@
 mod repeated_calls;
 mod run;
 
-pub(crate) use deployment::deployment;
+pub(crate) use deployment::{DEPLOYMENTS, DemoPool, Deployment, deployment};
 pub(crate) use endpoints::{Placement, start_endpoints};
 pub use error::DemoError;
 pub(crate) use host::DemoHost;
