Give test hosts loopback addresses of their own

Change: tests bind hosts to addresses of 127.0.0.0/8 that nothing else uses; the retries around the start are gone. Conclusion: the same verdict no longer depends on the ports of other tests.

--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -2,6 +2,10 @@
 
 #![allow(clippy::unwrap_used, dead_code)]
 
+#[path = "../../../host/tests/support/loopback.rs"]
+mod loopback;
+
+use loopback::own_address;
 use masticstair_cli::operator::OperatorKey;
 use masticstair_host::control::{ControlThread, start_control};
 use masticstair_host::daemon::{Workers, start_workers};
@@ -49,8 +53,9 @@
         let folder = tempfile::tempdir().unwrap();
         let mut text = format!(
             "deployment = \"t\"\nhost = \"h1\"\nregion = \"r\"\ndata_centre = \"dc1\"\n\
-             listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
-             initial_voters = [\"h1\"]\ndata_folder = {:?}\n",
+             listen = \"{0}:0\"\npeer_listen = \"{0}:0\"\n\
+             initial_voters = [\"h1\"]\ndata_folder = {1:?}\n",
+            own_address(),
             folder.path().join("data").display().to_string()
         );
         for name in ["anna", "carl"] {
@@ -142,19 +147,13 @@
     }
 }
 
-/// Starts the threads of a host. A host frees the port that it picked before it binds it, so another test
-/// may take it meanwhile; the host is then started again.
+/// Starts the threads of a host.
 fn start_threads(settings: &str) -> (ControlThread, Workers) {
-    for _ in 0..5 {
-        let cfg = Settings::parse(settings).unwrap();
-        let state = Arc::new(HostState::new(cfg, slog::Logger::root(slog::Discard, slog::o!())));
-        let Ok(control) = start_control(&state) else { continue };
-        match start_workers(&state) {
-            Ok(workers) => return (control, workers),
-            Err(_) => control.stop(),
-        }
-    }
-    panic!("the host found no free ports in 5 attempts");
+    let cfg = Settings::parse(settings).unwrap();
+    let state = Arc::new(HostState::new(cfg, slog::Logger::root(slog::Discard, slog::o!())));
+    let control = start_control(&state).unwrap();
+    let workers = start_workers(&state).unwrap();
+    (control, workers)
 }
 
 /// Forwards connections to a host but loses the first `lost` answers to commands: the host has answered,
--- a/crates/host/tests/membership/main.rs
+++ b/crates/host/tests/membership/main.rs
@@ -2,6 +2,9 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[path = "../support/loopback.rs"]
+mod loopback;
+
 mod bundles;
 mod cluster;
 mod endpoints;
--- a/crates/host/tests/support/admin.rs
+++ b/crates/host/tests/support/admin.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, dead_code)]
 
 use ed25519_dalek::{Signer as _, SigningKey};
+
 use masticstair_core::bundle::Right;
 use masticstair_core::prelude::*;
 use masticstair_host::control::{ControlThread, start_control};
@@ -19,6 +20,7 @@
 use tempfile::TempDir;
 
 use crate::support::BUNDLE;
+use crate::support::loopback::own_address;
 
 /// Every right.
 pub const ALL: &str = "[\"submit\", \"sign-off\", \"roll\"]";
@@ -128,7 +130,8 @@
         let folder = tempfile::tempdir().unwrap();
         let mut text = format!(
             "deployment = \"t\"\nhost = \"{name}\"\nregion = \"r\"\ndata_centre = \"dc1\"\n\
-             listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n{settings}"
+             listen = \"{0}:0\"\npeer_listen = \"{0}:0\"\n{settings}",
+            own_address()
         );
         if voter {
             text.push_str(&format!("data_folder = {:?}\n", folder.path().display().to_string()));
@@ -187,19 +190,13 @@
     }
 }
 
-/// Starts the threads of a host. A host frees the port that it picked before it binds it, so another test
-/// may take it meanwhile; the host is then started again.
+/// Starts the threads of a host.
 fn start_threads(settings: &str) -> (Arc<HostState>, ControlThread, Workers) {
-    for _ in 0..5 {
-        let cfg = Settings::parse(settings).unwrap();
-        let state = Arc::new(HostState::new(cfg, slog::Logger::root(slog::Discard, slog::o!())));
-        let Ok(control) = start_control(&state) else { continue };
-        match start_workers(&state) {
-            Ok(workers) => return (state, control, workers),
-            Err(_) => control.stop(),
-        }
-    }
-    panic!("the host found no free ports in 5 attempts");
+    let cfg = Settings::parse(settings).unwrap();
+    let state = Arc::new(HostState::new(cfg, slog::Logger::root(slog::Discard, slog::o!())));
+    let control = start_control(&state).unwrap();
+    let workers = start_workers(&state).unwrap();
+    (state, control, workers)
 }
 
 impl Drop for AdminHost {
--- a/crates/host/tests/support/cluster.rs
+++ b/crates/host/tests/support/cluster.rs
@@ -12,6 +12,7 @@
 
 use super::endpoints::start_endpoints;
 use super::http::{HttpAnswer, get, post};
+use super::loopback::own_address;
 use super::operator;
 
 /// Hosts of a cluster; the first three are the voters.
@@ -154,7 +155,8 @@
 fn start_observer(seeds: &str, operators: &str) -> (Arc<HostState>, ControlThread) {
     let text = format!(
         "deployment = \"t\"\nhost = \"observer\"\nregion = \"r\"\ndata_centre = \"dc9\"\n\
-         listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n{seeds}{operators}"
+         listen = \"{0}:0\"\npeer_listen = \"{0}:0\"\n{seeds}{operators}",
+        own_address()
     );
     let cfg = Settings::parse(&text).unwrap();
     let state = Arc::new(HostState::new(cfg, slog::Logger::root(slog::Discard, slog::o!())));
@@ -163,5 +165,5 @@
 }
 
 fn free_addr() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    TcpListener::bind((own_address(), 0)).unwrap().local_addr().unwrap()
 }
--- a/crates/host/tests/support/mod.rs
+++ b/crates/host/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod cluster;
 pub mod endpoints;
 pub mod http;
+pub mod loopback;
 pub mod operator;
 
 use masticstair_core::prelude::*;
@@ -76,7 +77,8 @@
     pub fn start(settings: &str) -> Self {
         let text = format!(
             "deployment = \"t\"\nhost = \"h1\"\nregion = \"r\"\ndata_centre = \"dc1\"\n\
-             listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n{settings}{}",
+             listen = \"{0}:0\"\npeer_listen = \"{0}:0\"\n{settings}{1}",
+            loopback::own_address(),
             operator::settings()
         );
         let cfg = Settings::parse(&text).unwrap();
