--- a/crates/host/src/control/thread.rs
+++ b/crates/host/src/control/thread.rs
@@ -125,7 +125,10 @@
         protocol: ProtocolVersion::CURRENT,
     };
     let clock = state.clock;
-    let addr = reserve_addr(state.cfg.peer_listen)?;
+    let wanted = state.cfg.peer_listen;
+    let bind_error = |source| ControlStartError::Bind { addr: wanted, source };
+    let listener = PeerServer::listen(wanted).map_err(bind_error)?;
+    let addr = listener.local_addr().map_err(bind_error)?;
     let membership = Membership::new(MembershipConfig {
         identity: identity.clone(),
         address: addr,
@@ -145,10 +148,7 @@
     } else {
         handlers::install_without_replica(&mut peer_handlers);
     }
-    let server = PeerServer::bind(addr, identity, peer_handlers)
-        .map_err(|source| ControlStartError::Bind { addr, source })?;
-    let peer_addr =
-        server.local_addr().map_err(|source| ControlStartError::Bind { addr, source })?;
+    let server = PeerServer::new(listener, identity, peer_handlers);
     let (handle, jobs) = ControlHandle::new();
     // A host starts its control thread once.
     let _ = state.control.set(handle);
@@ -159,7 +159,7 @@
         RevisionSurvey::new(survey_membership, survey_peers, hooks.clone(), state.log.clone());
     let survey = Rc::new(survey);
     let cx = ControlContext { state: state.clone(), membership, peers, node, leader, survey };
-    Ok(Parts { cx, server, peer_addr, storage, jobs, hooks })
+    Ok(Parts { cx, server, peer_addr: addr, storage, jobs, hooks })
 }
 
 /// Answers the other threads, each question by a task of its own.
@@ -195,12 +195,3 @@
     let leader = node.as_ref().and_then(|n| n.leader.as_ref()).map(|l| l.host.clone());
     ControlStatus { node, leader: leader.or_else(|| cx.leader.host.borrow().clone()) }
 }
-
-/// Picks a free port when the address names none, since other hosts are told the address.
-fn reserve_addr(addr: SocketAddr) -> Result<SocketAddr, ControlStartError> {
-    if addr.port() != 0 {
-        return Ok(addr);
-    }
-    let bound = std::net::TcpListener::bind(addr).and_then(|listener| listener.local_addr());
-    bound.map_err(|source| ControlStartError::Bind { addr, source })
-}
--- a/crates/host/src/daemon/worker.rs
+++ b/crates/host/src/daemon/worker.rs
@@ -3,7 +3,7 @@
 use masticstair_net::http::server::{bind, serve};
 use masticstair_net::runtime::block_on;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
@@ -50,7 +50,8 @@
 ///
 /// Fails when the address cannot be bound or a thread cannot be started.
 pub fn start_workers(state: &Arc<HostState>) -> Result<Workers, StartError> {
-    let addr = reserve_addr(state.cfg.listen)?;
+    // The first worker picks the port when the settings name none; the others share it.
+    let mut addr = state.cfg.listen;
     let (mut stops, mut threads) = (Vec::new(), Vec::new());
     for number in 0..state.cfg.workers {
         let (stop_tx, stop_rx) = oneshot::channel();
@@ -60,7 +61,7 @@
         threads.push(thread::Builder::new().name(format!("worker-{number}")).spawn(run)?);
         stops.push(stop_tx);
         match bound_rx.recv() {
-            Ok(Ok(())) => {}
+            Ok(Ok(bound)) => addr = bound,
             Ok(Err(source)) => return Err(StartError::Bind { addr, source }),
             Err(_) => return Err(StartError::Thread(io::Error::other("the worker ended"))),
         }
@@ -82,15 +83,6 @@
     }
 }
 
-/// Picks a free port when the address names none, so that all workers share one.
-fn reserve_addr(addr: SocketAddr) -> Result<SocketAddr, StartError> {
-    if addr.port() != 0 {
-        return Ok(addr);
-    }
-    let bound = TcpListener::bind(addr).and_then(|listener| listener.local_addr());
-    bound.map_err(|source| StartError::Bind { addr, source })
-}
-
 /// Waits until every request has ended and its answer has left; a caller that does not read its answer is
 /// waited for only for a bounded time.
 async fn wait_until_idle(state: &HostState) {
@@ -106,19 +98,20 @@
 fn run_worker(
     state: &Arc<HostState>,
     addr: SocketAddr,
-    bound: &std::sync::mpsc::Sender<io::Result<()>>,
+    bound: &std::sync::mpsc::Sender<io::Result<SocketAddr>>,
     stop: oneshot::Receiver<()>,
 ) {
     let main = async {
-        let listener = match bind(addr) {
-            Ok(listener) => listener,
+        let listener = bind(addr).and_then(|l| l.local_addr().map(|addr| (l, addr)));
+        let (listener, addr) = match listener {
+            Ok(listening) => listening,
             Err(e) => {
                 // The starter waits for this word; it cannot have gone.
                 let _ = bound.send(Err(e));
                 return;
             }
         };
-        let _ = bound.send(Ok(()));
+        let _ = bound.send(Ok(addr));
         let pool = ConnectionPool::new(ClientLimits::default());
         let cx = Rc::new(WorkerContext { state: state.clone(), pool });
         let stopped = async {
--- a/crates/net/src/peer/server.rs
+++ b/crates/net/src/peer/server.rs
@@ -44,14 +44,23 @@
         local: PeerIdentity,
         handlers: PeerHandlers,
     ) -> io::Result<Self> {
+        Ok(Self::new(Self::listen(address)?, local, handlers))
+    }
+
+    /// Listens on an address before the handlers are known, so that a port that the system picks can be
+    /// told to other hosts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system when the address cannot be used.
+    pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
         let options = ListenerOpts::new().reuse_addr(true).reuse_port(false);
-        let listener = TcpListener::bind_with_config(address, &options)?;
-        Ok(Self {
-            listener,
-            local: Rc::new(local),
-            handlers: Rc::new(handlers),
-            open: Rc::default(),
-        })
+        TcpListener::bind_with_config(address, &options)
+    }
+
+    /// Makes a server of a listener.
+    pub fn new(listener: TcpListener, local: PeerIdentity, handlers: PeerHandlers) -> Self {
+        Self { listener, local: Rc::new(local), handlers: Rc::new(handlers), open: Rc::default() }
     }
 
     /// Returns the address that it listens on.
