--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 mod stage_work;
 mod stand_in;
 mod token_stamp;
+mod weight_store;
 
 pub use call_log::{CallLog, CallRecord};
 pub use engine::{EngineSpeed, engine_work};
@@ -18,3 +19,4 @@
 pub use stage_work::StageWork;
 pub use stand_in::{StandIn, StandInHandle, WorkFn};
 pub use token_stamp::{stamp_age, stamp_now};
+pub use weight_store::WeightStore;
--- /dev/null
+++ b/crates/standins/src/weight_store.rs
@@ -0,0 +1,75 @@
+use futures_util::FutureExt;
+use http::{Method, StatusCode};
+use masticstair_core::prelude::*;
+use masticstair_net::http::server::{self, ConnectionCount, Request, Response, ServerLimits};
+use monoio::time::{Instant, sleep};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The time over which loads are counted.
+const WINDOW: Duration = Duration::from_secs(60);
+
+/// A store of model weights that takes a limited number of loads a minute.
+#[derive(Clone, Copy, Debug)]
+pub struct WeightStore {
+    /// Loads that are taken in any 60 s; a further one is answered with 429.
+    pub loads_per_minute: Slots,
+    /// How long one load takes.
+    pub load_time: Millis,
+}
+
+/// The loads of the last minute.
+type Loads = Rc<RefCell<VecDeque<Instant>>>;
+
+impl WeightStore {
+    /// Starts the store on `addr` (port 0 picks one); it serves `GET /v1/weights/{model}/{version}` as long
+    /// as the runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system when the address cannot be bound.
+    pub fn start(self, addr: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = server::bind(addr)?;
+        let addr = listener.local_addr()?;
+        let loads = Loads::default();
+        let handler: server::Handler =
+            Rc::new(move |req| load(self, loads.clone(), req).boxed_local());
+        let (limits, count) = (ServerLimits::default(), ConnectionCount::default());
+        monoio::spawn(server::serve(listener, limits, count, handler, std::future::pending()));
+        Ok(addr)
+    }
+}
+
+async fn load(store: WeightStore, loads: Loads, req: Request) -> Response {
+    let path = req.path().to_owned();
+    let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    let (&Method::GET, ["v1", "weights", model, version]) = (&req.head.method, parts.as_slice())
+    else {
+        return Response::new(StatusCode::NOT_FOUND, "text/plain", "no such path");
+    };
+    if let Some(wait) = refused_for(store, &loads) {
+        let detail = format!("{} loads a minute are taken", store.loads_per_minute);
+        let seconds = wait.as_secs() as u32 + 1;
+        let problem = Problem::not_run(429, "too-many-loads", detail).with_retry_after(seconds);
+        return Response::problem(&problem);
+    }
+    sleep(store.load_time.duration()).await;
+    Response::json(StatusCode::OK, &serde_json::json!({ "model": model, "version": version }))
+}
+
+/// Counts a load, or returns how long until the next one is taken.
+fn refused_for(store: WeightStore, loads: &Loads) -> Option<Duration> {
+    let mut loads = loads.borrow_mut();
+    while loads.front().is_some_and(|at| at.elapsed() >= WINDOW) {
+        loads.pop_front();
+    }
+    if loads.len() < store.loads_per_minute.get() as usize {
+        loads.push_back(Instant::now());
+        return None;
+    }
+    Some(loads.front().map_or(WINDOW, |at| WINDOW.saturating_sub(at.elapsed())))
+}
