--- a/crates/host/src/control/bundles.rs
+++ b/crates/host/src/control/bundles.rs
@@ -4,7 +4,7 @@
 use masticstair_core::bundle::Bundle;
 use masticstair_core::prelude::*;
 use masticstair_store::state::{Answer, InForce};
-use slog::{info, warn};
+use slog::info;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -24,14 +24,15 @@
 }
 
 /// Puts a revision of the own replica in force; the quorum has accepted it.
-pub(super) fn install_committed(state: &HostState, membership: &Membership, in_force: InForce) {
+pub(super) fn install_committed(
+    state: &HostState,
+    membership: &Membership,
+    in_force: InForce,
+    bundle: Arc<Bundle>,
+) {
     let revision = in_force.revision.revision;
-    match install(state, in_force) {
-        Ok(()) => membership.publish_revision(revision),
-        Err(e) => {
-            warn!(state.log, "committed bundle refused"; "revision" => %revision, "reason" => %e)
-        }
-    }
+    install(state, in_force, bundle);
+    membership.publish_revision(revision);
 }
 
 fn install_fetched(state: &HostState, bytes: &[u8]) -> Result<(), Box<str>> {
@@ -41,7 +42,13 @@
         Err(e) => return Err(e.to_string().into()),
     };
     verify(state, &in_force)?;
-    install(state, in_force)
+    if state.in_force.get().is_some_and(|c| c.revision >= in_force.revision.revision) {
+        return Ok(());
+    }
+    let read = in_force.content.parse::<Bundle>();
+    let bundle = read.map_err(|e| e.to_string().into_boxed_str())?;
+    install(state, in_force, Arc::new(bundle));
+    Ok(())
 }
 
 /// Checks the signatures against the signers in force here, and against the operators of the settings,
@@ -60,20 +67,12 @@
     entry.verify(deployment, &state.cfg.operators).map_err(|e| e.to_string().into())
 }
 
-fn install(state: &HostState, in_force: InForce) -> Result<(), Box<str>> {
+fn install(state: &HostState, in_force: InForce, bundle: Arc<Bundle>) {
     let revision = in_force.revision.revision;
-    if state.in_force.get().is_some_and(|c| c.revision >= revision) {
-        return Ok(());
-    }
-    let bundle: Bundle = in_force
-        .content
-        .parse()
-        .map_err(|e: masticstair_core::toml_reader::FieldErrors| e.to_string().into_boxed_str())?;
     let percent = bundle.limits.retry_percent;
     let signed: Arc<[u8]> = Answer::InForce(Some(Box::new(in_force))).encode().into();
     if state.in_force.advance(BundleInForce { revision, bundle, signed }) {
         state.traffic.with_budget(|budget| budget.set_percent(percent));
         info!(state.log, "bundle in force"; "revision" => %revision);
     }
-    Ok(())
 }
--- a/crates/host/src/control/node_start.rs
+++ b/crates/host/src/control/node_start.rs
@@ -66,9 +66,9 @@
     let [on_apply, on_restore] = [(); 2].map(|()| {
         let (state, membership) = (state.clone(), membership.clone());
         move |replicated: &RefCell<ReplicatedState>| {
-            let in_force = replicated.borrow().in_force();
-            if let Some(in_force) = in_force {
-                install_committed(&state, &membership, in_force);
+            let replicated = replicated.borrow();
+            if let (Some(in_force), Some(bundle)) = (replicated.in_force(), replicated.bundle()) {
+                install_committed(&state, &membership, in_force, bundle.clone());
             }
         }
     });
--- a/crates/host/src/request/attempt.rs
+++ b/crates/host/src/request/attempt.rs
@@ -47,7 +47,7 @@
     let (pool, model) = (&cx.stage.pool, cx.stage.model.as_ref());
     let candidates = state.candidates(pool, model);
     let start = CallStart {
-        key: cx.key,
+        key: &cx.keys[0],
         pipeline: &cx.caller.pipeline.name,
         home: &state.cfg.data_centre,
         candidates: &candidates,
--- a/crates/host/src/request/run_pipeline.rs
+++ b/crates/host/src/request/run_pipeline.rs
@@ -141,9 +141,8 @@
     let stage = &caller.pipeline.stages[last];
     let input = StageInput { request: &caller.body, previous: progress.output.as_deref() };
     let (next_attempt, replayed) = (&progress.next_attempt, &progress.replayed);
-    let (key, later) = (&progress.keys[last], &progress.keys[last + 1..]);
-    let stage_cx =
-        StageContext { cx, caller, stage, input, key, later, trace, replayed, next_attempt };
+    let keys = &progress.keys[last..];
+    let stage_cx = StageContext { cx, caller, stage, input, keys, trace, replayed, next_attempt };
     check_time(&stage_cx).map_err(StreamError::Stage)?;
     let mut delivered = Delivered::default();
     let usage = stream_stage(&stage_cx, tx, &mut delivered).await?;
@@ -170,9 +169,9 @@
     for (i, stage) in caller.pipeline.stages[..count].iter().enumerate() {
         let input = StageInput { request: &caller.body, previous: progress.output.as_deref() };
         let (next_attempt, replayed) = (&progress.next_attempt, &progress.replayed);
-        let (key, later) = (&progress.keys[i], &progress.keys[i + 1..]);
+        let keys = &progress.keys[i..];
         let stage_cx =
-            StageContext { cx, caller, stage, input, key, later, trace, replayed, next_attempt };
+            StageContext { cx, caller, stage, input, keys, trace, replayed, next_attempt };
         check_time(&stage_cx)?;
         let answer = run_stage(&stage_cx).await?;
         if stage.kind == StageKind::Generate {
@@ -221,9 +220,7 @@
 /// Refuses a stage that can no longer be answered in time.
 fn check_time(cx: &StageContext<'_>) -> Result<(), StageError> {
     let state = &cx.cx.state;
-    let (pipeline, contended) = (&cx.caller.pipeline.name, state.traffic.waiting() > 0);
-    let mut stages = state.traffic.estimate(pipeline, std::slice::from_ref(cx.key));
-    stages.extend(state.traffic.estimate(pipeline, cx.later));
+    let (stages, contended) = (cx.remaining_stages(), state.traffic.waiting() > 0);
     let checked = check_stage(state.clock.now(), cx.caller.deadline, &stages, contended);
     checked.map_err(|_| StageError::Deadline(cx.stage.name.clone()))
 }
--- a/crates/host/src/request/stage_context.rs
+++ b/crates/host/src/request/stage_context.rs
@@ -16,10 +16,8 @@
     pub(super) stage: &'a Stage,
     /// The body of the caller for the first stage, otherwise with the answer of the stage before.
     pub(super) input: StageInput<'a>,
-    /// The key of the stage in the host's observations.
-    pub(super) key: &'a StageKey,
-    /// The keys of the stages after this one.
-    pub(super) later: &'a [StageKey],
+    /// The keys of this stage and those after it in the host's observations; not empty.
+    pub(super) keys: &'a [StageKey],
     /// The span of the request.
     pub(super) trace: TraceParent,
     /// Whether the answer of a stage came from the record of an earlier request.
@@ -41,16 +39,19 @@
         Draw::new(rand::random())
     }
 
+    /// Estimates this stage and those after it.
+    pub(super) fn remaining_stages(&self) -> Vec<StageEstimate> {
+        self.estimate(self.keys)
+    }
+
     /// Returns the expected time of this stage and those after it.
     pub(super) fn expected_work(&self) -> Duration {
-        let mut estimates = self.estimate(self.later);
-        estimates.extend(self.estimate(std::slice::from_ref(self.key)));
-        expected_work(&estimates)
+        expected_work(&self.remaining_stages())
     }
 
     /// Returns the expected time of the stages after this one.
     pub(super) fn later_work(&self) -> Duration {
-        expected_work(&self.estimate(self.later))
+        expected_work(&self.estimate(&self.keys[1..]))
     }
 
     fn estimate(&self, keys: &[StageKey]) -> Vec<StageEstimate> {
--- a/crates/host/src/state/bundle_in_force.rs
+++ b/crates/host/src/state/bundle_in_force.rs
@@ -9,7 +9,7 @@
     /// The revision.
     pub revision: Revision,
     /// The bundle.
-    pub bundle: Bundle,
+    pub bundle: Arc<Bundle>,
     /// The bundle with its signatures, as other hosts get it.
     pub signed: Arc<[u8]>,
 }
--- a/crates/host/tests/support/mod.rs
+++ b/crates/host/tests/support/mod.rs
@@ -86,7 +86,7 @@
         let state = Arc::new(HostState::new(cfg, log));
         let control = start_control(&state).unwrap();
         if state.cfg.data_folder.is_none() {
-            let bundle = BUNDLE.parse().unwrap();
+            let bundle = Arc::new(BUNDLE.parse().unwrap());
             let (revision, signed) = (Revision::new(7), Arc::new([]));
             state.in_force.advance(BundleInForce { revision, bundle, signed });
         }
