--- /dev/null
+++ b/crates/core/src/catalog/mod.rs
@@ -0,0 +1,92 @@
+//! The catalog: routes, services and client accounts of a deployment that other systems administer.
+//!
+//! Operators replace it as a whole. Its document is written in the format of a front end, which also reads
+//! it; hosts keep and exchange the document as it was submitted.
+
+mod account_keys;
+mod batch_limits;
+mod catalog_document;
+mod catalog_error;
+mod client_account;
+mod client_limits;
+mod engine;
+mod pipeline_stage;
+mod route;
+mod route_kind;
+mod service;
+mod target;
+
+pub use account_keys::AccountKeys;
+pub use batch_limits::BatchLimits;
+pub use catalog_document::CatalogDocument;
+pub use catalog_error::CatalogError;
+pub use client_account::ClientAccount;
+pub use client_limits::ClientLimits;
+pub use engine::Engine;
+pub use pipeline_stage::PipelineStage;
+pub use route::Route;
+pub use route_kind::RouteKind;
+pub use service::Service;
+pub use target::Target;
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use crate::id::{CatalogVersion, ServiceName};
+
+/// A catalog that passed every check.
+#[derive(Clone, Debug)]
+pub struct Catalog {
+    /// Its version.
+    pub version: CatalogVersion,
+    /// No two have the same host and prefix; every service that one names is in `services`.
+    pub routes: Box<[Arc<Route>]>,
+    /// The services by name.
+    pub services: HashMap<ServiceName, Service>,
+    /// The accounts; empty when requests need no key.
+    pub accounts: AccountKeys,
+    /// What a client may send.
+    pub limits: ClientLimits,
+    /// Routes by host; those of a host by prefix, the longest first.
+    by_host: HashMap<Box<str>, Vec<usize>>,
+}
+
+impl Catalog {
+    /// Checks the parts of a catalog and puts them together.
+    ///
+    /// # Errors
+    ///
+    /// Names the first part that is not valid.
+    pub fn new(
+        version: CatalogVersion,
+        routes: Box<[Route]>,
+        services: Vec<Service>,
+        accounts: Vec<ClientAccount>,
+        limits: ClientLimits,
+    ) -> Result<Self, CatalogError> {
+        let accounts = AccountKeys::new(accounts)?;
+        let services: HashMap<_, _> = services.into_iter().map(|s| (s.name.clone(), s)).collect();
+        let mut places = HashSet::new();
+        let mut by_host: HashMap<Box<str>, Vec<usize>> = HashMap::new();
+        for (index, route) in routes.iter().enumerate() {
+            route.check(&services)?;
+            if !places.insert((&route.host, &route.prefix)) {
+                let (host, prefix) = (route.host.clone(), route.prefix.clone());
+                return Err(CatalogError::SamePlace { host, prefix });
+            }
+            by_host.entry(route.host.clone()).or_default().push(index);
+        }
+        for of_host in by_host.values_mut() {
+            of_host.sort_by_key(|index| std::cmp::Reverse(routes[*index].prefix.len()));
+        }
+        let routes = routes.into_iter().map(Arc::new).collect();
+        Ok(Self { version, routes, services, accounts, limits, by_host })
+    }
+
+    /// Returns the route with the longest prefix of the path among those of the host.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let of_host = self.by_host.get(host)?;
+        let matches = |route: &&Arc<Route>| path.starts_with(&*route.prefix);
+        of_host.iter().map(|index| &self.routes[*index]).find(matches)
+    }
+}
--- /dev/null
+++ b/crates/core/src/catalog/route.rs
@@ -0,0 +1,77 @@
+use smallvec::SmallVec;
+use std::collections::HashMap;
+
+use super::{CatalogError, PipelineStage, RouteKind, Service, Target};
+use crate::id::{RouteName, ServiceName};
+use crate::unit::{Draw, Millis, Slots};
+
+/// Where requests with a host and the beginning of a path go.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Its name.
+    pub name: RouteName,
+    /// The host that requests name.
+    pub host: Box<str>,
+    /// The beginning of the path.
+    pub prefix: Box<str>,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// How long a request may be kept waiting; above 0.
+    pub timeout: Millis,
+    /// The time within which an answer, or the first event of a stream, is on time.
+    pub objective: Millis,
+    /// The longest pause between the events of a stream that is on time.
+    pub gap: Option<Millis>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// At least one.
+    pub targets: SmallVec<[Target; 2]>,
+    /// Endpoints that one attempt may run on; at least 1.
+    pub max_attempts: Slots,
+    /// Stages that come before.
+    pub stages: SmallVec<[PipelineStage; 4]>,
+    /// Whether requests need no key.
+    pub public: bool,
+}
+
+impl Route {
+    /// Checks a route against the services of its catalog.
+    pub(super) fn check(
+        &self,
+        services: &HashMap<ServiceName, Service>,
+    ) -> Result<(), CatalogError> {
+        let of_targets = self.targets.iter().map(|t| &t.service);
+        let mut named = of_targets.chain(self.stages.iter().map(|s| &s.service));
+        if let Some(service) = named.find(|s| !services.contains_key(*s)) {
+            let (route, service) = (self.name.clone(), service.clone());
+            return Err(CatalogError::UnknownService { route, service });
+        }
+        if self.targets.iter().map(|t| u64::from(t.weight.get())).sum::<u64>() == 0 {
+            return Err(CatalogError::NoWeight(self.name.clone()));
+        }
+        if self.timeout == Millis::new(0) {
+            return Err(CatalogError::NoTimeout(self.name.clone()));
+        }
+        for (index, stage) in self.stages.iter().enumerate() {
+            if stage.after.iter().any(|after| *after >= index) {
+                return Err(CatalogError::StageOrder { route: self.name.clone(), stage: index });
+            }
+        }
+        Ok(())
+    }
+
+    /// Picks the service of one request by the weights.
+    pub fn pick_target(&self, draw: Draw) -> &ServiceName {
+        let total: u64 = self.targets.iter().map(|t| u64::from(t.weight.get())).sum();
+        let mut left = (draw.fraction() * total as f64) as u64;
+        for target in &self.targets {
+            let weight = u64::from(target.weight.get());
+            if left < weight {
+                return &target.service;
+            }
+            left -= weight;
+        }
+        // The draw is below 1, so only rounding leads here.
+        &self.targets[self.targets.len() - 1].service
+    }
+}
--- /dev/null
+++ b/crates/core/src/id/route_name.rs
@@ -0,0 +1,4 @@
+name_newtype! {
+    /// A route of the catalog.
+    RouteName
+}
--- /dev/null
+++ b/crates/core/src/id/service_name.rs
@@ -0,0 +1,4 @@
+name_newtype! {
+    /// A group of endpoints that serve the same calls.
+    ServiceName
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 mod macros;
 
 pub mod bundle;
+pub mod catalog;
 pub mod endpoint_api;
 pub mod id;
 pub mod message;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -1,8 +1,9 @@
 //! The types that nearly every module uses.
 
 pub use crate::id::{
-    AccountId, AttemptId, DataCentreId, EndpointId, HostId, IdempotencyKey, Incarnation,
-    PipelineName, PoolName, RequestId, Revision, StageName,
+    AccountId, AttemptId, CallId, CatalogVersion, DataCentreId, EndpointId, HostId, IdempotencyKey,
+    Incarnation, PartId, PipelineName, PoolName, RequestId, ResultHandle, Revision, RouteName,
+    ServiceName, StageName,
 };
 pub use crate::outcome::{Problem, RefusalOutcome};
 pub use crate::unit::{
--- a/crates/core/src/toml_reader/mod.rs
+++ b/crates/core/src/toml_reader/mod.rs
@@ -165,6 +165,29 @@
         self.read_table(table, self.key(key), &read)
     }
 
+    /// Reads a table with `read`; a missing key is no table.
+    pub fn optional_table<T>(
+        &self,
+        key: &str,
+        read: impl Fn(&TomlReader<'_>) -> Option<T>,
+    ) -> Option<Option<T>> {
+        match self.get(key) {
+            None => Some(None),
+            Some(_) => self.table(key, read).map(Some),
+        }
+    }
+
+    /// Reads a rate: a number from 0 on, with or without a fraction.
+    pub fn ratio_or(&self, key: &str, default: f64) -> Option<f64> {
+        let Some(value) = self.get(key) else { return Some(default) };
+        let number = value.as_float().or_else(|| value.as_integer().map(|n| n as f64));
+        let checked = number.filter(|n| n.is_finite() && *n >= 0.0);
+        if checked.is_none() {
+            self.reject(key, value, "a number from 0 on");
+        }
+        checked
+    }
+
     fn read_table<T>(
         &self,
         table: &Table,
--- /dev/null
+++ b/crates/gateway/src/control/answer.rs
@@ -0,0 +1,96 @@
+use masticstair_core::catalog::{Catalog, CatalogDocument};
+use masticstair_core::prelude::*;
+use masticstair_net::http::server::{Request, Response};
+use masticstair_policy::catalog_register::CatalogReply;
+use masticstair_policy::directory::Announcement;
+use slog::{info, warn};
+use std::rc::Rc;
+
+use super::{ControlHost, StoreError};
+use crate::Gateway;
+use crate::front_end::{ControlReply, ControlRequest};
+
+/// Answers a request to a control host.
+pub(crate) async fn answer_control(
+    gw: Rc<Gateway>,
+    control: Rc<ControlHost>,
+    req: Request,
+) -> Response {
+    let reply = match (gw.front_end.read_control)(&req) {
+        ControlRequest::Announce(announcement) => announce(&gw, &control, *announcement),
+        ControlRequest::Leave(id, incarnation) => leave(&gw, &control, &id, incarnation),
+        ControlRequest::Unusable(reason) => {
+            warn!(gw.log, "announcement ignored"; "reason" => reason.as_ref(),
+                "path" => req.path());
+            ControlReply::Noted
+        }
+        ControlRequest::Replace(content) => replace(&gw, &control, &content).await,
+        ControlRequest::Describe => describe(&gw, &control).await,
+        ControlRequest::Unknown => ControlReply::NotFound,
+    };
+    (gw.front_end.control_response)(&reply)
+}
+
+fn announce(gw: &Gateway, control: &ControlHost, announcement: Announcement) -> ControlReply {
+    let endpoint = announcement.endpoint.clone();
+    let sequence = announcement.sequence;
+    if control.table.borrow_mut().announce(gw.now(), announcement) {
+        info!(gw.log, "endpoint announced"; "endpoint" => %endpoint.id,
+            "service" => %endpoint.service, "address" => %endpoint.address,
+            "data_centre" => %endpoint.data_centre, "state" => ?endpoint.state,
+            "incarnation" => %endpoint.incarnation, "sequence" => sequence,
+            "capacity" => %endpoint.capacity);
+        control.changed.notify();
+    }
+    ControlReply::Noted
+}
+
+fn leave(
+    gw: &Gateway,
+    control: &ControlHost,
+    id: &EndpointId,
+    incarnation: Option<Incarnation>,
+) -> ControlReply {
+    if control.table.borrow_mut().leave(gw.now(), id, incarnation) {
+        info!(gw.log, "endpoint ends"; "endpoint" => %id,
+            "incarnation" => incarnation.map(|i| i.get()));
+        control.changed.notify();
+    }
+    ControlReply::Noted
+}
+
+async fn replace(gw: &Gateway, control: &ControlHost, content: &[u8]) -> ControlReply {
+    let document: (CatalogDocument, Catalog) = match (gw.front_end.read_catalog)(content) {
+        Ok(read) => read,
+        Err(e) => {
+            warn!(gw.log, "catalog refused"; "reason" => %e, "bytes" => content.len());
+            return ControlReply::Invalid(e.to_string().into());
+        }
+    };
+    let version = document.0.version;
+    match (control.store.replace)(document.0).await {
+        Ok(reply @ CatalogReply::OtherContent(held)) => {
+            warn!(gw.log, "catalog not stored: its version is held with other content";
+                "version" => %version, "held" => %held);
+            ControlReply::Stored(reply)
+        }
+        Ok(reply) => {
+            info!(gw.log, "catalog acknowledged"; "version" => %version, "result" => ?reply);
+            ControlReply::Stored(reply)
+        }
+        Err(e) => unsure(gw, "catalog not acknowledged", version, &e),
+    }
+}
+
+async fn describe(gw: &Gateway, control: &ControlHost) -> ControlReply {
+    match (control.store.read)().await {
+        Ok(Some(document)) => ControlReply::Catalog(document),
+        Ok(None) => ControlReply::Unsure("there is no catalog yet".into()),
+        Err(e) => unsure(gw, "catalog not read", gw.catalog.version(), &e),
+    }
+}
+
+fn unsure(gw: &Gateway, what: &str, version: CatalogVersion, e: &StoreError) -> ControlReply {
+    warn!(gw.log, "{}", what; "version" => %version, "reason" => %e);
+    ControlReply::Unsure(e.to_string().into())
+}
--- /dev/null
+++ b/crates/gateway/src/control/follow.rs
@@ -0,0 +1,31 @@
+use std::time::Duration;
+
+use super::ControlHost;
+use crate::Gateway;
+use crate::messages::{FollowReply, FollowRequest};
+
+/// The longest wait for something new, whatever the follower asks for.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
+/// Answers a follower as soon as there is something new, or at the end of its wait.
+pub(crate) async fn answer_follow(
+    gw: &Gateway,
+    control: &ControlHost,
+    request: FollowRequest,
+) -> FollowReply {
+    let until = gw.now().plus(request.wait.duration().min(MAX_WAIT));
+    loop {
+        let now = gw.now();
+        let feed = control.table.borrow().changes_after(now, request.incarnation, request.position);
+        let held = gw.catalog.document();
+        let version = held.as_ref().map(|d| d.version).unwrap_or_default();
+        let newer = version > request.catalog;
+        let is_new = newer || feed.complete || !feed.changes.is_empty();
+        let left = until.since(now);
+        if is_new || left.is_zero() || gw.is_stopping() {
+            let catalog = held.filter(|_| newer).map(|d| d.content.to_vec());
+            return FollowReply { feed, catalog_version: version, catalog };
+        }
+        control.changed.notified(left).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/answer.rs
@@ -0,0 +1,121 @@
+use http::header::HOST;
+use masticstair_core::catalog::Catalog;
+use masticstair_core::prelude::*;
+use masticstair_net::http::server::{Request, Response};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::client_request::ClientRequest;
+use super::in_flight::InFlight;
+use super::plain::answer_plain;
+use super::ready::answer_ready;
+use super::stream::answer_stream;
+use crate::Gateway;
+use crate::front_end::{Refusal, RefusalReason, RequestMeta};
+use crate::telemetry::Story;
+
+/// When to ask again after this host had no catalog or stops: another host answers at once.
+const ELSEWHERE: Millis = Millis::new(100);
+
+/// The time that a client is taken to wait when it does not say.
+const DEFAULT_BUDGET: Millis = Millis::new(10_000);
+
+/// Answers a request of a client.
+pub(crate) async fn answer_request(gw: Rc<Gateway>, req: Request) -> Response {
+    if gw.cfg.ready_listen == gw.cfg.listen && (gw.front_end.is_ready_probe)(&req.head) {
+        return answer_ready(&gw, &req);
+    }
+    let in_flight = InFlight::new(&gw.in_flight);
+    let now = gw.now();
+    let meta = match (gw.front_end.read_request)(&req.head) {
+        Ok(meta) => meta,
+        Err(refusal) => {
+            slog::info!(gw.log, "request malformed"; "detail" => refusal.detail.as_ref());
+            return (gw.front_end.refuse)(&refusal);
+        }
+    };
+    let mut story = Story::new(now, &meta);
+    let response = match admit(&gw, now, meta, req, &mut story) {
+        Ok(req) if req.route.kind.is_stream() => {
+            answer_stream(gw.clone(), req, story, in_flight).await
+        }
+        Ok(req) => answer_plain(&gw, req, story).await,
+        Err(refusal) => refuse(&gw, &story, &refusal),
+    };
+    if gw.is_stopping() { response.closing() } else { response }
+}
+
+/// Ends a request without an answer of an endpoint.
+pub(super) fn refuse(gw: &Gateway, story: &Story, refusal: &Refusal) -> Response {
+    let outcome = match refusal.outcome {
+        RefusalOutcome::NotRun => "not_run",
+        RefusalOutcome::Failed => "failed",
+        RefusalOutcome::Unknown => "unknown",
+    };
+    story.end(gw, outcome, &format!("{}: {}", refusal.reason, refusal.detail));
+    (gw.front_end.refuse)(refusal)
+}
+
+/// Finds the route and the account of a request.
+fn admit(
+    gw: &Gateway,
+    now: Timestamp,
+    meta: RequestMeta,
+    req: Request,
+    story: &mut Story,
+) -> Result<ClientRequest, Refusal> {
+    let Some(catalog) = gw.catalog.get().filter(|_| gw.is_current.get()) else {
+        let refusal = Refusal::not_run(RefusalReason::NoCatalog, "this host has just started");
+        return Err(refusal.with_retry_after(ELSEWHERE));
+    };
+    story.catalog = catalog.version;
+    let Some(route) = catalog.route(&meta.host, &meta.path).cloned() else {
+        let detail =
+            format!("no route of catalog {} matches {}{}", catalog.version, meta.host, meta.path);
+        return Err(Refusal::not_run(RefusalReason::NoRoute, detail));
+    };
+    story.route = Some(route.name.clone());
+    let (account, priority) = authenticate(&catalog, &meta, route.public)?;
+    let service = match route.targets.as_slice() {
+        [only] => only.service.clone(),
+        _ => route.pick_target(Draw::new(rand::random())).clone(),
+    };
+    story.service = Some(service.clone());
+    let budget = meta.budget.unwrap_or(DEFAULT_BUDGET).min(route.timeout);
+    let target = req.head.uri.path_and_query().map_or("/", |target| target.as_str()).into();
+    let mut headers = req.head.headers;
+    if !headers.contains_key(HOST) {
+        // A request without a host names it in its target.
+        if let Ok(host) = meta.host.parse() {
+            headers.insert(HOST, host);
+        }
+    }
+    Ok(ClientRequest {
+        method: req.head.method,
+        target,
+        headers,
+        body: req.body,
+        priority: priority.unwrap_or(route.priority),
+        account,
+        service,
+        arrived: now,
+        deadline: now.plus(budget.duration().max(Duration::from_millis(1))),
+        meta,
+        route,
+    })
+}
+
+/// Returns the account of a request and its priority.
+fn authenticate(
+    catalog: &Arc<Catalog>,
+    meta: &RequestMeta,
+    public: bool,
+) -> Result<(Option<AccountId>, Option<u8>), Refusal> {
+    let account = meta.key.as_deref().and_then(|key| catalog.accounts.find(key));
+    if account.is_none() && !public && !catalog.accounts.is_empty() {
+        let detail = format!("the key belongs to no account of catalog {}", catalog.version);
+        return Err(Refusal::not_run(RefusalReason::UnknownKey, detail));
+    }
+    Ok((account.map(|a| a.name.clone()), account.and_then(|a| a.priority)))
+}
--- /dev/null
+++ b/crates/gateway/src/entry/event_splitter.rs
@@ -0,0 +1,57 @@
+use bytes::{Bytes, BytesMut};
+
+/// The largest event that is passed on, in bytes.
+const EVENT_LIMIT: usize = 1 << 20;
+
+/// One event of a stream with the blank line behind it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Event {
+    /// The bytes as the endpoint sent them.
+    pub(super) bytes: Bytes,
+    /// Its number, when it has one.
+    pub(super) id: Option<u64>,
+}
+
+/// Splits a stream into its events, so that only whole events are passed on.
+#[derive(Debug, Default)]
+pub(super) struct EventSplitter(BytesMut);
+
+impl EventSplitter {
+    /// Adds bytes of the stream.
+    pub(super) fn push(&mut self, piece: &[u8]) {
+        self.0.extend_from_slice(piece);
+    }
+
+    /// Takes the next whole event.
+    pub(super) fn next_event(&mut self) -> Option<Event> {
+        let end = find_blank_line(&self.0)?;
+        let bytes = self.0.split_to(end).freeze();
+        let id = event_id(&bytes);
+        Some(Event { bytes, id })
+    }
+
+    /// Returns the bytes behind the last whole event.
+    pub(super) fn rest(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// Tells whether an event is longer than is passed on.
+    pub(super) fn is_too_long(&self) -> bool {
+        self.0.len() > EVENT_LIMIT
+    }
+}
+
+/// Returns the end of the first blank line, whatever ends its lines.
+fn find_blank_line(bytes: &[u8]) -> Option<usize> {
+    let ends: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
+    let found = ends.iter().filter_map(|end| {
+        bytes.windows(end.len()).position(|window| window == *end).map(|at| at + end.len())
+    });
+    found.min()
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    std::str::from_utf8(ids.next()?).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/entry/held_results.rs
@@ -0,0 +1,43 @@
+use masticstair_core::prelude::*;
+use std::rc::Rc;
+
+use crate::Gateway;
+use crate::stages::give_up_results;
+
+/// Results of the stages of a request; given up when it is dropped.
+pub(super) struct HeldResults {
+    gw: Rc<Gateway>,
+    held: Vec<(ServiceName, Vec<ResultHandle>)>,
+}
+
+impl HeldResults {
+    pub(super) fn new(gw: &Rc<Gateway>) -> Self {
+        Self { gw: gw.clone(), held: Vec::new() }
+    }
+
+    /// Keeps results of a service.
+    pub(super) fn hold(&mut self, service: &ServiceName, results: Vec<ResultHandle>) {
+        self.held.push((service.clone(), results));
+    }
+
+    /// Gives up results of a service, which nothing needs any more.
+    pub(super) fn give_up(&mut self, results: &[ResultHandle]) {
+        let is_meant = |held: &Vec<ResultHandle>| held.first() == results.first();
+        let Some(at) = self.held.iter().position(|(_, held)| is_meant(held)) else { return };
+        let (service, results) = self.held.swap_remove(at);
+        give_up_results(&self.gw, service, results);
+    }
+
+    /// Gives up everything.
+    pub(super) fn give_up_all(&mut self) {
+        for (service, results) in std::mem::take(&mut self.held) {
+            give_up_results(&self.gw, service, results);
+        }
+    }
+}
+
+impl Drop for HeldResults {
+    fn drop(&mut self) {
+        self.give_up_all();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -0,0 +1,164 @@
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use masticstair_core::prelude::*;
+use slog::info;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::client_request::ClientRequest;
+use super::held_results::HeldResults;
+use crate::Gateway;
+use crate::front_end::{Refusal, RefusalReason, StageSource};
+use crate::messages::{StageFailure, StageReply, StageRequest};
+use crate::stages::submit_stage;
+
+/// The time of a stage before the first one was measured.
+const FIRST_STAGE_TIME: Duration = Duration::from_millis(250);
+
+/// The time to the first event of an engine before the first one was measured.
+const FIRST_EVENT_TIME: Duration = Duration::from_millis(200);
+
+/// When to ask again after the stages had no room.
+const STAGES_RETRY: Millis = Millis::new(700);
+
+/// How often the stages of a request begin again because a result was lost.
+const MAX_RESTARTS: u32 = 1;
+
+/// Runs the stages of a request and returns the results that the target of the route needs.
+///
+/// `near` is the data centre in which they are needed.
+pub(super) async fn run_stages(
+    gw: &Rc<Gateway>,
+    req: &ClientRequest,
+    near: Option<&DataCentreId>,
+    held: &mut HeldResults,
+) -> Result<Vec<ResultHandle>, Refusal> {
+    let mut restarts = 0;
+    loop {
+        match run_once(gw, req, near, held).await {
+            Ok(results) => return Ok(results),
+            Err(StageFailure::InputGone) if restarts < MAX_RESTARTS => {
+                restarts += 1;
+                info!(gw.log, "stages begin again"; "request" => %req.meta.call);
+                held.give_up_all();
+            }
+            Err(failure) => {
+                held.give_up_all();
+                let detail = format!("the stages were not done: {failure}");
+                return Err(
+                    Refusal::not_run(RefusalReason::Stages, detail).with_retry_after(STAGES_RETRY)
+                );
+            }
+        }
+    }
+}
+
+async fn run_once(
+    gw: &Rc<Gateway>,
+    req: &ClientRequest,
+    near: Option<&DataCentreId>,
+    held: &mut HeldResults,
+) -> Result<Vec<ResultHandle>, StageFailure> {
+    let stages = &req.route.stages;
+    let count = |stage: usize| req.meta.pieces.get(stage).copied().unwrap_or(1);
+    let mut results: Vec<Option<Vec<ResultHandle>>> =
+        (0..stages.len()).map(|stage| (count(stage) == 0).then(Vec::new)).collect();
+    let mut started = vec![false; stages.len()];
+    let mut running = FuturesUnordered::new();
+    loop {
+        for (stage, place) in stages.iter().enumerate() {
+            let is_ready = place.after.iter().all(|after| results[*after].is_some());
+            if started[stage] || results[stage].is_some() || !is_ready {
+                continue;
+            }
+            started[stage] = true;
+            let inputs: Vec<_> =
+                place.after.iter().filter_map(|after| results[*after].clone()).flatten().collect();
+            let source = match (inputs.is_empty(), &req.meta.piece_key) {
+                (true, Some(key)) => StageSource::Key(key.clone()),
+                _ => StageSource::Inputs(inputs),
+            };
+            let request = stage_request(gw, req, stage, count(stage), source, near);
+            running.push(async move {
+                let begun = gw.now();
+                let reply = submit_stage(gw, request).await;
+                (stage, gw.now().since(begun), reply)
+            });
+        }
+        let Some((stage, took, reply)) = running.next().await else { break };
+        match reply {
+            StageReply::Done(made) => {
+                gw.stage_times.note(&stages[stage].service, took);
+                held.hold(&stages[stage].service, made.clone());
+                results[stage] = Some(made);
+                give_up_consumed(req, stage, &results, held);
+            }
+            StageReply::Failed(failure) => return Err(failure),
+        }
+    }
+    let is_last = |stage: usize| !stages.iter().any(|s| s.after.contains(&stage));
+    let last = (0..stages.len()).filter(|stage| is_last(*stage));
+    Ok(last.filter_map(|stage| results[stage].clone()).flatten().collect())
+}
+
+/// Gives up the inputs of a stage that is done, unless another stage needs them.
+fn give_up_consumed(
+    req: &ClientRequest,
+    done: usize,
+    results: &[Option<Vec<ResultHandle>>],
+    held: &mut HeldResults,
+) {
+    let stages = &req.route.stages;
+    for before in &stages[done].after {
+        let needed = stages
+            .iter()
+            .enumerate()
+            .any(|(stage, s)| s.after.contains(before) && results[stage].is_none());
+        if let (false, Some(inputs)) = (needed, &results[*before]) {
+            held.give_up(inputs);
+        }
+    }
+}
+
+fn stage_request(
+    gw: &Gateway,
+    req: &ClientRequest,
+    stage: usize,
+    pieces: u32,
+    source: StageSource,
+    near: Option<&DataCentreId>,
+) -> StageRequest {
+    let now = gw.now();
+    let rest = time_after(gw, req, stage);
+    let place = &req.route.stages[stage];
+    let due = req.objective().since(now).saturating_sub(rest);
+    // What comes after takes some time even at its best, and an answer that just misses is lost work.
+    let left = req.deadline.since(now).saturating_sub(rest / 2);
+    StageRequest {
+        call: req.meta.call.clone(),
+        stage: stage as u32,
+        service: place.service.clone(),
+        pieces,
+        source,
+        due: Millis::new(due.as_millis() as u64),
+        left: Millis::new(left.as_millis() as u64),
+        priority: req.priority,
+        near: near.cloned(),
+        result: place.result,
+    }
+}
+
+/// Returns the time that the rest of a request takes after a stage: the longest way through the stages that
+/// need its results, and the first event.
+pub(super) fn time_after(gw: &Gateway, req: &ClientRequest, stage: usize) -> Duration {
+    let stages = &req.route.stages;
+    let mut longest = vec![Duration::ZERO; stages.len()];
+    for later in (stage + 1..stages.len()).rev() {
+        let own = gw.stage_times.get(&stages[later].service, FIRST_STAGE_TIME);
+        let total = longest[later] + own;
+        for before in &stages[later].after {
+            longest[*before] = longest[*before].max(total);
+        }
+    }
+    longest[stage] + gw.stage_times.get(&req.service, FIRST_EVENT_TIME)
+}
--- /dev/null
+++ b/crates/gateway/src/front_end/mod.rs
@@ -0,0 +1,69 @@
+//! The interface between the gateway and the encoding of its messages: plain functions over the gateway's
+//! own types. A front end knows the names on the wire and decides nothing.
+
+mod answer_meta;
+mod control_reply;
+mod control_request;
+mod endpoint_call;
+mod piece_outcome;
+mod prompt;
+mod refusal;
+mod refusal_reason;
+mod request_meta;
+mod stage_call;
+mod stage_source;
+mod upstream_terms;
+
+pub use answer_meta::{AnswerMeta, LoadReport};
+pub use control_reply::ControlReply;
+pub use control_request::ControlRequest;
+pub use endpoint_call::EndpointCall;
+pub use piece_outcome::{PieceFailure, PieceOutcome};
+pub use prompt::{Prompt, PromptPart};
+pub use refusal::Refusal;
+pub use refusal_reason::RefusalReason;
+pub use request_meta::RequestMeta;
+pub use stage_call::{StageCall, StageCallItem};
+pub use stage_source::StageSource;
+pub use upstream_terms::UpstreamTerms;
+
+use http::request::Parts;
+use http::{HeaderMap, StatusCode};
+use masticstair_core::catalog::{Catalog, CatalogDocument, CatalogError};
+use masticstair_core::id::ResultHandle;
+use masticstair_net::http::server::{Request, Response};
+use std::net::SocketAddr;
+
+/// A document with the catalog that it contains.
+pub type CatalogRead = Result<(CatalogDocument, Catalog), CatalogError>;
+
+/// The functions of a front end.
+#[derive(Clone, Copy)]
+pub struct FrontEnd {
+    /// Reads what the gateway needs to know of a client's request.
+    pub read_request: fn(&Parts) -> Result<RequestMeta, Refusal>,
+    /// Makes the headers for an endpoint from those of a client.
+    pub upstream_headers: fn(&HeaderMap, &UpstreamTerms<'_>) -> HeaderMap,
+    /// Reads what the gateway needs to know of an endpoint's answer.
+    pub read_answer: fn(StatusCode, &HeaderMap) -> AnswerMeta,
+    /// Makes the headers for a client from those of an endpoint.
+    pub answer_headers: fn(&HeaderMap) -> HeaderMap,
+    /// Makes the answer to a request that the gateway does not pass on, or whose answer was lost.
+    pub refuse: fn(&Refusal) -> Response,
+    /// Makes a call of a stage service.
+    pub stage_call: fn(&StageCall<'_>) -> EndpointCall,
+    /// Reads the answer of a stage service; none when it is not one.
+    pub read_stage_answer: fn(&[u8]) -> Option<Vec<PieceOutcome>>,
+    /// Makes the call that gives up results of a stage.
+    pub release_call: fn(&[ResultHandle]) -> EndpointCall,
+    /// Returns the endpoint that keeps a result.
+    pub result_address: fn(&ResultHandle) -> Option<SocketAddr>,
+    /// Tells whether a request asks whether this host takes clients.
+    pub is_ready_probe: fn(&Parts) -> bool,
+    /// Reads a request to a control host.
+    pub read_control: fn(&Request) -> ControlRequest,
+    /// Makes the answer of a control host.
+    pub control_response: fn(&ControlReply) -> Response,
+    /// Reads the version and the whole of a catalog.
+    pub read_catalog: fn(&[u8]) -> CatalogRead,
+}
--- /dev/null
+++ b/crates/gateway/src/front_end/refusal_reason.rs
@@ -0,0 +1,50 @@
+use std::fmt::{Display, Formatter};
+
+/// Why a request was not answered by an endpoint.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum RefusalReason {
+    /// This host has no catalog yet.
+    NoCatalog,
+    /// No route of the catalog matches.
+    NoRoute,
+    /// The key belongs to no account.
+    UnknownKey,
+    /// The request cannot be read.
+    Malformed,
+    /// No endpoint of the service takes new work.
+    NoEndpoint,
+    /// Every endpoint that was asked is full.
+    Full,
+    /// The stages of the request failed or cannot end in time.
+    Stages,
+    /// The time of the request passed.
+    Deadline,
+    /// The connection to the endpoint broke.
+    Broken,
+    /// This host stops.
+    Stopping,
+}
+
+impl RefusalReason {
+    /// Returns the name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoCatalog => "no-catalog",
+            Self::NoRoute => "no-route",
+            Self::UnknownKey => "unknown-key",
+            Self::Malformed => "malformed",
+            Self::NoEndpoint => "no-endpoint",
+            Self::Full => "full",
+            Self::Stages => "stages",
+            Self::Deadline => "deadline",
+            Self::Broken => "broken",
+            Self::Stopping => "stopping",
+        }
+    }
+}
+
+impl Display for RefusalReason {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.name())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,25 @@
+//! The gateway of masticstair: passes the requests of clients on to endpoints along the routes of a
+//! catalog, and keeps track of endpoints and catalogs on control hosts.
+//!
+//! The decisions are functions of `masticstair_policy`; the names on the wire belong to a front end.
+
+pub mod control;
+pub mod entry;
+pub mod front_end;
+pub mod messages;
+pub mod stages;
+pub mod telemetry;
+
+mod catalog_in_force;
+mod config;
+mod event;
+mod gateway;
+mod notify;
+mod peer_host;
+
+pub use catalog_in_force::CatalogInForce;
+pub use config::GatewayConfig;
+pub use event::{GatewayEvent, event_channel};
+pub use gateway::{Gateway, GatewayParts, run_gateway};
+pub use notify::Notify;
+pub use peer_host::{PeerHost, Peers};
--- /dev/null
+++ b/crates/gateway/src/messages/mod.rs
@@ -0,0 +1,13 @@
+//! Messages between gateways.
+
+mod follow;
+mod message;
+mod release;
+mod stage_reply;
+mod stage_request;
+
+pub use follow::{FollowReply, FollowRequest};
+pub use message::{Message, Reply, decode, encode};
+pub use release::ReleaseRequest;
+pub use stage_reply::{StageFailure, StageReply};
+pub use stage_request::{CancelRequest, StageRequest};
--- /dev/null
+++ b/crates/gateway/src/stages/call.rs
@@ -0,0 +1,265 @@
+use masticstair_core::catalog::BatchLimits;
+use masticstair_core::prelude::*;
+use masticstair_net::http::relay::RelayCall;
+use masticstair_policy::directory::ServingEndpoint;
+use masticstair_policy::stage_queue::StageItem;
+use slog::{debug, info};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::kept_result::KeptResult;
+use super::pump::pump;
+use super::release::release_results;
+use super::service_stages::ServiceStages;
+use crate::Gateway;
+use crate::front_end::{PieceFailure, PieceOutcome, StageCall, StageCallItem};
+use crate::messages::StageFailure;
+
+/// How long an endpoint that had no room for a call is left alone.
+const FULL_PAUSE: Duration = Duration::from_millis(120);
+
+/// How long an endpoint is left alone after a call that was lost.
+const LOST_PAUSE: Duration = Duration::from_millis(700);
+
+/// How long an endpoint is left alone whose address answers for another one.
+const OTHER_PAUSE: Duration = Duration::from_secs(2);
+
+/// How long a connection to a stage endpoint may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// The longest idle time of a connection that is used again; endpoints close them after several seconds.
+const MAX_IDLE: Duration = Duration::from_secs(2);
+
+/// The largest answer of a stage endpoint, in bytes.
+const ANSWER_LIMIT: usize = 1 << 20;
+
+/// Calls that one piece may fail with.
+const MAX_FAILURES: u8 = 3;
+
+/// How much longer than the endpoint a result is known here, so that a repeated answer is recognised.
+const MEMORY: Duration = Duration::from_secs(6);
+
+/// How a call of a stage service ended.
+enum CallEnd {
+    /// An outcome for each item.
+    Answered(Vec<PieceOutcome>),
+    /// Nothing was run; the endpoint is left alone for a while.
+    NotRun(Duration, Box<str>),
+    /// The items may have been made.
+    Lost(Box<str>),
+}
+
+/// Notes that a call begins, so that its endpoint is not chosen twice.
+pub(super) fn begin_call(stages: &ServiceStages, endpoint: &ServingEndpoint, items: &[StageItem]) {
+    stages.with_work(&endpoint.id, |work| {
+        work.calls += 1;
+        work.results = ByteCount::new(work.results.get() + result_size(items));
+    });
+}
+
+fn end_call(stages: &ServiceStages, endpoint: &ServingEndpoint, items: &[StageItem]) {
+    stages.with_work(&endpoint.id, |work| {
+        work.calls -= 1;
+        work.results = ByteCount::new(work.results.get().saturating_sub(result_size(items)));
+    });
+}
+
+fn result_size(items: &[StageItem]) -> u64 {
+    items.iter().map(|item| item.result.get()).sum()
+}
+
+/// Makes one call and hands out what became of its items.
+pub(super) async fn run_call(
+    gw: Rc<Gateway>,
+    stages: Rc<ServiceStages>,
+    endpoint: Arc<ServingEndpoint>,
+    limits: BatchLimits,
+    items: Vec<StageItem>,
+) {
+    let started = gw.now();
+    let end = exchange(&gw, &stages, &endpoint, &limits, &items).await;
+    let took = gw.now().since(started);
+    end_call(&stages, &endpoint, &items);
+    let result = match &end {
+        CallEnd::Answered(_) => "answered",
+        CallEnd::NotRun(..) => "not-run",
+        CallEnd::Lost(_) => "lost",
+    };
+    gw.metrics.count_call(&stages.service, result, took);
+    match end {
+        CallEnd::Answered(outcomes) => {
+            debug!(gw.log, "stage call"; "service" => %stages.service,
+                "endpoint" => %endpoint.id, "items" => items.len(),
+                "took_ms" => took.as_millis() as u64);
+            stages.with_work(&endpoint.id, |work| work.note_call(&limits, items.len(), took));
+            take_outcomes(&gw, &stages, &endpoint, &limits, items, outcomes);
+        }
+        CallEnd::NotRun(pause, reason) => {
+            info!(gw.log, "stage call not run"; "service" => %stages.service,
+                "endpoint" => %endpoint.id, "items" => items.len(), "reason" => reason.as_ref());
+            let until = gw.now().plus(pause);
+            stages.with_work(&endpoint.id, |work| work.avoid_until = work.avoid_until.max(until));
+            stages.queue.borrow_mut().push(still_wanted(&stages, items));
+        }
+        CallEnd::Lost(reason) => {
+            info!(gw.log, "stage call lost"; "service" => %stages.service,
+                "endpoint" => %endpoint.id, "items" => items.len(), "reason" => reason.as_ref(),
+                "took_ms" => took.as_millis() as u64);
+            let now = gw.now();
+            stages.with_work(&endpoint.id, |work| work.note_failure(now, LOST_PAUSE));
+            for item in items {
+                retry_item(&gw, &stages, item);
+            }
+        }
+    }
+    pump(&gw, &stages);
+}
+
+async fn exchange(
+    gw: &Gateway,
+    stages: &ServiceStages,
+    endpoint: &ServingEndpoint,
+    limits: &BatchLimits,
+    items: &[StageItem],
+) -> CallEnd {
+    let Some(call) = encode(gw, stages, endpoint, items) else {
+        return CallEnd::NotRun(Duration::ZERO, "the stages have ended".into());
+    };
+    let patience = stages.with_work(&endpoint.id, |work| work.patience(limits, items.len()));
+    let send = async {
+        let (head, body) = match gw.pool.send(call).await {
+            Ok(answer) => answer,
+            Err(e) if e.may_have_sent() => return CallEnd::Lost(e.to_string().into()),
+            Err(e) => return CallEnd::NotRun(LOST_PAUSE, e.to_string().into()),
+        };
+        let meta = (gw.front_end.read_answer)(head.status, &head.headers);
+        if meta.not_run || meta.is_other_endpoint {
+            let pause = if meta.is_other_endpoint { OTHER_PAUSE } else { FULL_PAUSE };
+            return CallEnd::NotRun(pause, format!("status {}", head.status).into());
+        }
+        let bytes = match body.read_all(ANSWER_LIMIT).await {
+            Ok(bytes) => bytes,
+            Err(e) => return CallEnd::Lost(e.to_string().into()),
+        };
+        if !head.status.is_success() {
+            return CallEnd::Lost(format!("status {}", head.status).into());
+        }
+        match (gw.front_end.read_stage_answer)(&bytes) {
+            Some(outcomes) if outcomes.len() == items.len() && is_new(stages, &outcomes) => {
+                CallEnd::Answered(outcomes)
+            }
+            _ => {
+                gw.pool.forget(endpoint.address);
+                CallEnd::Lost("the answer belongs to another call or cannot be read".into())
+            }
+        }
+    };
+    match monoio::time::timeout(patience, send).await {
+        Ok(end) => end,
+        Err(_) => {
+            gw.pool.forget(endpoint.address);
+            CallEnd::Lost(format!("no answer within {} ms", patience.as_millis()).into())
+        }
+    }
+}
+
+/// Tells whether no result was seen before; an endpoint may send an answer twice.
+fn is_new(stages: &ServiceStages, outcomes: &[PieceOutcome]) -> bool {
+    let kept = stages.kept.borrow();
+    outcomes.iter().all(|o| !matches!(o, PieceOutcome::Made(handle) if kept.contains_key(handle)))
+}
+
+fn encode(
+    gw: &Gateway,
+    stages: &ServiceStages,
+    endpoint: &ServingEndpoint,
+    items: &[StageItem],
+) -> Option<RelayCall> {
+    let now = gw.now();
+    let jobs = stages.jobs.borrow();
+    let mut encoded = Vec::with_capacity(items.len());
+    for item in items {
+        let job = jobs.get(&item.job)?;
+        encoded.push(StageCallItem {
+            call: &job.request.call,
+            stage: job.request.stage,
+            piece: item.piece,
+            left: Millis::new(item.deadline.since(now).as_millis() as u64),
+            source: &job.request.source,
+        });
+    }
+    let call = StageCall { endpoint: &endpoint.id, items: encoded };
+    let call = (gw.front_end.stage_call)(&call);
+    Some(gw.relay_call(call, endpoint.address, CONNECT_LIMIT, MAX_IDLE))
+}
+
+fn take_outcomes(
+    gw: &Rc<Gateway>,
+    stages: &Rc<ServiceStages>,
+    endpoint: &ServingEndpoint,
+    limits: &BatchLimits,
+    items: Vec<StageItem>,
+    outcomes: Vec<PieceOutcome>,
+) {
+    let now = gw.now();
+    let mut unwanted = Vec::new();
+    for (item, outcome) in items.into_iter().zip(outcomes) {
+        match outcome {
+            PieceOutcome::Made(handle) => {
+                let kept = KeptResult {
+                    endpoint: endpoint.id.clone(),
+                    size: item.result,
+                    until: now.plus(limits.result_ttl.duration() + MEMORY),
+                    released: false,
+                };
+                stages.kept.borrow_mut().insert(handle.clone(), kept);
+                let size = item.result.get();
+                stages.with_work(&endpoint.id, |work| {
+                    work.results = ByteCount::new(work.results.get() + size);
+                });
+                let mut jobs = stages.jobs.borrow_mut();
+                let job = jobs.get_mut(&item.job);
+                match job.and_then(|job| job.results.get_mut(item.piece as usize)) {
+                    Some(place) => *place = Some(handle),
+                    None => unwanted.push(handle),
+                }
+                drop(jobs);
+                stages.complete_job(item.job);
+            }
+            PieceOutcome::Failed(PieceFailure::Late) => {
+                unwanted.extend(stages.fail_job(item.job, StageFailure::Late));
+            }
+            PieceOutcome::Failed(PieceFailure::InputGone) => {
+                unwanted.extend(stages.fail_job(item.job, StageFailure::InputGone));
+            }
+            PieceOutcome::Failed(PieceFailure::NoRoom) => {
+                let until = now.plus(FULL_PAUSE);
+                stages.with_work(&endpoint.id, |work| work.avoid_until = until);
+                retry_item(gw, stages, item);
+            }
+            PieceOutcome::Failed(PieceFailure::Failed) => retry_item(gw, stages, item),
+        }
+    }
+    release_results(gw, stages, unwanted);
+}
+
+/// Puts an item back that may have been made; its stage fails when that happens too often.
+fn retry_item(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>, mut item: StageItem) {
+    item.failures += 1;
+    let exhausted = item.failures > MAX_FAILURES;
+    if !exhausted && !stages.jobs.borrow().contains_key(&item.job) {
+        return;
+    }
+    if exhausted || !gw.take_repeat(&stages.service) {
+        let made = stages.fail_job(item.job, StageFailure::Failed);
+        release_results(gw, stages, made);
+        return;
+    }
+    stages.queue.borrow_mut().push([item]);
+}
+
+fn still_wanted(stages: &ServiceStages, items: Vec<StageItem>) -> Vec<StageItem> {
+    let jobs = stages.jobs.borrow();
+    items.into_iter().filter(|item| jobs.contains_key(&item.job)).collect()
+}
--- /dev/null
+++ b/crates/gateway/src/stages/owner.rs
@@ -0,0 +1,96 @@
+use masticstair_core::prelude::*;
+use masticstair_policy::engine_choice::rendezvous_order;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::messages::{Message, decode, encode};
+use crate::{Gateway, PeerHost};
+use masticstair_net::peer::GatewayMessage;
+
+/// How long a host that did not answer forms no calls for this one.
+const AVOID: Duration = Duration::from_secs(2);
+
+/// How long a host may take to answer a ping before the connection to it counts as dead.
+const PING_LIMIT: Duration = Duration::from_millis(350);
+
+/// The time between two pings of a host with stages of this one.
+const PING_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The hosts that form calls for this one.
+#[derive(Default)]
+pub(crate) struct Owners {
+    avoided: RefCell<HashMap<HostId, Timestamp>>,
+    watched: RefCell<HashMap<HostId, Rc<Cell<u32>>>>,
+}
+
+impl Owners {
+    /// Returns the host that forms the calls of a service; none when this one does.
+    pub(super) fn owner(&self, gw: &Gateway, service: &ServiceName) -> Option<PeerHost> {
+        let now = gw.now();
+        let hosts: Vec<_> = gw
+            .entry_hosts()
+            .into_iter()
+            .filter(|h| h.client.is_none() || (h.is_alive && !self.is_avoided(now, &h.host)))
+            .collect();
+        let holders = hosts.iter().map(|h| h.host.as_str().as_bytes());
+        let first = *rendezvous_order(service.as_str().as_bytes(), holders).first()?;
+        hosts.into_iter().nth(first).filter(|h| h.client.is_some())
+    }
+
+    /// Notes that a host did not answer.
+    pub(super) fn avoid(&self, now: Timestamp, host: &HostId) {
+        self.avoided.borrow_mut().insert(host.clone(), now.plus(AVOID));
+    }
+
+    fn is_avoided(&self, now: Timestamp, host: &HostId) -> bool {
+        self.avoided.borrow().get(host).is_some_and(|until| now < *until)
+    }
+
+    /// Pings a host while stages are with it. A ping that is not answered ends the connection, and with it
+    /// every call that waits for the host.
+    pub(super) fn watch(&self, gw: &Rc<Gateway>, host: &PeerHost) -> Watched {
+        let mut watched = self.watched.borrow_mut();
+        let count = watched.entry(host.host.clone()).or_default().clone();
+        count.set(count.get() + 1);
+        if let (1, Some(client)) = (count.get(), host.client.clone()) {
+            let (gw, count) = (gw.clone(), count.clone());
+            monoio::spawn(async move {
+                while count.get() > 0 {
+                    monoio::time::sleep(PING_INTERVAL).await;
+                    let Ok(content) = encode(&Message::Ping) else { return };
+                    let ping = GatewayMessage { content, budget: PING_LIMIT };
+                    if count.get() > 0 && client.gateway(ping).await.is_err() {
+                        slog::info!(gw.log, "host does not answer"; "peer" => %client.address());
+                    }
+                }
+            });
+        }
+        Watched(count)
+    }
+}
+
+/// A call that waits for a host; ends when it is dropped.
+pub(super) struct Watched(Rc<Cell<u32>>);
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Sends a message to a host and decodes its reply.
+pub(super) async fn ask(
+    host: &PeerHost,
+    message: &Message,
+    budget: Duration,
+) -> Result<crate::messages::Reply, Box<str>> {
+    let client = host.client.as_ref().ok_or("the host is this one")?;
+    let content = encode(message)?;
+    let reply = client
+        .gateway(GatewayMessage { content, budget })
+        .await
+        .map_err(|e| e.to_string().into_boxed_str())?;
+    decode(&reply)
+}
--- /dev/null
+++ b/crates/gateway/src/stages/pump.rs
@@ -0,0 +1,124 @@
+use masticstair_core::catalog::BatchLimits;
+use masticstair_core::prelude::*;
+use masticstair_policy::directory::ServingEndpoint;
+use masticstair_policy::stage_queue::EndpointOffer;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::call::{begin_call, run_call};
+use super::release::release_results;
+use super::service_stages::ServiceStages;
+use crate::Gateway;
+use crate::messages::StageFailure;
+
+/// How often items that wait are looked at without an event, for endpoints that were left alone and items
+/// whose time passes.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+
+/// Starts calls on every service, after the endpoints have changed.
+pub(crate) fn pump_all(gw: &Rc<Gateway>) {
+    for stages in gw.stages.all() {
+        pump(gw, &stages);
+    }
+}
+
+/// Starts as many calls as endpoints are free.
+pub(crate) fn pump(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>) {
+    if stages.queue.borrow().is_empty() {
+        return;
+    }
+    let catalog = gw.catalog.get();
+    let limits = catalog.as_ref().and_then(|c| c.services.get(&stages.service)?.batch);
+    let endpoints = gw.directory.borrow().ready(&stages.service);
+    let (Some(limits), false) = (limits, endpoints.is_empty()) else {
+        fail_all(gw, stages);
+        return;
+    };
+    let now = gw.now();
+    stages.expire_results(now);
+    drop_hopeless(gw, stages, &endpoints, &limits);
+    let mut without_room = HashSet::new();
+    while let Some(endpoint) = next_endpoint(gw, stages, &endpoints, &limits, &without_room) {
+        let results = stages.with_work(&endpoint.id, |work| work.results);
+        let items = limits.items.get().max(1) as usize;
+        let full = items.min(stages.queue.borrow().len());
+        let offer = EndpointOffer {
+            data_centre: endpoint.data_centre.clone(),
+            items,
+            room: ByteCount::new(limits.result_room.get().saturating_sub(results.get())),
+            full_call: stages.with_work(&endpoint.id, |work| work.expected(&limits, full)),
+        };
+        let items = stages.queue.borrow_mut().take_call(now, &offer);
+        if items.is_empty() {
+            without_room.insert(endpoint.id.clone());
+            continue;
+        }
+        begin_call(stages, &endpoint, &items);
+        monoio::spawn(run_call(gw.clone(), stages.clone(), endpoint, limits, items));
+    }
+    look_again(gw, stages);
+}
+
+/// Returns the free endpoint that items are waiting for nearby, and among those the fastest one.
+fn next_endpoint(
+    gw: &Gateway,
+    stages: &ServiceStages,
+    endpoints: &[Arc<ServingEndpoint>],
+    limits: &BatchLimits,
+    without_room: &HashSet<EndpointId>,
+) -> Option<Arc<ServingEndpoint>> {
+    let now = gw.now();
+    let queue = stages.queue.borrow();
+    if queue.is_empty() {
+        return None;
+    }
+    let free = endpoints.iter().filter(|e| {
+        !without_room.contains(&e.id) && stages.with_work(&e.id, |w| w.is_free(now, limits))
+    });
+    let best = free.min_by_key(|e| {
+        let expected = stages
+            .with_work(&e.id, |w| w.expected(limits, queue.len().min(limits.items.get() as usize)));
+        (queue.near(&e.data_centre) == 0, expected)
+    })?;
+    Some(best.clone())
+}
+
+fn drop_hopeless(
+    gw: &Rc<Gateway>,
+    stages: &Rc<ServiceStages>,
+    endpoints: &[Arc<ServingEndpoint>],
+    limits: &BatchLimits,
+) {
+    let fastest = endpoints
+        .iter()
+        .map(|e| stages.with_work(&e.id, |work| work.expected(limits, 1)))
+        .min()
+        .unwrap_or_default();
+    let hopeless = stages.queue.borrow_mut().take_hopeless(gw.now(), fastest);
+    for number in hopeless {
+        let made = stages.fail_job(number, StageFailure::Late);
+        release_results(gw, stages, made);
+    }
+}
+
+fn fail_all(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>) {
+    let numbers: Vec<_> = stages.jobs.borrow().keys().copied().collect();
+    for number in numbers {
+        let made = stages.fail_job(number, StageFailure::NoEndpoint);
+        release_results(gw, stages, made);
+    }
+}
+
+fn look_again(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>) {
+    if stages.queue.borrow().is_empty() || stages.timer.replace(true) {
+        return;
+    }
+    let (gw, stages) = (gw.clone(), stages.clone());
+    monoio::spawn(async move {
+        monoio::time::sleep(LOOK_AGAIN).await;
+        stages.timer.set(false);
+        pump(&gw, &stages);
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/stages/release.rs
@@ -0,0 +1,67 @@
+use masticstair_core::prelude::*;
+use slog::debug;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::service_stages::ServiceStages;
+use crate::Gateway;
+
+/// How long results are collected before they are given up with one call.
+const COLLECT: Duration = Duration::from_millis(60);
+
+/// How long a call that gives up results may take. Without it the endpoint forgets them by itself.
+const RELEASE_LIMIT: Duration = Duration::from_millis(800);
+
+/// The longest idle time of a connection that is used again.
+const MAX_IDLE: Duration = Duration::from_secs(2);
+
+/// Gives up results of a service.
+pub(crate) fn release_results(
+    gw: &Rc<Gateway>,
+    stages: &Rc<ServiceStages>,
+    results: Vec<ResultHandle>,
+) {
+    for handle in results {
+        if let Some(kept) = stages.kept.borrow_mut().get_mut(&handle) {
+            if kept.released {
+                continue;
+            }
+            kept.released = true;
+            stages.forget_size(kept);
+        }
+        if let Some(address) = (gw.front_end.result_address)(&handle) {
+            collect(gw, stages, address, handle);
+        }
+    }
+}
+
+fn collect(
+    gw: &Rc<Gateway>,
+    stages: &Rc<ServiceStages>,
+    address: SocketAddr,
+    handle: ResultHandle,
+) {
+    let mut to_release = stages.to_release.borrow_mut();
+    let collected = to_release.entry(address).or_default();
+    collected.push(handle);
+    if collected.len() > 1 {
+        return;
+    }
+    let (gw, stages) = (gw.clone(), stages.clone());
+    monoio::spawn(async move {
+        monoio::time::sleep(COLLECT).await;
+        let Some(results) = stages.to_release.borrow_mut().remove(&address) else { return };
+        let call = (gw.front_end.release_call)(&results);
+        let call = gw.relay_call(call, address, RELEASE_LIMIT, MAX_IDLE);
+        let send = async {
+            let (_, body) = gw.pool.send(call).await?;
+            body.read_all(4_096).await
+        };
+        match monoio::time::timeout(RELEASE_LIMIT, send).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(e)) => debug!(gw.log, "results not given up"; "reason" => %e),
+            Err(_) => debug!(gw.log, "results not given up in time"; "address" => %address),
+        }
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/stages/run.rs
@@ -0,0 +1,61 @@
+use futures_channel::oneshot;
+use masticstair_core::prelude::*;
+use masticstair_policy::stage_queue::StageItem;
+use std::rc::Rc;
+
+use super::job::Job;
+use super::pump::pump;
+use super::release::release_results;
+use crate::Gateway;
+use crate::messages::{CancelRequest, StageFailure, StageReply, StageRequest};
+
+/// Runs a stage on the endpoints of its service.
+pub(crate) async fn run_stage(gw: &Rc<Gateway>, from: HostId, request: StageRequest) -> StageReply {
+    let service = &request.service;
+    let known = gw.catalog.get().is_some_and(|c| c.services.contains_key(service));
+    if !known || gw.directory.borrow().ready(service).is_empty() {
+        return StageReply::Failed(StageFailure::NoEndpoint);
+    }
+    let now = gw.now();
+    let stages = gw.stages.service_of(service);
+    let number = stages.last.get().next();
+    stages.last.set(number);
+    let (reply, done) = oneshot::channel();
+    let pieces = request.pieces;
+    let job = Job {
+        from,
+        deadline: now.plus(request.left.duration()),
+        due: now.plus(request.due.duration()),
+        results: vec![None; pieces as usize],
+        request,
+        reply,
+    };
+    let item = |piece| StageItem {
+        job: number,
+        piece,
+        due: job.due,
+        deadline: job.deadline,
+        priority: job.request.priority,
+        near: job.request.near.clone(),
+        result: job.request.result,
+        failures: 0,
+    };
+    stages.queue.borrow_mut().push((0..pieces).map(item));
+    gw.note_requests(&stages.service, pieces);
+    stages.by_request.borrow_mut().insert(job.key(), number);
+    stages.jobs.borrow_mut().insert(number, job);
+    pump(gw, &stages);
+    done.await.unwrap_or(StageReply::Failed(StageFailure::Cancelled))
+}
+
+/// Ends a stage whose request has ended. Results that were made are given up.
+pub(crate) fn cancel_stage(gw: &Rc<Gateway>, from: HostId, cancel: CancelRequest) {
+    let key = (from, cancel);
+    for stages in gw.stages.all() {
+        let number = stages.by_request.borrow().get(&key).copied();
+        if let Some(number) = number {
+            let made = stages.fail_job(number, StageFailure::Cancelled);
+            release_results(gw, &stages, made);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -0,0 +1,101 @@
+use masticstair_core::prelude::*;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+use std::time::Duration;
+
+/// Bounds of the latency buckets in seconds.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
+
+/// The service of a call and how it ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CallLabels {
+    service: String,
+    result: &'static str,
+}
+
+/// The route of a request and how it ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RouteLabels {
+    route: String,
+    outcome: &'static str,
+}
+
+/// The route of a request.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct LatencyLabels {
+    route: String,
+}
+
+/// The metrics of a gateway; clones count together.
+#[derive(Clone)]
+pub struct GatewayMetrics {
+    requests: Family<RouteLabels, Counter>,
+    first: Family<LatencyLabels, Histogram, fn() -> Histogram>,
+    calls: Family<CallLabels, Counter>,
+    call_time: Family<CallLabels, Histogram, fn() -> Histogram>,
+    /// Endpoints that take new work.
+    pub endpoints: Gauge,
+    /// The version of the catalog in force.
+    pub catalog: Gauge,
+    /// Connections that were opened to endpoints.
+    pub connections: Gauge,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        let new_histogram: fn() -> Histogram = || Histogram::new(LATENCY_BUCKETS);
+        Self {
+            requests: Family::default(),
+            first: Family::new_with_constructor(new_histogram),
+            calls: Family::default(),
+            call_time: Family::new_with_constructor(new_histogram),
+            endpoints: Gauge::default(),
+            catalog: Gauge::default(),
+            connections: Gauge::default(),
+        }
+    }
+}
+
+impl GatewayMetrics {
+    /// Adds the metrics to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("gateway");
+        registry.register("requests", "Requests that ended", self.requests.clone());
+        let help = "Time to the answer, or to the first event of a stream";
+        registry.register_with_unit("first_answer", help, Unit::Seconds, self.first.clone());
+        registry.register("calls", "Calls to endpoints", self.calls.clone());
+        let help = "Time of calls to endpoints";
+        registry.register_with_unit("call", help, Unit::Seconds, self.call_time.clone());
+        registry.register("endpoints", "Endpoints that take work", self.endpoints.clone());
+        registry.register("catalog", "Version of the catalog in force", self.catalog.clone());
+        let help = "Connections opened to endpoints";
+        registry.register("connections", help, self.connections.clone());
+    }
+
+    /// Counts a request that ended.
+    pub(crate) fn count_request(
+        &self,
+        route: Option<&RouteName>,
+        outcome: &'static str,
+        first: Option<Duration>,
+    ) {
+        let route = route.map(ToString::to_string).unwrap_or_default();
+        if let Some(first) = first {
+            let labels = LatencyLabels { route: route.clone() };
+            self.first.get_or_create(&labels).observe(first.as_secs_f64());
+        }
+        self.requests.get_or_create(&RouteLabels { route, outcome }).inc();
+    }
+
+    /// Counts a call to an endpoint.
+    pub(crate) fn count_call(&self, service: &ServiceName, result: &'static str, took: Duration) {
+        let labels = CallLabels { service: service.to_string(), result };
+        self.call_time.get_or_create(&labels).observe(took.as_secs_f64());
+        self.calls.get_or_create(&labels).inc();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/telemetry/story.rs
@@ -0,0 +1,61 @@
+use masticstair_core::prelude::*;
+use slog::info;
+use std::fmt::Write;
+use std::time::Duration;
+
+use crate::Gateway;
+use crate::front_end::RequestMeta;
+
+/// What happened to a request; logged as one line when it ends.
+#[derive(Clone, Debug)]
+pub(crate) struct Story {
+    pub(crate) call: CallId,
+    pub(crate) arrived: Timestamp,
+    pub(crate) catalog: CatalogVersion,
+    pub(crate) route: Option<RouteName>,
+    pub(crate) service: Option<ServiceName>,
+    /// When the stages were done.
+    pub(crate) staged: Option<Timestamp>,
+    /// When the answer or its first event came.
+    pub(crate) first: Option<Timestamp>,
+    /// The endpoints that were asked and how each call ended, in order.
+    pub(crate) attempts: String,
+    budget: Option<Millis>,
+}
+
+impl Story {
+    pub(crate) fn new(now: Timestamp, meta: &RequestMeta) -> Self {
+        Self {
+            call: meta.call.clone(),
+            arrived: now,
+            catalog: CatalogVersion::default(),
+            route: None,
+            service: None,
+            staged: None,
+            first: None,
+            attempts: String::new(),
+            budget: meta.budget,
+        }
+    }
+
+    /// Notes how a call to an endpoint ended.
+    pub(crate) fn note_attempt(&mut self, endpoint: &EndpointId, end: &str, took: Duration) {
+        let space = if self.attempts.is_empty() { "" } else { " " };
+        // Writing to a string does not fail.
+        let _ = write!(self.attempts, "{space}{endpoint}:{end}:{}ms", took.as_millis());
+    }
+
+    /// Writes the line and counts the request.
+    pub(crate) fn end(&self, gw: &Gateway, outcome: &'static str, detail: &str) {
+        let now = gw.now();
+        let since = |at: Timestamp| at.since(self.arrived).as_millis() as u64;
+        let first = self.first.map(|at| at.since(self.arrived));
+        gw.metrics.count_request(self.route.as_ref(), outcome, first);
+        info!(gw.log, "request"; "request" => %self.call, "outcome" => outcome,
+            "route" => self.route.as_ref().map(ToString::to_string),
+            "service" => self.service.as_ref().map(ToString::to_string),
+            "catalog" => %self.catalog, "budget_ms" => self.budget.map(|b| b.get()),
+            "staged_ms" => self.staged.map(since), "first_ms" => self.first.map(since),
+            "end_ms" => since(now), "attempts" => &self.attempts, "detail" => detail);
+    }
+}
--- a/crates/host/examples/gossip_bench.rs
+++ b/crates/host/examples/gossip_bench.rs
@@ -193,6 +193,7 @@
         identity: identity.clone(),
         address,
         data_centre: "north-1".parse()?,
+        durable: false,
         seeds: seed.into_iter().collect(),
         clock: Box::new(move || Timestamp::new(1_000_000).plus(start.elapsed())),
     });
--- a/crates/host/src/control/discovery.rs
+++ b/crates/host/src/control/discovery.rs
@@ -8,7 +8,7 @@
 use super::context::ControlContext;
 
 /// How often the leader looks for replicas.
-const INTERVAL: Duration = Duration::from_secs(2);
+const INTERVAL: Duration = Duration::from_millis(500);
 /// How long a host may take to answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
 
@@ -19,7 +19,8 @@
         if node.status().role != Role::Leader {
             continue;
         }
-        for host in &cx.membership.snapshot().hosts {
+        let snapshot = cx.membership.snapshot();
+        for host in snapshot.hosts.iter().filter(|h| h.record.durable) {
             let Some(peer) = &host.peer else { continue };
             let Ok(answer) = peer.formation(GroupId::FIRST, ANSWER_LIMIT).await else { continue };
             if let Some(id) = answer.replica {
--- a/crates/host/src/control/formation.rs
+++ b/crates/host/src/control/formation.rs
@@ -5,6 +5,7 @@
 use masticstair_net::peer::GroupId;
 use masticstair_store::consensus::{FormationAnswer, FormationDecision, Node, decide_formation};
 use slog::{info, warn};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::context::ControlContext;
@@ -16,12 +17,15 @@
 
 /// Runs until this replica has a log, or is to receive it from a leader.
 pub(super) async fn form_group(cx: ControlContext, node: Node) {
-    let initial = cx.state.cfg.initial_voters.clone();
     loop {
         let own = node.formation_answer();
         if !own.new {
             return;
         }
+        let Some(initial) = initial_voters(&cx) else {
+            monoio::time::sleep(ATTEMPT_INTERVAL).await;
+            continue;
+        };
         let me = own.replica.clone();
         let mut answers = vec![own];
         for host in initial.iter().filter(|h| **h != me.host) {
@@ -42,6 +46,20 @@
     }
 }
 
+/// Returns the hosts that form the group: those of the settings, or those at the seeds, whose names are
+/// known once all of them have been heard of.
+fn initial_voters(cx: &ControlContext) -> Option<Vec<HostId>> {
+    let cfg = &cx.state.cfg;
+    if !cfg.form_from_seeds {
+        return Some(cfg.initial_voters.clone());
+    }
+    let snapshot = cx.membership.snapshot();
+    let at = |seed: &SocketAddr| {
+        snapshot.hosts.iter().find(|h| h.record.address == *seed).map(|h| h.record.host.clone())
+    };
+    cfg.seeds.iter().map(at).collect()
+}
+
 /// Asks an initial voter for its folder; `None` when it does not answer or has none.
 async fn ask(cx: &ControlContext, host: &HostId) -> Option<FormationAnswer> {
     let record = cx.membership.host(host)?;
--- a/crates/host/src/control/handlers.rs
+++ b/crates/host/src/control/handlers.rs
@@ -1,17 +1,21 @@
 //! Answers the calls of peers that concern the replicated log.
 
+use futures_channel::oneshot;
 use futures_util::FutureExt;
 use masticstair_core::id::Term;
 use masticstair_core::message::{AppendRequest, SnapshotChunk, VoteRequest};
+use masticstair_gateway::GatewayEvent;
 use masticstair_net::peer::{
-    CallRefused, FormationAnswer, GroupId, Handler, InGroup, PeerHandlers, Proposal, ProposeReply,
-    ReadQuery, ReadReply,
+    CallRefused, FormationAnswer, GatewayMessage, GroupId, Handler, InGroup, PeerHandlers,
+    Proposal, ProposeReply, ReadQuery, ReadReply,
 };
 use masticstair_store::consensus::{Node, ProposeError, ReadError, Refusal};
 use std::fmt::Display;
 use std::future::Future;
+use std::sync::Arc;
 
 use super::leader_read::leader_read;
+use crate::state::HostState;
 
 /// Sets the handlers of the replicated log for a host with a replica.
 pub(super) fn install(handlers: &mut PeerHandlers, node: &Node) {
@@ -60,6 +64,26 @@
     });
 }
 
+/// Passes messages on to the gateway of this host.
+pub(super) fn install_gateway(handlers: &mut PeerHandlers, state: &Arc<HostState>) {
+    let state = state.clone();
+    handlers.gateway = Box::new(move |caller, message: GatewayMessage| {
+        let (reply, answer) = oneshot::channel();
+        let from = caller.host.clone();
+        state.tell_gateway(GatewayEvent::Message { from, content: message.content, reply });
+        let budget = message.budget;
+        async move {
+            let refused = |e: &dyn Display| CallRefused::new(e.to_string());
+            match monoio::time::timeout(budget, answer).await {
+                Ok(Ok(answer)) => Ok(answer),
+                Ok(Err(_)) => Err(refused(&"the message was not answered")),
+                Err(_) => Err(refused(&"the message was not answered in time")),
+            }
+        }
+        .boxed_local()
+    });
+}
+
 fn handler<Request: 'static, Reply: 'static, F, E: Display>(
     node: &Node,
     answer: impl Fn(Node, Request) -> F + 'static,
--- a/crates/host/src/control/node_start.rs
+++ b/crates/host/src/control/node_start.rs
@@ -1,6 +1,8 @@
 //! Starts the replica of a host with a data folder.
 
 use masticstair_core::message::Replica;
+use masticstair_core::prelude::*;
+use masticstair_gateway::GatewayEvent;
 use masticstair_store::consensus::{Config, Node, NodeParts, RestoreError, StateMachine};
 use masticstair_store::state::{ReplicatedState, StateClosures};
 use masticstair_store::storage::{self, StorageError, StorageHandle};
@@ -22,7 +24,11 @@
     folder: &Path,
 ) -> Result<(Node, StorageHandle), ControlStartError> {
     let (handle, found) = open_or_repair(state, folder)?;
-    let cfg = Config::default();
+    let cfg = Config {
+        replace_after: state.cfg.replace_voter_after,
+        target_voters: Slots::new(2 * state.cfg.disk_losses as u32 + 1),
+        ..Config::default()
+    };
     let me = Replica {
         id: found.identity,
         host: state.cfg.host.clone(),
@@ -67,6 +73,9 @@
         let (state, membership) = (state.clone(), membership.clone());
         move |replicated: &RefCell<ReplicatedState>| {
             let replicated = replicated.borrow();
+            if let Some(document) = replicated.catalog() {
+                state.tell_gateway(GatewayEvent::Catalog(document.clone()));
+            }
             if let (Some(in_force), Some(bundle)) = (replicated.in_force(), replicated.bundle()) {
                 install_committed(&state, &membership, in_force, bundle.clone());
             }
@@ -74,9 +83,9 @@
     });
     StateMachine {
         apply: Box::new(move |index, command| {
-            let before = a.borrow().revision();
+            let before = versions(&a);
             let reply = apply(index, command);
-            if a.borrow().revision() > before {
+            if versions(&a) != before {
                 on_apply(&a);
             }
             reply
@@ -90,3 +99,10 @@
         }),
     }
 }
+
+/// Returns what tells whether a command put something new in force.
+fn versions(replicated: &RefCell<ReplicatedState>) -> (Revision, CatalogVersion) {
+    let replicated = replicated.borrow();
+    let catalog = replicated.catalog().map(|document| document.version).unwrap_or_default();
+    (replicated.revision(), catalog)
+}
--- a/crates/host/src/control/thread.rs
+++ b/crates/host/src/control/thread.rs
@@ -133,6 +133,7 @@
         identity: identity.clone(),
         address: addr,
         data_centre: state.cfg.data_centre.clone(),
+        durable: state.cfg.data_folder.is_some(),
         seeds: state.cfg.seeds.clone().into(),
         clock: Box::new(move || clock.now()),
     });
@@ -148,6 +149,7 @@
     } else {
         handlers::install_without_replica(&mut peer_handlers);
     }
+    handlers::install_gateway(&mut peer_handlers, state);
     let server = PeerServer::new(listener, identity, peer_handlers);
     let (handle, jobs) = ControlHandle::new();
     // A host starts its control thread once.
--- /dev/null
+++ b/crates/host/src/daemon/gateway_thread.rs
@@ -0,0 +1,188 @@
+use futures_channel::{mpsc, oneshot};
+use futures_util::FutureExt;
+use masticstair_core::catalog::CatalogDocument;
+use masticstair_gateway::control::{CatalogStore, StoreError};
+use masticstair_gateway::front_end::FrontEnd;
+use masticstair_gateway::{GatewayEvent, GatewayParts, PeerHost, Peers, run_gateway};
+use masticstair_net::runtime::block_on;
+use masticstair_policy::catalog_register::CatalogReply;
+use masticstair_policy::membership::HostState as Liveness;
+use masticstair_store::state::{Answer, Command, Query, Reply};
+use slog::error;
+use std::io;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use super::StartError;
+use crate::control::{ControlError, ControlHandle};
+use crate::state::HostState;
+
+/// How long storing a small catalog may take; an operator asks another host after a second.
+const STORE_LIMIT: Duration = Duration::from_millis(900);
+
+/// How much longer a large one may take for each 64 KiB.
+const STORE_PER_64_KIB: Duration = Duration::from_millis(50);
+
+/// How long a read of the catalog may take.
+const READ_LIMIT: Duration = Duration::from_millis(800);
+
+/// The running thread of the gateway.
+pub struct GatewayThread {
+    stop: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl GatewayThread {
+    /// Stops taking clients and waits until their requests have ended.
+    pub fn stop(self) {
+        // A thread that has ended needs no word.
+        let _ = self.stop.send(());
+        let _ = self.thread.join();
+    }
+}
+
+/// Starts the thread of the gateway.
+///
+/// # Errors
+///
+/// Fails when the thread cannot be started.
+pub fn start_gateway(
+    state: &Arc<HostState>,
+    front_end: FrontEnd,
+    events: mpsc::UnboundedReceiver<GatewayEvent>,
+) -> Result<GatewayThread, StartError> {
+    let (stop, stopped) = oneshot::channel::<()>();
+    let state = state.clone();
+    let run = move || {
+        let log = state.log.clone();
+        let main = async {
+            match parts(&state, front_end, events) {
+                // A dropped sender means that the host is gone; stop as well.
+                Some(parts) => run_gateway(parts, stopped.map(|_| ())).await,
+                None => Err(io::Error::other("the settings name no gateway")),
+            }
+        };
+        if let Err(e) | Ok(Err(e)) = block_on(main) {
+            error!(log, "gateway ended"; "reason" => %e);
+            // A host whose gateway cannot run is of no use; the platform starts it again.
+            std::process::exit(1);
+        }
+    };
+    let thread = thread::Builder::new().name("gateway".into()).spawn(run)?;
+    Ok(GatewayThread { stop, thread })
+}
+
+fn parts(
+    state: &Arc<HostState>,
+    front_end: FrontEnd,
+    events: mpsc::UnboundedReceiver<GatewayEvent>,
+) -> Option<GatewayParts> {
+    Some(GatewayParts {
+        cfg: state.cfg.gateway.clone()?,
+        host: state.cfg.host.clone(),
+        incarnation: state.incarnation,
+        data_centre: state.cfg.data_centre.clone(),
+        front_end,
+        log: state.log.clone(),
+        metrics: state.metrics.gateway.clone(),
+        peers: peers(state),
+        store: CatalogStore { replace: replace(state), read: read(state) },
+        events,
+    })
+}
+
+/// Returns the live hosts of the membership. A host with a data folder is a control host.
+fn peers(state: &Arc<HostState>) -> Peers {
+    let state = state.clone();
+    Box::new(move || {
+        let Some(membership) = state.membership.get() else { return (Vec::new(), false) };
+        let snapshot = membership.snapshot();
+        let host = |view: &crate::membership::HostView| PeerHost {
+            host: view.record.host.clone(),
+            incarnation: view.record.incarnation,
+            is_control: view.record.durable,
+            is_alive: view.record.state == Liveness::Alive,
+            client: view.peer.clone(),
+        };
+        (snapshot.hosts.iter().map(host).collect(), snapshot.synced)
+    })
+}
+
+type Replace = Box<
+    dyn Fn(
+        CatalogDocument,
+    ) -> futures_util::future::LocalBoxFuture<'static, Result<CatalogReply, StoreError>>,
+>;
+
+fn replace(state: &Arc<HostState>) -> Replace {
+    let state = state.clone();
+    Box::new(move |document| {
+        let state = state.clone();
+        async move {
+            let control = control(&state)?;
+            let blocks = (document.content.len() / 65_536) as u32;
+            let limit = STORE_LIMIT + STORE_PER_64_KIB * blocks;
+            let reply = control.propose(&Command::Catalog(document), limit).await;
+            let reply = match reply.map_err(store_error)? {
+                Reply::Catalog(reply) => reply,
+                other => return Err(StoreError::Unknown(format!("{other:?}").into())),
+            };
+            check_durable(&state, &control).await?;
+            Ok(reply)
+        }
+        .boxed_local()
+    })
+}
+
+/// Checks that enough voters have synced what was committed: a group that was formed from fewer hosts than it
+/// shall have accepts with fewer disks than may be lost.
+async fn check_durable(state: &HostState, control: &ControlHandle) -> Result<(), StoreError> {
+    let wanted = 2 * state.cfg.disk_losses + 1;
+    // Three voters are there from the start.
+    if wanted <= 3 {
+        return Ok(());
+    }
+    let snapshot = state.membership.get().map(|m| m.snapshot()).unwrap_or_default();
+    let durable = snapshot.hosts.iter().filter(|h| h.record.durable).count();
+    let status = control.leader_status(STORE_LIMIT).await.map_err(store_error)?;
+    let voters = status.voters.iter().filter(|v| v.voter).count();
+    if voters < wanted.min(durable) {
+        let reason = format!("the log has {voters} voters ({wanted} are wanted)");
+        return Err(StoreError::Unknown(reason.into()));
+    }
+    Ok(())
+}
+
+type Read = Box<
+    dyn Fn() -> futures_util::future::LocalBoxFuture<
+        'static,
+        Result<Option<CatalogDocument>, StoreError>,
+    >,
+>;
+
+fn read(state: &Arc<HostState>) -> Read {
+    let state = state.clone();
+    Box::new(move || {
+        let state = state.clone();
+        async move {
+            match control(&state)?.read(&Query::Catalog, READ_LIMIT).await.map_err(store_error)? {
+                Answer::Catalog(document) => Ok(document),
+                other => Err(StoreError::Unknown(format!("{other:?}").into())),
+            }
+        }
+        .boxed_local()
+    })
+}
+
+fn control(state: &HostState) -> Result<ControlHandle, StoreError> {
+    let starting = || StoreError::NotStored("the control thread has not started".into());
+    state.control.get().cloned().ok_or_else(starting)
+}
+
+fn store_error(e: ControlError) -> StoreError {
+    match e {
+        ControlError::NotProposed(reason) => StoreError::NotStored(reason),
+        ControlError::Unknown(reason) => StoreError::Unknown(reason),
+    }
+}
--- a/crates/host/src/daemon/mod.rs
+++ b/crates/host/src/daemon/mod.rs
@@ -1,7 +1,9 @@
 //! Starts and stops the threads of a host.
 
+mod gateway_thread;
 mod run;
 mod worker;
 
+pub use gateway_thread::{GatewayThread, start_gateway};
 pub use run::{RunError, run};
 pub use worker::{StartError, Workers, start_workers};
--- a/crates/host/src/daemon/run.rs
+++ b/crates/host/src/daemon/run.rs
@@ -1,3 +1,5 @@
+use masticstair_gateway::event_channel;
+use masticstair_gateway::front_end::FrontEnd;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use slog::{info, warn};
@@ -7,7 +9,7 @@
 use std::time::Instant;
 use thiserror::Error;
 
-use super::{StartError, start_workers};
+use super::{StartError, start_gateway, start_workers};
 use crate::control::{ControlStartError, start_control};
 use crate::settings::Settings;
 use crate::state::HostState;
@@ -32,15 +34,25 @@
 /// # Errors
 ///
 /// Fails when the host cannot start.
-pub fn run(cfg: Settings) -> Result<(), RunError> {
+pub fn run(cfg: Settings, front_end: FrontEnd) -> Result<(), RunError> {
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let level = cfg.log_level.slog();
-    let (log, _guard) = json_logger(io::stderr(), level, &cfg.host, &cfg.data_centre);
+    let (log, _guard) = json_logger(io::stdout(), level, &cfg.host, &cfg.data_centre);
     for warning in cfg.warnings() {
         warn!(log, "settings"; "warning" => warning.as_ref());
     }
     let state = Arc::new(HostState::new(cfg, log.clone()));
+    let events = state.cfg.gateway.as_ref().map(|_| {
+        let (tx, rx) = event_channel();
+        // A host starts its gateway once.
+        let _ = state.gateway.set(tx);
+        rx
+    });
     let control = start_control(&state)?;
+    let gateway = match events {
+        Some(events) => Some(start_gateway(&state, front_end, events)?),
+        None => None,
+    };
     let workers = start_workers(&state)?;
     info!(log, "started"; "listen" => workers.addr.to_string(),
         "peer_listen" => control.peer_addr.to_string(), "workers" => state.cfg.workers);
@@ -55,6 +67,9 @@
     });
     state.drain.leave();
     let left = Instant::now();
+    if let Some(gateway) = gateway {
+        gateway.stop();
+    }
     thread::sleep(state.cfg.drain_notice.duration());
     state.drain.close();
     workers.stop();
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -22,7 +22,9 @@
 
 fn execute(command: Command) -> Result<(), Box<dyn Error>> {
     match command {
-        Command::Run { config } => run(Settings::load(&config)?)?,
+        Command::Run { config } => {
+            run(Settings::load(&config)?, masticstair_platform::front_end())?
+        }
         Command::Check { configs } => check(&configs)?,
     }
     Ok(())
--- a/crates/host/src/membership/config.rs
+++ b/crates/host/src/membership/config.rs
@@ -15,6 +15,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// Whether it has a data folder.
+    pub durable: bool,
     /// Addresses of hosts to join; may contain this one.
     pub seeds: Box<[SocketAddr]>,
     /// The clock of this process.
--- a/crates/host/src/membership/membership.rs
+++ b/crates/host/src/membership/membership.rs
@@ -40,6 +40,7 @@
             state: HostState::Alive,
             address: cfg.address,
             data_centre: cfg.data_centre,
+            durable: cfg.durable,
         };
         let seeds: Box<[_]> = cfg.seeds.iter().copied().filter(|s| *s != cfg.address).collect();
         Arc::new(Self {
--- a/crates/host/src/settings/mod.rs
+++ b/crates/host/src/settings/mod.rs
@@ -4,6 +4,7 @@
 mod error;
 mod log_level;
 mod read;
+mod read_gateway;
 
 pub use cross_check::cross_check;
 pub use error::SettingsError;
@@ -13,6 +14,7 @@
 use masticstair_core::id::{DeploymentName, RegionId};
 use masticstair_core::prelude::*;
 use masticstair_core::toml_reader::read_document;
+use masticstair_gateway::GatewayConfig;
 use masticstair_net::http::server::ServerLimits;
 use std::fs;
 use std::net::SocketAddr;
@@ -49,6 +51,14 @@
     pub drain_notice: Millis,
     /// The lowest level that is logged.
     pub log_level: LogLevel,
+    /// Whether the hosts at `seeds` form the first group of voters, whatever their names are.
+    pub form_from_seeds: bool,
+    /// Hosts with a disk that may be lost at the same time without the loss of what was acknowledged.
+    pub disk_losses: usize,
+    /// How long a voter may be unreachable before another host replaces it.
+    pub replace_voter_after: Millis,
+    /// The gateway, on hosts that serve the routes of a catalog.
+    pub gateway: Option<GatewayConfig>,
     /// How many of 100 requests without a sampled `traceparent` are traced.
     pub trace_percent: u8,
 }
--- a/crates/host/src/settings/read.rs
+++ b/crates/host/src/settings/read.rs
@@ -5,8 +5,10 @@
 use masticstair_core::toml_reader::TomlReader;
 use masticstair_net::http::server::{LargeBody, ServerLimits};
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use super::read_gateway::read_gateway;
 use super::{LogLevel, Settings};
 use crate::http_api::BUNDLES_PATH;
 
@@ -15,6 +17,12 @@
 /// Bundles that a worker reads at the same time; operators seldom submit at once.
 const BUNDLE_BODIES: Slots = Slots::new(2);
 
+/// Long enough for a host to restart.
+const REPLACE_VOTER_AFTER_MS: u64 = 60_000;
+
+/// Two of five voters may be lost.
+const DISK_LOSSES: u64 = 2;
+
 /// More voters than this slow down every commit and gain no failure that matters.
 const MAX_VOTERS: usize = 7;
 
@@ -26,7 +34,7 @@
     let listen = r.text("listen");
     let peer_listen = r.text("peer_listen");
     let workers = r.number_or("workers", 1..=256, 1);
-    let seeds = r.texts("seeds");
+    let seeds = read_seeds(r);
     let data_folder = r.optional_text::<PathBuf>("data_folder");
     let initial_voters = r.texts::<HostId>("initial_voters");
     let operators = r.tables("operators", read_operator);
@@ -34,6 +42,11 @@
     let drain_notice = r.number_or("drain_notice_ms", 0..=600_000, 5_000);
     let log_level = r.text_or("log_level", LogLevel::Info);
     let trace_percent = r.number_or("trace_percent", 0..=100, 1);
+    let form_from_seeds = r.flag_or("form_from_seeds", false);
+    let disk_losses = r.number_or("disk_losses", 0..=3, DISK_LOSSES);
+    let replace_voter_after =
+        r.number_or("replace_voter_after_ms", 500..=3_600_000, REPLACE_VOTER_AFTER_MS);
+    let gateway = read_gateway(r);
     check_voters(r, initial_voters.as_deref().unwrap_or_default());
     Some(Settings {
         deployment: deployment?,
@@ -51,9 +64,23 @@
         drain_notice: Millis::new(drain_notice?),
         log_level: log_level?,
         trace_percent: trace_percent? as u8,
+        form_from_seeds: form_from_seeds?,
+        disk_losses: disk_losses? as usize,
+        replace_voter_after: Millis::new(replace_voter_after?),
+        gateway: gateway?,
     })
 }
 
+/// Reads the seeds. With `seed_port` they are addresses of another listener of the same hosts.
+fn read_seeds(r: &TomlReader<'_>) -> Option<Vec<SocketAddr>> {
+    let mut seeds = r.texts::<SocketAddr>("seeds")?;
+    let port = r.number_or("seed_port", 0..=65_535, 0)? as u16;
+    if port != 0 {
+        seeds.iter_mut().for_each(|seed| seed.set_port(port));
+    }
+    Some(seeds)
+}
+
 fn check_voters(r: &TomlReader<'_>, voters: &[HostId]) {
     let distinct: HashSet<_> = voters.iter().collect();
     if distinct.len() < voters.len() {
--- a/crates/host/src/state/mod.rs
+++ b/crates/host/src/state/mod.rs
@@ -10,8 +10,10 @@
 pub use drain::{Drain, InFlight};
 pub use serving::NotServing;
 
+use futures_channel::mpsc::UnboundedSender;
 use masticstair_core::id::ModelName;
 use masticstair_core::prelude::*;
+use masticstair_gateway::GatewayEvent;
 use masticstair_net::http::server::ConnectionCount;
 use masticstair_policy::endpoint_table::EndpointView;
 use slog::Logger;
@@ -44,6 +46,8 @@
     pub control: OnceLock<ControlHandle>,
     /// What is known of the other hosts, once the control thread runs.
     pub membership: OnceLock<Arc<Membership>>,
+    /// The way to the thread of the gateway, on hosts that have one.
+    pub gateway: OnceLock<UnboundedSender<GatewayEvent>>,
     /// Requests in flight and whether the host leaves.
     pub drain: Drain,
     /// Open connections.
@@ -65,11 +69,20 @@
             in_force: InForce::default(),
             control: OnceLock::new(),
             membership: OnceLock::new(),
+            gateway: OnceLock::new(),
             drain: Drain::default(),
             connections: ConnectionCount::default(),
         }
     }
 
+    /// Tells the gateway something, on hosts that have one.
+    pub fn tell_gateway(&self, event: GatewayEvent) {
+        if let Some(gateway) = self.gateway.get() {
+            // A gateway that has ended needs no word.
+            let _ = gateway.unbounded_send(event);
+        }
+    }
+
     /// Tells whether a process is known to have ended: its host is gone or has a later life.
     pub fn is_host_gone(&self, host: &HostId, incarnation: Incarnation) -> bool {
         let Some(membership) = self.membership.get() else { return false };
--- a/crates/host/src/telemetry/metrics.rs
+++ b/crates/host/src/telemetry/metrics.rs
@@ -1,5 +1,6 @@
 use masticstair_core::endpoint_api::Usage;
 use masticstair_core::prelude::*;
+use masticstair_gateway::telemetry::GatewayMetrics;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -62,6 +63,8 @@
     pub revision: Gauge,
     /// Requests in flight.
     pub in_flight: Gauge,
+    /// The metrics of the gateway.
+    pub gateway: GatewayMetrics,
 }
 
 impl Default for Metrics {
@@ -78,6 +81,7 @@
             endpoints: Gauge::default(),
             revision: Gauge::default(),
             in_flight: Gauge::default(),
+            gateway: GatewayMetrics::default(),
             registry: Registry::default(),
         };
         registry.register("requests", "Requests that ended", metrics.requests.clone());
@@ -94,6 +98,7 @@
         registry.register("endpoints", "Endpoints that are ready", metrics.endpoints.clone());
         registry.register("revision", "Revision in force", metrics.revision.clone());
         registry.register("requests_in_flight", "Requests in flight", metrics.in_flight.clone());
+        metrics.gateway.register(&mut registry);
         Self { registry, ..metrics }
     }
 }
--- a/crates/host/tests/membership/cluster.rs
+++ b/crates/host/tests/membership/cluster.rs
@@ -64,6 +64,7 @@
             identity: identity.clone(),
             address: link.address,
             data_centre: "dc-1".parse().unwrap(),
+            durable: false,
             seeds: seeds.into(),
             clock: Box::new(move || Timestamp::new(1_000_000).plus(start.elapsed())),
         });
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -2,5 +2,6 @@
 //! reaches endpoints.
 
 pub mod client;
+pub mod relay;
 pub mod server;
 pub mod sse;
--- /dev/null
+++ b/crates/net/src/http/relay/relay_connection.rs
@@ -0,0 +1,54 @@
+use bytes::Bytes;
+use futures_util::future::{AbortHandle, Abortable};
+use http_body_util::Full;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use masticstair_core::unit::Millis;
+use monoio::io::IntoPollIo;
+use monoio::net::TcpStream;
+use monoio_compat::hyper::MonoioIo;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use super::RelayError;
+
+/// A connection to an endpoint. Dropping it closes the connection, which cancels the request on it.
+pub(super) struct RelayConnection {
+    pub(super) addr: SocketAddr,
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    /// When the endpoint last completed an answer on this connection.
+    pub(super) last_answer: Instant,
+    task: AbortHandle,
+}
+
+impl RelayConnection {
+    /// Connects within a time.
+    pub(super) async fn open(addr: SocketAddr, limit: Duration) -> Result<Self, RelayError> {
+        let connect = async {
+            let stream = TcpStream::connect(addr).await?;
+            // Requests are written whole; waiting for more data would only delay them.
+            stream.set_nodelay(true)?;
+            stream.into_poll_io()
+        };
+        let stream = match monoio::time::timeout(limit, connect).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(source)) => return Err(RelayError::Connect { addr, source }),
+            Err(_) => {
+                let limit = Millis::new(limit.as_millis() as u64);
+                return Err(RelayError::ConnectTimeout(addr, limit));
+            }
+        };
+        let (sender, connection) = handshake(MonoioIo::new(stream))
+            .await
+            .map_err(|e| RelayError::Connect { addr, source: std::io::Error::other(e) })?;
+        let (task, registration) = AbortHandle::new_pair();
+        // Errors of the connection reach the request that waits on it.
+        monoio::spawn(Abortable::new(connection, registration));
+        Ok(Self { addr, sender, last_answer: Instant::now(), task })
+    }
+}
+
+impl Drop for RelayConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/crates/net/src/http/relay/relay_pool.rs
@@ -0,0 +1,120 @@
+use http::header::CONNECTION;
+use http::{HeaderMap, Request, Uri};
+use http_body_util::Full;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::relay_connection::RelayConnection;
+use super::{RelayBody, RelayCall, RelayError, RelayHead};
+
+/// Unused connections that are kept for one endpoint.
+const IDLE_PER_ENDPOINT: usize = 32;
+
+/// The connections of one worker to the endpoints.
+#[derive(Clone, Default)]
+pub struct RelayPool(Rc<Inner>);
+
+#[derive(Default)]
+struct Inner {
+    /// Unused connections; the one used last is at the end.
+    idle: RefCell<HashMap<SocketAddr, Vec<RelayConnection>>>,
+    opened: Cell<u64>,
+}
+
+impl RelayPool {
+    /// Sends a request and returns the head of the answer and its body, which is still to be read.
+    ///
+    /// Dropping the future or the body closes the connection, which cancels the request.
+    ///
+    /// # Errors
+    ///
+    /// `RelayError::may_have_sent` tells whether the endpoint may have got the request.
+    pub async fn send(&self, call: RelayCall) -> Result<(RelayHead, RelayBody), RelayError> {
+        let RelayCall { addr, method, target, headers, body, connect_timeout, max_idle } = call;
+        let mut req = Request::new(Full::new(body));
+        *req.method_mut() = method;
+        *req.uri_mut() = target.parse::<Uri>().map_err(http::Error::from)?;
+        *req.headers_mut() = headers;
+        loop {
+            let kept = self.take_idle(addr, max_idle);
+            let new_connection = kept.is_none();
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => {
+                    self.0.opened.set(self.0.opened.get() + 1);
+                    RelayConnection::open(addr, connect_timeout).await?
+                }
+            };
+            match connection.sender.try_send_request(req).await {
+                Ok(response) => {
+                    let (head, body) = response.into_parts();
+                    let keep = !is_closing(&head.headers);
+                    let body = RelayBody::new(self.clone(), body, connection, keep);
+                    let head =
+                        RelayHead { status: head.status, headers: head.headers, new_connection };
+                    return Ok((head, body));
+                }
+                Err(mut e) => match e.take_message() {
+                    // The endpoint had closed the kept connection.
+                    Some(unsent) if !new_connection => req = unsent,
+                    Some(_) => return Err(RelayError::NotSent(addr)),
+                    None => {
+                        // Connections of the same age have likely been lost with this one.
+                        self.forget(addr);
+                        return Err(RelayError::Broken(addr, e.into_error().to_string().into()));
+                    }
+                },
+            }
+        }
+    }
+
+    /// Closes the unused connections to an endpoint.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.0.idle.borrow_mut().remove(&addr);
+    }
+
+    /// Closes connections that were not used for longer than `limit`.
+    pub fn close_idle(&self, limit: Duration) {
+        self.0.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|c| c.last_answer.elapsed() < limit && !c.sender.is_closed());
+            !connections.is_empty()
+        });
+    }
+
+    /// Returns how many connections were opened.
+    pub fn opened(&self) -> u64 {
+        self.0.opened.get()
+    }
+
+    fn take_idle(&self, addr: SocketAddr, max_idle: Duration) -> Option<RelayConnection> {
+        let mut idle = self.0.idle.borrow_mut();
+        let connections = idle.get_mut(&addr)?;
+        connections.retain(|c| !c.sender.is_closed());
+        let young = connections.last()?.last_answer.elapsed() <= max_idle;
+        if young { connections.pop() } else { None }
+    }
+
+    /// Keeps a connection once it is ready for another request. Bytes behind the answer close it.
+    pub(super) fn put_back(&self, mut connection: RelayConnection) {
+        let pool = self.clone();
+        monoio::spawn(async move {
+            if connection.sender.ready().await.is_err() {
+                return;
+            }
+            connection.last_answer = Instant::now();
+            let mut idle = pool.0.idle.borrow_mut();
+            let connections = idle.entry(connection.addr).or_default();
+            if connections.len() < IDLE_PER_ENDPOINT {
+                connections.push(connection);
+            }
+        });
+    }
+}
+
+fn is_closing(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(CONNECTION).iter().filter_map(|v| v.to_str().ok());
+    values.any(|v| v.split(',').any(|token| token.trim().eq_ignore_ascii_case("close")))
+}
--- a/crates/net/src/http/server/connection.rs
+++ b/crates/net/src/http/server/connection.rs
@@ -106,7 +106,7 @@
     let mut out = http::Response::new(ResponseBody(response.body));
     *out.status_mut() = response.status;
     *out.headers_mut() = response.headers;
-    if let ResponseBody(ResponseContent::Stream(_)) = out.body() {
+    if !matches!(out.body(), ResponseBody(ResponseContent::Full(_))) {
         out.headers_mut().remove(http::header::CONTENT_LENGTH);
     }
     out
--- a/crates/net/src/http/server/mod.rs
+++ b/crates/net/src/http/server/mod.rs
@@ -11,7 +11,7 @@
 mod response;
 mod response_body;
 
-pub use body_stream::{BodyClosed, BodySender, BodyStream, body_stream};
+pub use body_stream::{BodyAborted, BodyClosed, BodySender, BodyStream, body_stream};
 pub use connection_count::ConnectionCount;
 pub use large_body::LargeBody;
 pub use limits::ServerLimits;
--- a/crates/net/src/http/server/response_body.rs
+++ b/crates/net/src/http/server/response_body.rs
@@ -1,30 +1,32 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http_body::{Body, Frame, SizeHint};
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use super::ResponseContent;
+use super::{BodyAborted, ResponseContent};
 
 /// Hands the content of a response to the connection.
 pub(super) struct ResponseBody(pub(super) ResponseContent);
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = BodyAborted;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match &mut self.0 {
             ResponseContent::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
             ResponseContent::Full(bytes) => {
                 Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes)))))
             }
+            ResponseContent::Events(events) => {
+                events.poll_next_unpin(cx).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
             ResponseContent::Stream(stream) => {
-                stream.poll_next_unpin(cx).map(|piece| piece.map(|bytes| Ok(Frame::data(bytes))))
+                stream.poll_next_unpin(cx).map(|piece| piece.map(|piece| piece.map(Frame::data)))
             }
         }
     }
@@ -36,7 +38,7 @@
     fn size_hint(&self) -> SizeHint {
         match &self.0 {
             ResponseContent::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            ResponseContent::Stream(_) => SizeHint::new(),
+            ResponseContent::Events(_) | ResponseContent::Stream(_) => SizeHint::new(),
         }
     }
 }
--- a/crates/net/src/peer/calls.rs
+++ b/crates/net/src/peer/calls.rs
@@ -4,8 +4,8 @@
 
 use super::limits::MESSAGE_LIMIT;
 use super::{
-    BundleChunk, BundleRequest, FormationAnswer, GroupId, PeerClient, PeerError, ProbeRequest,
-    Proposal, ProposeReply, ReadQuery, ReadReply, wire,
+    BundleChunk, BundleRequest, FormationAnswer, GatewayMessage, GroupId, PeerClient, PeerError,
+    ProbeRequest, Proposal, ProposeReply, ReadQuery, ReadReply, wire,
 };
 use masticstair_core::message::{
     AppendReply, AppendRequest, SnapshotChunk, SnapshotReply, VoteReply, VoteRequest,
@@ -185,6 +185,23 @@
         .await
     }
 
+    /// Sends a message of the gateway; the budget of the message is the deadline of the call.
+    ///
+    /// # Errors
+    ///
+    /// See `vote`.
+    pub async fn gateway(&self, message: GatewayMessage) -> Result<Box<[u8]>, PeerError> {
+        self.call(message.budget, move |peer| {
+            let mut call = peer.gateway_request();
+            call.get().set_request(&message.content);
+            call.get().set_budget_ms(budget_ms(message.budget));
+            check_size(call.get().into_reader().total_size())?;
+            let sent = call.send().promise;
+            Ok(Box::pin(async move { Ok(sent.await?.get()?.get_reply()?.into()) }))
+        })
+        .await
+    }
+
     /// Asks whether the data folder of the peer is new.
     ///
     /// # Errors
--- a/crates/net/src/peer/handlers.rs
+++ b/crates/net/src/peer/handlers.rs
@@ -1,8 +1,8 @@
 use std::future::ready;
 
 use super::{
-    BundleChunk, BundleRequest, CallRefused, FormationAnswer, GroupId, InGroup, PeerIdentity,
-    ProbeRequest, Proposal, ProposeReply, ReadQuery, ReadReply,
+    BundleChunk, BundleRequest, CallRefused, FormationAnswer, GatewayMessage, GroupId, InGroup,
+    PeerIdentity, ProbeRequest, Proposal, ProposeReply, ReadQuery, ReadReply,
 };
 use futures_util::future::LocalBoxFuture;
 use masticstair_core::message::{
@@ -34,6 +34,8 @@
     pub bundle: Handler<BundleRequest, BundleChunk>,
     /// Whether the data folder is new.
     pub formation: Handler<GroupId, FormationAnswer>,
+    /// A message of the gateway; an answer after the budget is dropped by the caller.
+    pub gateway: Handler<GatewayMessage, Box<[u8]>>,
 }
 
 impl PeerHandlers {
@@ -49,6 +51,7 @@
             probe: refuse("probe"),
             bundle: refuse("bundle"),
             formation: refuse("formation"),
+            gateway: refuse("gateway"),
         }
     }
 }
--- a/crates/net/src/peer/service.rs
+++ b/crates/net/src/peer/service.rs
@@ -5,8 +5,8 @@
 use super::call_slot::CallSlot;
 use super::limits::{ANSWER_MARGIN, MESSAGE_LIMIT};
 use super::{
-    BundleRequest, CallRefused, GroupId, InGroup, PeerHandlers, PeerIdentity, ProbeRequest,
-    Proposal, ProposeReply, ReadQuery, ReadReply, wire,
+    BundleRequest, CallRefused, GatewayMessage, GroupId, InGroup, PeerHandlers, PeerIdentity,
+    ProbeRequest, Proposal, ProposeReply, ReadQuery, ReadReply, wire,
 };
 use crate::generated::peer_capnp::peer;
 use masticstair_core::id::Revision;
@@ -158,6 +158,21 @@
         wire::formation::write_answer(results.get().init_answer(), answer);
         Ok(())
     }
+
+    async fn gateway(
+        self: Rc<Self>,
+        params: peer::GatewayParams,
+        mut results: peer::GatewayResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = CallSlot::take(&self.in_flight)?;
+        let params = params.get()?;
+        let budget = answer_budget(params.get_budget_ms());
+        let message = GatewayMessage { content: params.get_request()?.into(), budget };
+        let reply = (self.handlers.gateway)(&self.caller, message).await?;
+        let mut out = results.get();
+        out.set_reply(&reply);
+        check_size(out.into_reader().total_size()?.word_count)
+    }
 }
 
 /// Keeps a part of the caller's deadline for the way back.
--- a/crates/net/src/peer/wire/host_record.rs
+++ b/crates/net/src/peer/wire/host_record.rs
@@ -14,6 +14,7 @@
     out.set_data_centre(record.data_centre.as_str());
     out.set_incarnation(record.incarnation.get());
     out.set_refutation(record.refutation.get());
+    out.set_durable(record.durable);
     out.set_state(match record.state {
         HostState::Alive => WireState::Alive,
         HostState::Suspect => WireState::Suspect,
@@ -37,5 +38,6 @@
         state,
         address: address::read("host address", news.get_address())?,
         data_centre: read_name("data centre", news.get_data_centre())?,
+        durable: news.get_durable(),
     })
 }
--- a/crates/net/src/peer/wire/tests.rs
+++ b/crates/net/src/peer/wire/tests.rs
@@ -28,6 +28,7 @@
         state: HostState::Suspect,
         address: "[::1]:7000".parse().unwrap(),
         data_centre: "dc-1".parse().unwrap(),
+        durable: true,
     };
     let endpoint = EndpointRecord {
         id: "engine-1".parse().unwrap(),
--- /dev/null
+++ b/crates/policy/src/directory/directory_table.rs
@@ -0,0 +1,103 @@
+use masticstair_core::prelude::*;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::feed::Feed;
+use super::{FeedReply, ServingEndpoint, ServingState};
+
+/// How long the listing of a control host counts after its last reply. An endpoint whose control host is
+/// lost announces itself to another one within a few heartbeats.
+const FEED_RETENTION: Duration = Duration::from_secs(6);
+
+/// What an entry host knows of the endpoints.
+///
+/// While no control host answers, the last listings count on, so that traffic goes on without control.
+#[derive(Debug, Default)]
+pub struct Directory {
+    feeds: HashMap<HostId, Feed>,
+    ready: HashMap<ServiceName, Arc<[Arc<ServingEndpoint>]>>,
+}
+
+impl Directory {
+    /// Returns the process and the position that the next reply of a control host shall go on from; the
+    /// position is 0 when a complete listing is needed.
+    pub fn position(&self, control: &HostId) -> (Incarnation, u64) {
+        match self.feeds.get(control).filter(|feed| feed.settled) {
+            Some(feed) => (feed.incarnation, feed.position),
+            None => (Incarnation::default(), 0),
+        }
+    }
+
+    /// Takes a reply of a control host; tells whether the endpoints that serve changed.
+    pub fn take(&mut self, now: Timestamp, control: &HostId, reply: FeedReply) -> bool {
+        let feed = self.feeds.entry(control.clone()).or_default();
+        let returned = now.since(feed.heard) >= FEED_RETENTION;
+        let changed = feed.take(now, reply) || returned;
+        changed && self.refresh(now)
+    }
+
+    /// Joins the listings again; tells whether the endpoints that serve changed.
+    pub fn refresh(&mut self, now: Timestamp) -> bool {
+        let is_fresh = |feed: &&Feed| now.since(feed.heard) < FEED_RETENTION;
+        let any_fresh = self.feeds.values().any(|feed| is_fresh(&feed));
+        let mut newest: HashMap<&EndpointId, &Arc<ServingEndpoint>> = HashMap::new();
+        let mut fresh: HashMap<&EndpointId, ()> = HashMap::new();
+        for feed in self.feeds.values() {
+            let counts = !any_fresh || is_fresh(&feed);
+            for (id, endpoint) in &feed.listed {
+                if counts {
+                    fresh.insert(id, ());
+                }
+                // A stale listing still tells that an endpoint ended.
+                let known = newest.entry(id).or_insert(endpoint);
+                if endpoint.supersedes(known) {
+                    *known = endpoint;
+                }
+            }
+        }
+        newest.retain(|id, _| fresh.contains_key(id));
+        let serving = newest_at_address(newest.into_values());
+        let mut ready: HashMap<ServiceName, Vec<Arc<ServingEndpoint>>> = HashMap::new();
+        for endpoint in serving.into_values().filter(|e| e.state == ServingState::Ready) {
+            ready.entry(endpoint.service.clone()).or_default().push(endpoint.clone());
+        }
+        let mut joined = HashMap::new();
+        for (service, mut endpoints) in ready {
+            endpoints.sort_by(|a, b| a.id.cmp(&b.id));
+            joined.insert(service, Arc::from(endpoints));
+        }
+        let changed = joined != self.ready;
+        self.ready = joined;
+        changed
+    }
+
+    /// Returns the endpoints of a service that take new work, by id.
+    pub fn ready(&self, service: &ServiceName) -> Arc<[Arc<ServingEndpoint>]> {
+        self.ready.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Returns the number of endpoints that take new work.
+    pub fn ready_count(&self) -> usize {
+        self.ready.values().map(|endpoints| endpoints.len()).sum()
+    }
+
+    /// Returns how many control hosts have replied within a time.
+    pub fn fresh_feeds(&self, now: Timestamp, within: Duration) -> usize {
+        self.feeds.values().filter(|feed| now.since(feed.heard) < within).count()
+    }
+}
+
+/// Keeps the latest life at each address: an address is given to another endpoint after the first one ended.
+fn newest_at_address<'a>(
+    endpoints: impl Iterator<Item = &'a Arc<ServingEndpoint>>,
+) -> HashMap<std::net::SocketAddr, &'a Arc<ServingEndpoint>> {
+    let mut by_address: HashMap<_, &Arc<ServingEndpoint>> = HashMap::new();
+    for endpoint in endpoints {
+        let known = by_address.entry(endpoint.address).or_insert(endpoint);
+        if endpoint.incarnation > known.incarnation {
+            *known = endpoint;
+        }
+    }
+    by_address
+}
--- a/crates/policy/src/membership/host_record.rs
+++ b/crates/policy/src/membership/host_record.rs
@@ -21,6 +21,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// Whether it has a data folder, and so can hold a replica of the log.
+    pub durable: bool,
 }
 
 impl HostRecord {
--- a/crates/policy/src/membership/tests.rs
+++ b/crates/policy/src/membership/tests.rs
@@ -16,6 +16,7 @@
         state,
         address: "127.0.0.1:7000".parse().unwrap(),
         data_centre: "dc-1".parse().unwrap(),
+        durable: true,
     }
 }
 
--- /dev/null
+++ b/crates/policy/src/stage_queue/queue.rs
@@ -0,0 +1,85 @@
+use masticstair_core::prelude::*;
+use std::time::Duration;
+
+use super::{EndpointOffer, JobNumber, StageItem};
+
+/// What one step of priority is worth against the time to the objective. Priorities decide among requests
+/// of about the same age; they do not starve those that wait long.
+const PRIORITY_STEP: Duration = Duration::from_millis(250);
+
+/// Items of one service that wait for a call.
+#[derive(Debug, Default)]
+pub struct StageQueue {
+    waiting: Vec<StageItem>,
+}
+
+impl StageQueue {
+    /// Adds items.
+    pub fn push(&mut self, items: impl IntoIterator<Item = StageItem>) {
+        self.waiting.extend(items);
+    }
+
+    /// Returns how many items wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Tells whether no item waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns how many items wait for a data centre.
+    pub fn near(&self, data_centre: &DataCentreId) -> usize {
+        self.waiting.iter().filter(|item| item.near.as_ref() == Some(data_centre)).count()
+    }
+
+    /// Drops the items of a stage that is no longer needed.
+    pub fn drop_job(&mut self, job: JobNumber) {
+        self.waiting.retain(|item| item.job != job);
+    }
+
+    /// Takes out the items that a call that begins now cannot end in time, and returns their stages.
+    pub fn take_hopeless(&mut self, now: Timestamp, call: Duration) -> Vec<JobNumber> {
+        let end = now.plus(call);
+        let mut jobs: Vec<_> =
+            self.waiting.iter().filter(|item| item.deadline < end).map(|item| item.job).collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        self.waiting.retain(|item| jobs.binary_search(&item.job).is_err());
+        jobs
+    }
+
+    /// Takes the items of the next call of an endpoint: those that can still be on time go first, the most
+    /// urgent of them first, and among items of about the same urgency those that are needed near the
+    /// endpoint.
+    pub fn take_call(&mut self, now: Timestamp, offer: &EndpointOffer) -> Vec<StageItem> {
+        let end = now.plus(offer.full_call);
+        self.waiting.sort_by_key(|item| rank(item, end, &offer.data_centre));
+        let mut room = offer.room.get();
+        let mut taken = Vec::new();
+        let mut left = Vec::new();
+        for item in self.waiting.drain(..) {
+            let size = item.result.get();
+            if taken.len() < offer.items && size <= room {
+                room -= size;
+                taken.push(item);
+            } else {
+                left.push(item);
+            }
+        }
+        self.waiting = left;
+        taken
+    }
+}
+
+/// What an item that is needed in another data centre waits for longer than one that is needed here.
+const FAR_STEP: Duration = Duration::from_millis(150);
+
+fn rank(item: &StageItem, end: Timestamp, data_centre: &DataCentreId) -> (bool, Timestamp) {
+    let late = item.due < end;
+    let is_far = item.near.as_ref().is_some_and(|near| near != data_centre);
+    let steps = PRIORITY_STEP * u32::from(item.priority);
+    let far = if is_far { FAR_STEP } else { Duration::ZERO };
+    (late, item.due.plus(steps).plus(far))
+}
--- /dev/null
+++ b/crates/policy/src/stage_queue/stage_item.rs
@@ -0,0 +1,24 @@
+use masticstair_core::prelude::*;
+
+use super::JobNumber;
+
+/// A piece of a stage that waits for a call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StageItem {
+    /// The stage of a request that it belongs to.
+    pub job: JobNumber,
+    /// Its number among the pieces of the stage.
+    pub piece: u32,
+    /// When the stage has to end so that the answer of the request is on time.
+    pub due: Timestamp,
+    /// When the stage has to end so that the request can be answered at all.
+    pub deadline: Timestamp,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// The data centre in which the result is needed.
+    pub near: Option<DataCentreId>,
+    /// The approximate size of the result.
+    pub result: ByteCount,
+    /// Calls that failed with it.
+    pub failures: u8,
+}
--- a/crates/store/src/state/answer.rs
+++ b/crates/store/src/state/answer.rs
@@ -1,3 +1,4 @@
+use masticstair_core::catalog::CatalogDocument;
 use masticstair_core::prelude::*;
 use masticstair_policy::bundle_history::{
     BundleSummary, ContentChange, HistoryPage, RevisionEntry,
@@ -31,6 +32,8 @@
     Issuer(IssuerLease),
     /// A part of the history; none when the bundle that it was to follow is no longer listed.
     HistoryPage(Option<HistoryPage>),
+    /// The catalog; none before the first one.
+    Catalog(Option<CatalogDocument>),
     /// The query could not be decoded; this is why.
     Undecodable(Box<str>),
 }
@@ -85,6 +88,10 @@
                     w.flag(page.more);
                 });
             }
+            Self::Catalog(document) => {
+                w.byte(11);
+                w.option(document.as_ref(), codec::catalog::put_document);
+            }
             Self::Undecodable(why) => {
                 w.byte(8);
                 w.text(why);
@@ -117,6 +124,7 @@
                     let bundles = r.list(codec::bundle::get_summary)?;
                     Ok(HistoryPage { bundles, more: r.flag()? })
                 })?),
+                11 => Self::Catalog(r.option(codec::catalog::get_document)?),
                 tag => return Err(CodecError::Tag { what: "answer", tag }),
             })
         })
--- a/crates/store/src/state/codec/mod.rs
+++ b/crates/store/src/state/codec/mod.rs
@@ -5,6 +5,7 @@
 
 pub(super) mod bundle;
 pub(super) mod bundle_reply;
+pub(super) mod catalog;
 mod codec_error;
 pub(super) mod issuer;
 mod reader;
--- a/crates/store/src/state/command.rs
+++ b/crates/store/src/state/command.rs
@@ -1,3 +1,4 @@
+use masticstair_core::catalog::CatalogDocument;
 use masticstair_policy::bundle_history::BundleCommand;
 use masticstair_policy::issuer::IssuerCommand;
 use masticstair_policy::run_once::RunOnceCommand;
@@ -13,6 +14,8 @@
     Bundle(Box<BundleCommand>),
     /// For the leases of the order issuers.
     Issuer(IssuerCommand),
+    /// Replaces the catalog.
+    Catalog(CatalogDocument),
 }
 
 impl Command {
@@ -31,6 +34,10 @@
                 w.byte(2);
                 codec::issuer::put_command(w, cmd);
             }
+            Self::Catalog(document) => {
+                w.byte(3);
+                codec::catalog::put_document(w, document);
+            }
         })
     }
 
@@ -44,6 +51,7 @@
             0 => codec::run_once::get_command(r).map(Self::RunOnce),
             1 => codec::bundle::get_command(r).map(|cmd| Self::Bundle(Box::new(cmd))),
             2 => codec::issuer::get_command(r).map(Self::Issuer),
+            3 => codec::catalog::get_document(r).map(Self::Catalog),
             tag => Err(CodecError::Tag { what: "command", tag }),
         })
     }
--- a/crates/store/src/state/mod.rs
+++ b/crates/store/src/state/mod.rs
@@ -23,10 +23,12 @@
 pub use restore_error::RestoreError;
 
 use masticstair_core::bundle::{Bundle, Signer};
+use masticstair_core::catalog::CatalogDocument;
 use masticstair_core::prelude::*;
 use masticstair_policy::bundle_history::{
     BundleHistory, BundleReply, ContentChange, DeploymentName,
 };
+use masticstair_policy::catalog_register::CatalogRegister;
 use masticstair_policy::issuer::IssuerTable;
 use masticstair_policy::run_once::{RunOnceLimits, RunOnceTable};
 use std::sync::Arc;
@@ -41,6 +43,7 @@
     run_once: RunOnceTable,
     bundles: BundleHistory,
     issuers: IssuerTable,
+    catalog: CatalogRegister,
 }
 
 impl ReplicatedState {
@@ -50,6 +53,7 @@
             run_once: RunOnceTable::new(RunOnceLimits::BEFORE_FIRST_BUNDLE),
             bundles: BundleHistory::new(deployment, operators),
             issuers: IssuerTable::default(),
+            catalog: CatalogRegister::default(),
         }
     }
 
@@ -58,6 +62,7 @@
         match command {
             Command::RunOnce(cmd) => Reply::RunOnce(self.run_once.apply(cmd)),
             Command::Issuer(cmd) => Reply::Issuer(self.issuers.apply(cmd)),
+            Command::Catalog(document) => Reply::Catalog(self.catalog.replace(document)),
             Command::Bundle(cmd) => {
                 let reply = self.bundles.apply(cmd);
                 if matches!(reply, BundleReply::Rolled { .. }) {
@@ -100,6 +105,7 @@
                 Answer::HistoryPage(self.bundles.page(after.as_ref(), limit))
             }
             Query::Issuer(group) => Answer::Issuer(self.issuers.lease(group)),
+            Query::Catalog => Answer::Catalog(self.catalog.get().cloned()),
         }
     }
 
@@ -138,6 +144,11 @@
         self.bundles.revision()
     }
 
+    /// Returns the catalog that is held.
+    pub fn catalog(&self) -> Option<&CatalogDocument> {
+        self.catalog.get()
+    }
+
     /// Returns the bundle in force, read.
     pub fn bundle(&self) -> Option<&Arc<Bundle>> {
         self.bundles.in_force()
--- a/crates/store/src/state/query.rs
+++ b/crates/store/src/state/query.rs
@@ -27,6 +27,8 @@
     },
     /// The newest bundles, newest first, at most `MAX_LISTED`.
     History,
+    /// The catalog.
+    Catalog,
     /// The lease of a group of order issuers.
     Issuer(PoolName),
     /// A part of the history, newest first.
@@ -63,6 +65,7 @@
                 w.fixed(to.as_bytes());
             }
             Self::History => w.byte(6),
+            Self::Catalog => w.byte(10),
             Self::Issuer(group) => {
                 w.byte(7);
                 w.text(group.as_str());
@@ -96,6 +99,7 @@
                     after: r.option(|r| r.fixed().map(Sha256Digest::from_bytes))?,
                     limit: r.number_u32()?.into(),
                 },
+                10 => Self::Catalog,
                 tag => return Err(CodecError::Tag { what: "query", tag }),
             })
         })
--- a/crates/store/src/state/reply.rs
+++ b/crates/store/src/state/reply.rs
@@ -1,4 +1,5 @@
 use masticstair_policy::bundle_history::BundleReply;
+use masticstair_policy::catalog_register::CatalogReply;
 use masticstair_policy::issuer::IssuerReply;
 use masticstair_policy::run_once::RunOnceReply;
 
@@ -13,6 +14,8 @@
     Bundle(BundleReply),
     /// From the leases of the order issuers.
     Issuer(IssuerReply),
+    /// From the register of the catalog.
+    Catalog(CatalogReply),
     /// The command could not be decoded and changed nothing; this is why.
     Undecodable(Box<str>),
 }
@@ -33,6 +36,10 @@
                 w.byte(2);
                 codec::issuer::put_reply(w, reply);
             }
+            Self::Catalog(reply) => {
+                w.byte(4);
+                codec::catalog::put_reply(w, *reply);
+            }
             Self::Undecodable(why) => {
                 w.byte(3);
                 w.text(why);
@@ -51,6 +58,7 @@
             1 => codec::bundle_reply::get_reply(r).map(Self::Bundle),
             2 => codec::issuer::get_reply(r).map(Self::Issuer),
             3 => r.text().map(|why| Self::Undecodable(why.into())),
+            4 => codec::catalog::get_reply(r).map(Self::Catalog),
             tag => Err(CodecError::Tag { what: "reply", tag }),
         })
     }
--- a/crates/store/src/state/snapshot.rs
+++ b/crates/store/src/state/snapshot.rs
@@ -1,10 +1,11 @@
 //! Snapshots of the replicated state.
 //!
-//! A snapshot has the magic bytes, the version of the format, and then the three tables. Equal states have
+//! A snapshot has the magic bytes, the version of the format, and then the four tables. Equal states have
 //! equal snapshots.
 
 use masticstair_core::prelude::*;
 use masticstair_policy::bundle_history::{BundleHistory, HistoryParts};
+use masticstair_policy::catalog_register::CatalogRegister;
 use masticstair_policy::issuer::IssuerTable;
 use masticstair_policy::run_once::{CallDigest, RunOnceLimits, RunOnceTable};
 
@@ -14,7 +15,10 @@
 const MAGIC: [u8; 4] = *b"MSNP";
 
 /// The version of the format of snapshots.
-const SNAPSHOT_FORMAT: u8 = 1;
+const SNAPSHOT_FORMAT: u8 = 2;
+
+/// The format of releases without a catalog.
+const FORMAT_WITHOUT_CATALOG: u8 = 1;
 
 pub(super) fn write(state: &ReplicatedState) -> Box<[u8]> {
     let mut w = Writer::default();
@@ -26,6 +30,7 @@
         w.text(group.as_str());
         codec::issuer::put_lease(w, lease);
     });
+    w.option(state.catalog.get(), codec::catalog::put_document);
     w.into_bytes()
 }
 
@@ -38,17 +43,22 @@
     if r.fixed() != Ok(MAGIC) {
         return Err(RestoreError::Magic);
     }
-    match r.byte()? {
-        SNAPSHOT_FORMAT => {}
-        found => return Err(RestoreError::Version { found, known: SNAPSHOT_FORMAT }),
+    let format = r.byte()?;
+    if !(FORMAT_WITHOUT_CATALOG..=SNAPSHOT_FORMAT).contains(&format) {
+        return Err(RestoreError::Version { found: format, known: SNAPSHOT_FORMAT });
     }
     let parts = get_history(&mut r)?;
     let bundles = settings.with_parts(parts)?;
     let run_once = get_run_once(&mut r, limits(&bundles))?;
     let get_lease = |r: &mut Reader<'_>| Ok((r.parse()?, codec::issuer::get_lease(r)?));
     let issuers = IssuerTable::from_parts(r.list(get_lease)?);
+    let document = match format {
+        FORMAT_WITHOUT_CATALOG => None,
+        _ => r.option(codec::catalog::get_document)?,
+    };
     r.finish()?;
-    Ok(ReplicatedState { run_once, bundles, issuers })
+    let catalog = CatalogRegister::with_document(document);
+    Ok(ReplicatedState { run_once, bundles, issuers, catalog })
 }
 
 /// Returns the limits of the run-once table under the bundle in force.
