Reload on SIGHUP, count room for results until it is free, keep prompts on their engines

Change: SIGHUP and a changed file reload the settings (seeds); room counts as free after the answer of the endpoint or the end of the result's time; results are given up with the first event; one of the two engines with the highest affinity gets a request unless its first token is expected after 0.45 of the objective; a host that stops forms no more calls.

--- a/crates/gateway/src/entry/stream.rs
+++ b/crates/gateway/src/entry/stream.rs
@@ -31,6 +31,9 @@
 /// When to ask again after all engines were full.
 const FULL_RETRY: Millis = Millis::new(500);
 
+/// The part of the objective within which the first event of the engine that keeps a prompt is awaited.
+const KEEPER_PART: f64 = 0.45;
+
 /// How long the first event of a request that can go to another engine may take, in multiples of the
 /// objective.
 const FIRST_EVENT_PART: f64 = 0.8;
@@ -207,7 +210,9 @@
     let total = prompt.map(|p| p.input).unwrap_or_default();
     let own = TokenCount::new(total.get().saturating_sub(shared.get()));
     let hosts = gw.entry_hosts().len();
-    let position = pick_engine(&views, shared, own, hosts, || Draw::new(rand::random()))?;
+    let patience = req.route.objective.duration().mul_f64(KEEPER_PART);
+    let draw = || Draw::new(rand::random());
+    let position = pick_engine(&views, shared, own, hosts, patience, draw)?;
     others.get(position).map(|e| (*e).clone())
 }
 
--- a/crates/gateway/src/entry/stream_body.rs
+++ b/crates/gateway/src/entry/stream_body.rs
@@ -10,6 +10,7 @@
 use super::event_splitter::EventSplitter;
 use super::held_results::HeldResults;
 use super::in_flight::InFlight;
+use super::stage_plan::run_stages;
 use super::stream::{Opened, open, usual_first_event};
 use crate::Gateway;
 use crate::telemetry::Story;
@@ -177,9 +178,7 @@
         state.gw.with_health(&opened.endpoint.id, |health| health.note_answer(usual, false));
         state.gw.stage_times.note(&state.req.service, took);
     }
-    if !state.req.route.kind.is_repeatable() {
-        state.held.give_up_all();
-    }
+    state.held.give_up_all();
 }
 
 /// Goes on at another engine after the last event that was passed on, where the route allows it.
@@ -195,7 +194,19 @@
         return Err(abort(state, reason));
     }
     let (gw, last) = (state.gw.clone(), state.last);
-    let inputs = state.inputs.clone();
+    // The results were given up with the first event, because they take room that others need; without one
+    // they may still be there.
+    let inputs = match &state.inputs {
+        Some(_) if state.events > 0 => {
+            match run_stages(&gw, &state.req, None, &mut state.held).await {
+                Ok(inputs) => Some(inputs),
+                Err(refusal) => {
+                    return Err(abort(state, &format!("{reason}; {}", refusal.detail)));
+                }
+            }
+        }
+        inputs => inputs.clone(),
+    };
     let opened =
         open(&gw, &state.req, &mut state.story, None, inputs.as_deref(), last, &mut state.runs)
             .await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -319,6 +319,7 @@
             Reply::Follow(Box::new(reply))
         }
         (Message::Follow(_), None) => Reply::Refused("this host is no control host".into()),
+        (Message::Stage(_), _) if gw.is_stopping() => Reply::Refused("this host stops".into()),
         (Message::Stage(request), _) => Reply::Stage(run_stage(gw, from, *request).await),
         (Message::Cancel(cancel), _) => {
             cancel_stage(gw, from, cancel);
@@ -396,7 +397,7 @@
     }
     // The listeners are there as long as the receiver is.
     let _ = close.send(());
-    while gw.in_flight.get() > 0 && gw.now() < until {
+    while (gw.in_flight.get() > 0 || gw.stages.is_busy()) && gw.now() < until {
         monoio::time::sleep(Duration::from_millis(20)).await;
     }
     // The last answers leave.
--- a/crates/gateway/src/stages/call.rs
+++ b/crates/gateway/src/stages/call.rs
@@ -37,9 +37,6 @@
 /// Calls that one piece may fail with.
 const MAX_FAILURES: u8 = 3;
 
-/// How much longer than the endpoint a result is known here, so that a repeated answer is recognised.
-const MEMORY: Duration = Duration::from_secs(6);
-
 /// How a call of a stage service ended.
 enum CallEnd {
     /// An outcome for each item.
@@ -210,8 +207,9 @@
                 let kept = KeptResult {
                     endpoint: endpoint.id.clone(),
                     size: item.result,
-                    until: now.plus(limits.result_ttl.duration() + MEMORY),
+                    until: now.plus(limits.result_ttl.duration()),
                     released: false,
+                    freed: false,
                 };
                 stages.kept.borrow_mut().insert(handle.clone(), kept);
                 let size = item.result.get();
--- a/crates/gateway/src/stages/dispatch.rs
+++ b/crates/gateway/src/stages/dispatch.rs
@@ -18,6 +18,11 @@
         services.entry(service.clone()).or_insert_with(new).clone()
     }
 
+    /// Tells whether stages are in progress.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.services.borrow().values().any(|stages| !stages.jobs.borrow().is_empty())
+    }
+
     pub(super) fn all(&self) -> Vec<Rc<ServiceStages>> {
         self.services.borrow().values().cloned().collect()
     }
--- a/crates/gateway/src/stages/kept_result.rs
+++ b/crates/gateway/src/stages/kept_result.rs
@@ -5,8 +5,11 @@
 pub(super) struct KeptResult {
     pub(super) endpoint: EndpointId,
     pub(super) size: ByteCount,
-    /// When the endpoint forgets it.
+    /// When the endpoint forgets it by itself.
     pub(super) until: Timestamp,
-    /// Whether it was given up already; it stays known so that a repeated answer is recognised.
+    /// Whether it was given up.
     pub(super) released: bool,
+    /// Whether the endpoint has forgotten it. It stays known here for a while, so that a repeated answer is
+    /// recognised.
+    pub(super) freed: bool,
 }
--- a/crates/gateway/src/stages/release.rs
+++ b/crates/gateway/src/stages/release.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::pump::pump;
 use super::service_stages::ServiceStages;
 use crate::Gateway;
 
 /// How long results are collected before they are given up with one call.
-const COLLECT: Duration = Duration::from_millis(60);
+const COLLECT: Duration = Duration::from_millis(15);
 
 /// How long a call that gives up results may take. Without it the endpoint forgets them by itself.
 const RELEASE_LIMIT: Duration = Duration::from_millis(800);
@@ -24,11 +25,9 @@
 ) {
     for handle in results {
         if let Some(kept) = stages.kept.borrow_mut().get_mut(&handle) {
-            if kept.released {
+            if std::mem::replace(&mut kept.released, true) {
                 continue;
             }
-            kept.released = true;
-            stages.forget_size(kept);
         }
         if let Some(address) = (gw.front_end.result_address)(&handle) {
             collect(gw, stages, address, handle);
@@ -59,7 +58,11 @@
             body.read_all(4_096).await
         };
         match monoio::time::timeout(RELEASE_LIMIT, send).await {
-            Ok(Ok(_)) => {}
+            // Only now has the endpoint room for others.
+            Ok(Ok(_)) => {
+                stages.note_freed(&results);
+                pump(&gw, &stages);
+            }
             Ok(Err(e)) => debug!(gw.log, "results not given up"; "reason" => %e),
             Err(_) => debug!(gw.log, "results not given up in time"; "address" => %address),
         }
--- a/crates/gateway/src/stages/service_stages.rs
+++ b/crates/gateway/src/stages/service_stages.rs
@@ -3,11 +3,15 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::job::Job;
 use super::kept_result::KeptResult;
 use crate::messages::{CancelRequest, StageFailure, StageReply};
 
+/// How much longer than the endpoint a result is known here, so that a repeated answer is recognised.
+const MEMORY: Duration = Duration::from_secs(6);
+
 /// The stages that this host runs on one service.
 pub(crate) struct ServiceStages {
     pub(super) service: ServiceName,
@@ -66,20 +70,31 @@
         }
     }
 
-    /// Forgets results that the endpoints have forgotten.
-    pub(super) fn expire_results(&self, now: Timestamp) {
+    /// Notes that an endpoint has forgotten results.
+    pub(super) fn note_freed(&self, results: &[ResultHandle]) {
         let mut kept = self.kept.borrow_mut();
-        let over: Vec<_> =
-            kept.iter().filter(|(_, r)| r.until <= now).map(|(handle, _)| handle.clone()).collect();
-        for handle in over {
-            if let Some(result) = kept.remove(&handle).filter(|r| !r.released) {
-                self.forget_size(&result);
+        for handle in results {
+            if let Some(result) = kept.get_mut(handle) {
+                self.free(result);
             }
         }
     }
 
+    /// Forgets results whose time at the endpoints is over.
+    pub(super) fn expire_results(&self, now: Timestamp) {
+        self.kept.borrow_mut().retain(|_, result| {
+            if result.until <= now {
+                self.free(result);
+            }
+            result.until.plus(MEMORY) > now
+        });
+    }
+
     /// Frees the room of a result in the books.
-    pub(super) fn forget_size(&self, result: &KeptResult) {
+    fn free(&self, result: &mut KeptResult) {
+        if std::mem::replace(&mut result.freed, true) {
+            return;
+        }
         self.with_work(&result.endpoint, |work| {
             work.results = ByteCount::new(work.results.get().saturating_sub(result.size.get()));
         });
--- a/crates/host/src/daemon/mod.rs
+++ b/crates/host/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! Starts and stops the threads of a host.
 
 mod gateway_thread;
+mod reload;
 mod run;
 mod worker;
 
--- a/crates/host/src/daemon/run.rs
+++ b/crates/host/src/daemon/run.rs
@@ -1,14 +1,16 @@
 use masticstair_gateway::event_channel;
 use masticstair_gateway::front_end::FrontEnd;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use slog::{info, warn};
 use std::io;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
 use std::time::Instant;
 use thiserror::Error;
 
+use super::reload::{reload, watch_file};
 use super::{StartError, start_gateway, start_workers};
 use crate::control::{ControlStartError, start_control};
 use crate::settings::Settings;
@@ -29,13 +31,14 @@
     Signals(#[from] io::Error),
 }
 
-/// Runs a host until `SIGTERM` or `SIGINT` and every request in flight has ended.
+/// Runs a host until `SIGTERM` or `SIGINT` and every request in flight has ended. `SIGHUP` reads the settings
+/// file again.
 ///
 /// # Errors
 ///
 /// Fails when the host cannot start.
-pub fn run(cfg: Settings, front_end: FrontEnd) -> Result<(), RunError> {
-    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+pub fn run(file: PathBuf, cfg: Settings, front_end: FrontEnd) -> Result<(), RunError> {
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
     let level = cfg.log_level.slog();
     let (log, _guard) = json_logger(io::stdout(), level, &cfg.host, &cfg.data_centre);
     for warning in cfg.warnings() {
@@ -56,11 +59,19 @@
     let workers = start_workers(&state)?;
     info!(log, "started"; "listen" => workers.addr.to_string(),
         "peer_listen" => control.peer_addr.to_string(), "workers" => state.cfg.workers);
-    let first = signals.forever().next();
+    watch_file(&state, file.clone());
+    let mut first = None;
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            first = Some(signal);
+            break;
+        }
+        reload(&state, &file, "SIGHUP");
+    }
     info!(log, "shutdown begins"; "signal" => first, "in_flight" => state.drain.in_flight());
     let watched = state.clone();
     thread::spawn(move || {
-        for signal in signals.forever() {
+        for signal in signals.forever().filter(|signal| *signal != SIGHUP) {
             let cut = watched.drain.in_flight();
             warn!(watched.log, "signal during shutdown"; "signal" => signal, "would_cut" => cut);
         }
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -23,7 +23,8 @@
 fn execute(command: Command) -> Result<(), Box<dyn Error>> {
     match command {
         Command::Run { config } => {
-            run(Settings::load(&config)?, masticstair_platform::front_end())?
+            let cfg = Settings::load(&config)?;
+            run(config, cfg, masticstair_platform::front_end())?;
         }
         Command::Check { configs } => check(&configs)?,
     }
--- a/crates/host/src/membership/join.rs
+++ b/crates/host/src/membership/join.rs
@@ -13,8 +13,8 @@
 /// Gets the records of one seed; tries until one answers.
 pub(crate) async fn join(cx: TaskContext) {
     while !cx.membership.with_tables(|tables, _| tables.synced) {
-        let Some(seed) = cx.membership.seeds.choose(&mut rand::rng()) else { return };
-        let client = cx.peers.client_of_address(*seed);
+        let Some(seed) = cx.membership.seeds().choose(&mut rand::rng()).copied() else { return };
+        let client = cx.peers.client_of_address(seed);
         match synchronize(&cx, &client, false).await {
             Ok(host) => {
                 slog::info!(cx.log, "joined"; "seed" => %seed, "host" => %host);
@@ -43,11 +43,12 @@
 }
 
 fn lost_address(cx: &TaskContext) -> Option<SocketAddr> {
+    let seeds = cx.membership.seeds();
     cx.membership.with_tables(|tables, _| {
         let known = |seed: &&SocketAddr| {
             tables.members.iter().any(|m| m.is_live() && m.record.address == **seed)
         };
-        let seeds = cx.membership.seeds.iter().filter(|seed| !known(seed)).copied();
+        let seeds = seeds.iter().filter(|seed| !known(seed)).copied();
         let failed = tables.members.iter().filter(|m| m.record.state == HostState::Failed);
         seeds.chain(failed.map(|m| m.record.address)).choose(&mut rand::rng())
     })
--- a/crates/host/src/membership/membership.rs
+++ b/crates/host/src/membership/membership.rs
@@ -17,7 +17,8 @@
 /// What a host knows of the deployment; shared by all threads.
 pub struct Membership {
     pub(crate) identity: PeerIdentity,
-    pub(crate) seeds: Box<[SocketAddr]>,
+    /// Addresses to join; never that of this host.
+    seeds: RwLock<Box<[SocketAddr]>>,
     clock: Clock,
     /// Held only for table operations, never across a wait.
     tables: Mutex<Tables>,
@@ -50,10 +51,28 @@
             snapshot: RwLock::default(),
             changed: Wake::default(),
             revision_seen: Wake::default(),
-            seeds,
+            seeds: RwLock::new(seeds),
         })
     }
 
+    /// Returns the addresses through which the other hosts are found.
+    pub(crate) fn seeds(&self) -> Box<[SocketAddr]> {
+        self.seeds.read().clone()
+    }
+
+    /// Replaces the seeds; tells whether they are others than before.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) -> bool {
+        let own = self.with_tables(|tables, _| {
+            let local = tables.members.local().clone();
+            tables.members.get(&local).map(|member| member.record.address)
+        });
+        let seeds: Box<[_]> = seeds.into_iter().filter(|seed| Some(*seed) != own).collect();
+        let mut known = self.seeds.write();
+        let changed = *known != seeds;
+        *known = seeds;
+        changed
+    }
+
     /// Returns what is known now. It is at most one gossip interval old.
     pub fn snapshot(&self) -> Arc<MembershipSnapshot> {
         self.snapshot.read().clone()
--- a/crates/policy/src/engine_choice/pick.rs
+++ b/crates/policy/src/engine_choice/pick.rs
@@ -12,39 +12,49 @@
 /// What the transfer of inputs from another data centre costs.
 const FAR_COST: Duration = Duration::from_millis(40);
 
+/// Engines that keep the beginning of a prompt: the second one takes over while the first one is busy.
+const KEEPERS: usize = 2;
+
 /// How far random draws move the time of an engine, so that hosts with equal views spread their calls.
 const JITTER: f64 = 0.15;
 
 /// The least share of successes that a time is divided by.
 const MIN_SUCCESS: f64 = 0.05;
 
-/// Returns the position of the engine that is expected to give the first token soonest. `shared` prompt
-/// tokens are taken to be kept by the two engines with the highest affinity; `own` are not kept anywhere.
-/// `hosts` share the engines, and each is taken to have as much work there as this one.
+/// Returns the position of the engine for a request.
+///
+/// The engines with the highest affinity for the beginning of the prompt are taken to keep its `shared`
+/// tokens; `own` tokens are kept nowhere. The first of them whose first token is expected within `patience`
+/// gets the request, because reading the prompt elsewhere costs every request on that engine. Otherwise the
+/// engine with the earliest first token gets it. `hosts` share the engines, and each is taken to have as
+/// much work there as this one.
 pub fn pick_engine(
     engines: &[EngineView],
     shared: TokenCount,
     own: TokenCount,
     hosts: usize,
+    patience: Duration,
     mut draw: impl FnMut() -> Draw,
 ) -> Option<usize> {
-    let usable = |e: &&EngineView| !e.is_avoided;
-    let any_usable = engines.iter().any(|e| usable(&e));
-    let keeper = engines.iter().filter(|e| usable(e) || !any_usable).map(|e| e.affinity).max();
-    let mut best: Option<(usize, f64)> = None;
-    for (position, engine) in engines.iter().enumerate() {
-        if engine.is_avoided && any_usable {
-            continue;
-        }
-        let kept = keeper == Some(engine.affinity);
-        let unread = own.get() + if kept { 0 } else { shared.get() };
-        let jitter = 1.0 + JITTER * draw().fraction();
-        let time = first_token_ms(engine, unread, hosts) * jitter;
-        if best.is_none_or(|(_, least)| time < least) {
-            best = Some((position, time));
+    let any_usable = engines.iter().any(|e| !e.is_avoided);
+    let usable = |position: &usize| !any_usable || !engines[*position].is_avoided;
+    let mut order: Vec<_> = (0..engines.len()).filter(usable).collect();
+    order.sort_by_key(|position| std::cmp::Reverse(engines[*position].affinity));
+    let limit = patience.as_secs_f64() * 1e3;
+    if shared.get() > 0 {
+        let keeps =
+            |position: &&usize| first_token_ms(&engines[**position], own.get(), hosts) < limit;
+        if let Some(keeper) = order.iter().take(KEEPERS).find(keeps) {
+            return Some(*keeper);
         }
     }
-    best.map(|(position, _)| position)
+    let unread = own.get() + shared.get();
+    let time = |position: &usize| {
+        let jitter = 1.0 + JITTER * draw().fraction();
+        (*position, first_token_ms(&engines[*position], unread, hosts) * jitter)
+    };
+    let times: Vec<_> = order.iter().map(time).collect();
+    times.into_iter().min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(position, _)| position)
 }
 
 fn first_token_ms(engine: &EngineView, unread: u64, hosts: usize) -> f64 {
