Find the engine of a prompt by its last shared part

Change: the session of a prompt is its last shared part, and only the parts before the last one count as kept.

--- a/crates/gateway/src/front_end/prompt.rs
+++ b/crates/gateway/src/front_end/prompt.rs
@@ -17,19 +17,25 @@
     pub input: TokenCount,
     /// The most tokens to generate.
     pub output: TokenCount,
-    /// Its parts in order; the last one belongs to the request or its session.
+    /// Its parts in order; the last one belongs to the request or its session, the others are shared.
     pub parts: SmallVec<[PromptPart; 4]>,
 }
 
 impl Prompt {
-    /// Returns the tokens of the parts, which engines may keep from earlier requests.
+    /// Returns the tokens of the parts that other requests have as well: all but the last one.
     pub fn shared(&self) -> TokenCount {
-        let sum: u64 = self.parts.iter().map(|part| part.tokens.get()).sum();
+        let shared = self.shared_parts();
+        let sum: u64 = shared.iter().map(|part| part.tokens.get()).sum();
         TokenCount::new(sum.min(self.input.get()))
     }
 
-    /// Returns the id of the session, by which requests with the same parts meet at one engine.
+    /// Returns the id of the last shared part, by which requests that begin alike meet at one engine. A
+    /// prompt of one part may be that of a session.
     pub fn session(&self) -> Option<PartId> {
-        self.parts.last().map(|part| part.id)
+        self.shared_parts().last().or(self.parts.last()).map(|part| part.id)
+    }
+
+    fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 }
