Keep the results of stages in their data centre

Change: a stage whose inputs outweigh its results runs where they are, others where the engine is; an item goes elsewhere when its data centre has more to do than one call an endpoint, when it has waited 400 ms or when it is short of time.

--- a/crates/gateway/src/entry/stage_plan.rs
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -2,6 +2,7 @@
 use futures_util::stream::FuturesUnordered;
 use masticstair_core::prelude::*;
 use slog::info;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -131,6 +132,7 @@
     let now = gw.now();
     let rest = time_after(gw, req, stage);
     let place = &req.route.stages[stage];
+    let near = inputs_place(gw, req, stage, &source).or(near.cloned());
     let due = req.objective().since(now).saturating_sub(rest);
     // What comes after takes some time even at its best, and an answer that just misses is lost work.
     let left = req.deadline.since(now).saturating_sub(rest / 2);
@@ -143,11 +145,36 @@
         due: Millis::new(due.as_millis() as u64),
         left: Millis::new(left.as_millis() as u64),
         priority: req.priority,
-        near: near.cloned(),
+        near,
         result: place.result,
     }
 }
 
+/// Returns the data centre of the inputs of a stage, when they are larger than its results. Each piece fetches
+/// all inputs.
+fn inputs_place(
+    gw: &Gateway,
+    req: &ClientRequest,
+    stage: usize,
+    source: &StageSource,
+) -> Option<DataCentreId> {
+    let StageSource::Inputs(inputs) = source else { return None };
+    let stages = &req.route.stages;
+    let place = &stages[stage];
+    let largest = place.after.iter().map(|before| stages[*before].result.get()).max()?;
+    if largest * inputs.len() as u64 <= place.result.get() {
+        return None;
+    }
+    let directory = gw.directory.borrow();
+    let mut counts: HashMap<&DataCentreId, usize> = HashMap::new();
+    for address in inputs.iter().filter_map(gw.front_end.result_address) {
+        if let Some(data_centre) = directory.data_centre_at(address) {
+            *counts.entry(data_centre).or_default() += 1;
+        }
+    }
+    counts.into_iter().max_by_key(|(_, count)| *count).map(|(data_centre, _)| data_centre.clone())
+}
+
 /// Returns the time that the rest of a request takes after a stage: the longest way through the stages that
 /// need its results, and the first event.
 pub(super) fn time_after(gw: &Gateway, req: &ClientRequest, stage: usize) -> Duration {
--- a/crates/gateway/src/stages/pump.rs
+++ b/crates/gateway/src/stages/pump.rs
@@ -2,6 +2,7 @@
 use masticstair_core::prelude::*;
 use masticstair_policy::directory::ServingEndpoint;
 use masticstair_policy::stage_queue::EndpointOffer;
+use smallvec::SmallVec;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -46,6 +47,7 @@
         let full = items.min(stages.queue.borrow().len());
         let offer = EndpointOffer {
             data_centre: endpoint.data_centre.clone(),
+            overflowing: overflowing(gw, stages, &endpoints, items),
             items,
             room: ByteCount::new(limits.result_room.get().saturating_sub(results.get())),
             full_call: stages.with_work(&endpoint.id, |work| work.expected(&limits, full)),
@@ -85,6 +87,21 @@
     Some(best.clone())
 }
 
+fn overflowing(
+    gw: &Gateway,
+    stages: &ServiceStages,
+    endpoints: &[Arc<ServingEndpoint>],
+    items: usize,
+) -> SmallVec<[DataCentreId; 4]> {
+    let now = gw.now();
+    stages.queue.borrow().overflowing(|data_centre| {
+        let takes_work = |e: &&Arc<ServingEndpoint>| {
+            e.data_centre == *data_centre && stages.with_work(&e.id, |w| now >= w.avoid_until)
+        };
+        endpoints.iter().filter(takes_work).count() * items
+    })
+}
+
 fn drop_hopeless(
     gw: &Rc<Gateway>,
     stages: &Rc<ServiceStages>,
--- a/crates/gateway/src/stages/run.rs
+++ b/crates/gateway/src/stages/run.rs
@@ -35,6 +35,7 @@
         piece,
         due: job.due,
         deadline: job.deadline,
+        since: now,
         priority: job.request.priority,
         near: job.request.near.clone(),
         result: job.request.result,
--- a/crates/policy/src/directory/directory_table.rs
+++ b/crates/policy/src/directory/directory_table.rs
@@ -1,5 +1,6 @@
 use masticstair_core::prelude::*;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -77,6 +78,12 @@
         self.ready.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns the data centre of the endpoint at an address.
+    pub fn data_centre_at(&self, address: SocketAddr) -> Option<&DataCentreId> {
+        let mut endpoints = self.ready.values().flat_map(|endpoints| endpoints.iter());
+        endpoints.find(|e| e.address == address).map(|e| &e.data_centre)
+    }
+
     /// Returns the number of endpoints that take new work.
     pub fn ready_count(&self) -> usize {
         self.ready.values().map(|endpoints| endpoints.len()).sum()
@@ -91,7 +98,7 @@
 /// Keeps the latest life at each address: an address is given to another endpoint after the first one ended.
 fn newest_at_address<'a>(
     endpoints: impl Iterator<Item = &'a Arc<ServingEndpoint>>,
-) -> HashMap<std::net::SocketAddr, &'a Arc<ServingEndpoint>> {
+) -> HashMap<SocketAddr, &'a Arc<ServingEndpoint>> {
     let mut by_address: HashMap<_, &Arc<ServingEndpoint>> = HashMap::new();
     for endpoint in endpoints {
         let known = by_address.entry(endpoint.address).or_insert(endpoint);
--- a/crates/policy/src/stage_queue/endpoint_offer.rs
+++ b/crates/policy/src/stage_queue/endpoint_offer.rs
@@ -1,4 +1,5 @@
 use masticstair_core::prelude::*;
+use smallvec::SmallVec;
 use std::time::Duration;
 
 /// What an endpoint without a call can take.
@@ -6,6 +7,9 @@
 pub struct EndpointOffer {
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// Data centres with more waiting items than their own endpoints take with their next calls; items that
+    /// are needed there may go elsewhere.
+    pub overflowing: SmallVec<[DataCentreId; 4]>,
     /// Items of one call.
     pub items: usize,
     /// The memory that is left for results.
--- a/crates/policy/src/stage_queue/queue.rs
+++ b/crates/policy/src/stage_queue/queue.rs
@@ -1,4 +1,6 @@
 use masticstair_core::prelude::*;
+use smallvec::SmallVec;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use super::{EndpointOffer, JobNumber, StageItem};
@@ -34,6 +36,20 @@
         self.waiting.iter().filter(|item| item.near.as_ref() == Some(data_centre)).count()
     }
 
+    /// Returns the data centres with more waiting items than `capacity` tells that their endpoints take with
+    /// their next calls.
+    pub fn overflowing(
+        &self,
+        capacity: impl Fn(&DataCentreId) -> usize,
+    ) -> SmallVec<[DataCentreId; 4]> {
+        let mut waiting: HashMap<&DataCentreId, usize> = HashMap::new();
+        for near in self.waiting.iter().filter_map(|item| item.near.as_ref()) {
+            *waiting.entry(near).or_default() += 1;
+        }
+        let over = waiting.into_iter().filter(|(near, count)| *count > capacity(near));
+        over.map(|(near, _)| near.clone()).collect()
+    }
+
     /// Drops the items of a stage that is no longer needed.
     pub fn drop_job(&mut self, job: JobNumber) {
         self.waiting.retain(|item| item.job != job);
@@ -61,7 +77,7 @@
         let mut left = Vec::new();
         for item in self.waiting.drain(..) {
             let size = item.result.get();
-            if taken.len() < offer.items && size <= room {
+            if taken.len() < offer.items && size <= room && is_eligible(&item, now, offer) {
                 room -= size;
                 taken.push(item);
             } else {
@@ -73,6 +89,19 @@
     }
 }
 
+/// How long an item waits for an endpoint in the data centre where it is needed.
+const NEAR_WAIT: Duration = Duration::from_millis(400);
+
+/// Tells whether an item may go to an endpoint: it is needed near it, or its own data centre has too much to
+/// do, or it has waited for long or has no time to wait.
+fn is_eligible(item: &StageItem, now: Timestamp, offer: &EndpointOffer) -> bool {
+    let Some(near) = &item.near else { return true };
+    *near == offer.data_centre
+        || offer.overflowing.contains(near)
+        || now.since(item.since) >= NEAR_WAIT
+        || item.due < now.plus(offer.full_call * 2)
+}
+
 /// What an item that is needed in another data centre waits for longer than one that is needed here.
 const FAR_STEP: Duration = Duration::from_millis(150);
 
--- a/crates/policy/src/stage_queue/stage_item.rs
+++ b/crates/policy/src/stage_queue/stage_item.rs
@@ -13,6 +13,8 @@
     pub due: Timestamp,
     /// When the stage has to end so that the request can be answered at all.
     pub deadline: Timestamp,
+    /// When it began to wait.
+    pub since: Timestamp,
     /// 0 is the most urgent.
     pub priority: u8,
     /// The data centre in which the result is needed.
