Refuse at arrival what would be late; hosts that form calls tell how long stages wait

Change: each answer of a stage tells the wait for its priority; a request whose stages are busy and whose first event would be late is refused at once with the time to come back; late first stages are dropped while the endpoints have more than one call each to do; clients give up on a stream without an event before their deadline.

--- a/crates/gateway/src/entry/client_request.rs
+++ b/crates/gateway/src/entry/client_request.rs
@@ -3,9 +3,19 @@
 use masticstair_core::catalog::Route;
 use masticstair_core::prelude::*;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::front_end::RequestMeta;
 
+/// How many times its objective a client waits for the first event of a stream.
+const OBJECTIVES_WAITED: u32 = 4;
+
+/// How many times the longest pause that is on time it waits for an event.
+const GAPS_WAITED: u32 = 8;
+
+/// The least time that it waits for an event.
+const MIN_WAITED: Duration = Duration::from_secs(2);
+
 /// A request of a client with all that its way depends on.
 ///
 /// The route is that of the catalog in force when the request came; it stays with the request to its end.
@@ -27,6 +37,15 @@
 }
 
 impl ClientRequest {
+    /// Returns when the first event of a stream has to be there: clients give up before their deadline when
+    /// nothing comes.
+    pub(crate) fn first_event_by(&self) -> Timestamp {
+        let objectives = self.route.objective.duration() * OBJECTIVES_WAITED;
+        let gaps = self.route.gap.map(|gap| gap.duration() * GAPS_WAITED).unwrap_or_default();
+        let patience = MIN_WAITED.max(objectives).max(gaps);
+        self.deadline.min(self.arrived.plus(patience))
+    }
+
     /// Returns when an answer, or the first event of a stream, is on time.
     pub(crate) fn objective(&self) -> Timestamp {
         self.arrived.plus(self.route.objective.duration())
--- a/crates/gateway/src/entry/stage_plan.rs
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -25,6 +25,53 @@
 /// How often the stages of a request begin again because a result was lost.
 const MAX_RESTARTS: u32 = 1;
 
+/// The wait for stages below which a request is never refused for being late.
+const MIN_CONGESTION: Duration = Duration::from_millis(150);
+
+/// The shortest and the longest time after which a refused request is asked to come back.
+const RETRY_RANGE: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(2_500)];
+
+/// Refuses a request at once whose stages are so busy that its answer would be late.
+pub(super) fn admit_stages(gw: &Gateway, req: &ClientRequest) -> Result<(), Refusal> {
+    let now = gw.now();
+    let stages = &req.route.stages;
+    let mut longest = vec![Duration::ZERO; stages.len()];
+    let mut waits = Duration::ZERO;
+    for (stage, place) in stages.iter().enumerate() {
+        let before = place.after.iter().map(|before| longest[*before]).max().unwrap_or_default();
+        let pieces = req.meta.pieces.get(stage).copied().unwrap_or(1);
+        longest[stage] = before;
+        if pieces > 0 {
+            let wait = gw.stage_times.wait(now, &place.service, req.priority);
+            waits = waits.max(wait);
+            longest[stage] += wait + nominal_time(gw, &place.service, pieces);
+        }
+    }
+    let first = gw.stage_times.get(&req.service, FIRST_EVENT_TIME);
+    let expected = longest.into_iter().max().unwrap_or_default() + first;
+    let objective = req.objective().since(now);
+    if waits < MIN_CONGESTION || expected <= objective {
+        return Ok(());
+    }
+    let back = (expected - objective).clamp(RETRY_RANGE[0], RETRY_RANGE[1]);
+    let detail = format!(
+        "the first event is expected after {} ms ({} ms is on time)",
+        expected.as_millis(),
+        objective.as_millis()
+    );
+    let refusal = Refusal::not_run(RefusalReason::Stages, detail);
+    Err(refusal.with_retry_after(Millis::new(back.as_millis() as u64)))
+}
+
+/// Returns the time of a call that has the pieces of one request.
+fn nominal_time(gw: &Gateway, service: &ServiceName, pieces: u32) -> Duration {
+    let catalog = gw.catalog.get();
+    let limits = catalog.as_ref().and_then(|c| c.services.get(service)?.batch);
+    limits.map_or(FIRST_STAGE_TIME, |l| {
+        l.call.duration() + Duration::from_micros(l.item_us) * pieces.min(l.items.get())
+    })
+}
+
 /// Runs the stages of a request and returns the results that the target of the route needs.
 ///
 /// `near` is the data centre in which they are needed.
@@ -135,7 +182,7 @@
     let near = inputs_place(gw, req, stage, &source).or(near.cloned());
     let due = req.objective().since(now).saturating_sub(rest);
     // What comes after takes some time even at its best, and an answer that just misses is lost work.
-    let left = req.deadline.since(now).saturating_sub(rest / 2);
+    let left = req.first_event_by().since(now).saturating_sub(rest / 2);
     StageRequest {
         call: req.meta.call.clone(),
         stage: stage as u32,
--- a/crates/gateway/src/entry/stream.rs
+++ b/crates/gateway/src/entry/stream.rs
@@ -13,7 +13,7 @@
 use super::client_request::ClientRequest;
 use super::held_results::HeldResults;
 use super::in_flight::InFlight;
-use super::stage_plan::run_stages;
+use super::stage_plan::{admit_stages, run_stages};
 use super::stream_body::{StreamState, stream_events};
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason};
@@ -60,6 +60,9 @@
     mut story: Story,
     in_flight: InFlight,
 ) -> Response {
+    if let Err(refusal) = admit_stages(&gw, &req) {
+        return refuse(&gw, &story, &refusal);
+    }
     let mut held = HeldResults::new(&gw);
     let mut planned = choose(&gw, &req, &[], None);
     let inputs = match &planned {
@@ -132,7 +135,7 @@
     let mut asked: Vec<EndpointId> = Vec::new();
     let mut last: Option<AttemptEnd> = None;
     loop {
-        let left = req.deadline.since(gw.now());
+        let left = req.first_event_by().since(gw.now());
         let choice = planned.take().or_else(|| choose(gw, req, &asked, None));
         let is_first = asked.is_empty() && *runs == 0;
         let may_go_on = is_first
--- a/crates/gateway/src/messages/message.rs
+++ b/crates/gateway/src/messages/message.rs
@@ -1,7 +1,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::{CancelRequest, FollowReply, FollowRequest, ReleaseRequest, StageReply, StageRequest};
+use super::{CancelRequest, FollowReply, FollowRequest, ReleaseRequest, StageAnswer, StageRequest};
 
 /// A message of one gateway to another.
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
@@ -24,7 +24,7 @@
     /// To `Follow`.
     Follow(Box<FollowReply>),
     /// To `Stage`.
-    Stage(StageReply),
+    Stage(StageAnswer),
     /// To the other messages.
     Done,
     /// This host does not serve the message.
--- a/crates/gateway/src/messages/stage_reply.rs
+++ b/crates/gateway/src/messages/stage_reply.rs
@@ -37,3 +37,12 @@
     /// It was not done.
     Failed(StageFailure),
 }
+
+/// What became of a stage, and how busy its service is.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct StageAnswer {
+    /// What became of it.
+    pub reply: StageReply,
+    /// How long another stage of the same priority would wait for a call now.
+    pub wait: Millis,
+}
--- a/crates/gateway/src/stages/pump.rs
+++ b/crates/gateway/src/stages/pump.rs
@@ -18,6 +18,9 @@
 /// whose time passes.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 
+/// The longest wait that is told.
+const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(10);
+
 /// Starts calls on every service, after the endpoints have changed.
 pub(crate) fn pump_all(gw: &Rc<Gateway>) {
     for stages in gw.stages.all() {
@@ -40,6 +43,7 @@
     let now = gw.now();
     stages.expire_results(now);
     drop_hopeless(gw, stages, &endpoints, &limits);
+    drop_late(gw, stages, &endpoints, &limits);
     let mut without_room = HashSet::new();
     while let Some(endpoint) = next_endpoint(gw, stages, &endpoints, &limits, &without_room) {
         let results = stages.with_work(&endpoint.id, |work| work.results);
@@ -120,6 +124,47 @@
     }
 }
 
+/// Drops stages that would be late while the endpoints have enough to do that is on time: a refusal at once
+/// serves the client better than an answer that comes late and makes the next one late.
+fn drop_late(
+    gw: &Rc<Gateway>,
+    stages: &Rc<ServiceStages>,
+    endpoints: &[Arc<ServingEndpoint>],
+    limits: &BatchLimits,
+) {
+    let next_calls = endpoints.len() * limits.items.get().max(1) as usize;
+    if stages.queue.borrow().len() <= next_calls {
+        return;
+    }
+    let call = limits.call.duration();
+    let late = stages.queue.borrow_mut().take_late(gw.now(), call);
+    for number in late {
+        let made = stages.fail_job(number, StageFailure::Late);
+        release_results(gw, stages, made);
+    }
+}
+
+/// Returns how long a stage of a priority would wait for a call now.
+pub(super) fn expected_wait(gw: &Gateway, stages: &ServiceStages, priority: u8) -> Duration {
+    let catalog = gw.catalog.get();
+    let limits = catalog.as_ref().and_then(|c| c.services.get(&stages.service)?.batch);
+    let Some(limits) = limits else { return Duration::ZERO };
+    let ahead = stages.queue.borrow().ahead(priority);
+    if ahead == 0 {
+        return Duration::ZERO;
+    }
+    let now = gw.now();
+    let items = limits.items.get().max(1) as usize;
+    let endpoints = gw.directory.borrow().ready(&stages.service);
+    let usable = endpoints.iter().filter(|e| stages.with_work(&e.id, |w| now >= w.avoid_until));
+    // Items a second of all endpoints with full calls.
+    let rate: f64 = usable
+        .map(|e| stages.with_work(&e.id, |work| work.expected(&limits, items)))
+        .map(|call| items as f64 / call.as_secs_f64().max(1e-3))
+        .sum();
+    Duration::from_secs_f64((ahead as f64 / rate.max(1.0)).min(MAX_EXPECTED_WAIT.as_secs_f64()))
+}
+
 fn fail_all(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>) {
     let numbers: Vec<_> = stages.jobs.borrow().keys().copied().collect();
     for number in numbers {
--- a/crates/gateway/src/stages/run.rs
+++ b/crates/gateway/src/stages/run.rs
@@ -4,13 +4,25 @@
 use std::rc::Rc;
 
 use super::job::Job;
-use super::pump::pump;
+use super::pump::{expected_wait, pump};
 use super::release::release_results;
 use crate::Gateway;
-use crate::messages::{CancelRequest, StageFailure, StageReply, StageRequest};
+use crate::front_end::StageSource;
+use crate::messages::{CancelRequest, StageAnswer, StageFailure, StageReply, StageRequest};
 
 /// Runs a stage on the endpoints of its service.
-pub(crate) async fn run_stage(gw: &Rc<Gateway>, from: HostId, request: StageRequest) -> StageReply {
+pub(crate) async fn run_stage(
+    gw: &Rc<Gateway>,
+    from: HostId,
+    request: StageRequest,
+) -> StageAnswer {
+    let (service, priority) = (request.service.clone(), request.priority);
+    let reply = run(gw, from, request).await;
+    let wait = expected_wait(gw, &gw.stages.service_of(&service), priority);
+    StageAnswer { reply, wait: Millis::new(wait.as_millis() as u64) }
+}
+
+async fn run(gw: &Rc<Gateway>, from: HostId, request: StageRequest) -> StageReply {
     let service = &request.service;
     let known = gw.catalog.get().is_some_and(|c| c.services.contains_key(service));
     if !known || gw.directory.borrow().ready(service).is_empty() {
@@ -39,6 +51,7 @@
         priority: job.request.priority,
         near: job.request.near.clone(),
         result: job.request.result,
+        is_first: matches!(job.request.source, StageSource::Key(_)),
         failures: 0,
     };
     stages.queue.borrow_mut().push((0..pieces).map(item));
--- a/crates/gateway/src/stages/submit.rs
+++ b/crates/gateway/src/stages/submit.rs
@@ -7,7 +7,8 @@
 use super::release::release_results;
 use super::run::{cancel_stage, run_stage};
 use crate::messages::{
-    CancelRequest, Message, ReleaseRequest, Reply, StageFailure, StageReply, StageRequest,
+    CancelRequest, Message, ReleaseRequest, Reply, StageAnswer, StageFailure, StageReply,
+    StageRequest,
 };
 use crate::{Gateway, PeerHost};
 
@@ -28,8 +29,12 @@
         let answer = ask(&owner, &message, limit).await;
         guard.finish();
         match answer {
-            Ok(Reply::Stage(StageReply::Failed(StageFailure::NoEndpoint))) => {}
-            Ok(Reply::Stage(reply)) => return reply,
+            Ok(Reply::Stage(answer))
+                if answer.reply == StageReply::Failed(StageFailure::NoEndpoint) => {}
+            Ok(Reply::Stage(answer)) => {
+                note_wait(gw, &request, &answer);
+                return answer.reply;
+            }
             other => {
                 info!(gw.log, "stage moves to this host"; "request" => %request.call,
                     "service" => %request.service, "owner" => %owner.host,
@@ -42,9 +47,15 @@
     let left = Millis::new(request.left.get().saturating_sub(waited.get()));
     let due = Millis::new(request.due.get().saturating_sub(waited.get()));
     let guard = CancelGuard::new(gw, None, cancel);
-    let reply = run_stage(gw, own, StageRequest { left, due, ..request }).await;
+    let answer = run_stage(gw, own, StageRequest { left, due, ..request.clone() }).await;
     guard.finish();
-    reply
+    note_wait(gw, &request, &answer);
+    answer.reply
+}
+
+fn note_wait(gw: &Gateway, request: &StageRequest, answer: &StageAnswer) {
+    let wait = answer.wait.duration();
+    gw.stage_times.note_wait(gw.now(), &request.service, request.priority, wait);
 }
 
 /// Gives up results through the host that formed the calls.
--- a/crates/policy/src/stage_queue/queue.rs
+++ b/crates/policy/src/stage_queue/queue.rs
@@ -7,7 +7,7 @@
 
 /// What one step of priority is worth against the time to the objective. Priorities decide among requests
 /// of about the same age; they do not starve those that wait long.
-const PRIORITY_STEP: Duration = Duration::from_millis(250);
+const PRIORITY_STEP: Duration = Duration::from_millis(500);
 
 /// Items of one service that wait for a call.
 #[derive(Debug, Default)]
@@ -50,6 +50,18 @@
         over.map(|(near, _)| near.clone()).collect()
     }
 
+    /// Returns how many items of at least this priority wait.
+    pub fn ahead(&self, priority: u8) -> usize {
+        self.waiting.iter().filter(|item| item.priority <= priority).count()
+    }
+
+    /// Takes out the stages that can no longer be on time and for which nothing has been done yet, and
+    /// returns them. The endpoints have enough to do that is on time.
+    pub fn take_late(&mut self, now: Timestamp, call: Duration) -> Vec<JobNumber> {
+        let end = now.plus(call);
+        self.take_jobs(|item| item.is_first && item.due < end)
+    }
+
     /// Drops the items of a stage that is no longer needed.
     pub fn drop_job(&mut self, job: JobNumber) {
         self.waiting.retain(|item| item.job != job);
@@ -58,8 +70,12 @@
     /// Takes out the items that a call that begins now cannot end in time, and returns their stages.
     pub fn take_hopeless(&mut self, now: Timestamp, call: Duration) -> Vec<JobNumber> {
         let end = now.plus(call);
-        let mut jobs: Vec<_> =
-            self.waiting.iter().filter(|item| item.deadline < end).map(|item| item.job).collect();
+        self.take_jobs(|item| item.deadline < end)
+    }
+
+    fn take_jobs(&mut self, is_meant: impl Fn(&StageItem) -> bool) -> Vec<JobNumber> {
+        let meant = self.waiting.iter().filter(|item| is_meant(item));
+        let mut jobs: Vec<_> = meant.map(|item| item.job).collect();
         jobs.sort_unstable();
         jobs.dedup();
         self.waiting.retain(|item| jobs.binary_search(&item.job).is_err());
--- a/crates/policy/src/stage_queue/stage_item.rs
+++ b/crates/policy/src/stage_queue/stage_item.rs
@@ -21,6 +21,8 @@
     pub near: Option<DataCentreId>,
     /// The approximate size of the result.
     pub result: ByteCount,
+    /// Whether no earlier stage of its request has results that would be lost with it.
+    pub is_first: bool,
     /// Calls that failed with it.
     pub failures: u8,
 }
