Join through all seeds at once, let requests wait for the start, use 88 percent of the room for results

Cause: after the loss of all power entry hosts took 1.2 s to find a live seed, because one without power does not refuse, and refused every request meanwhile; results that are larger than stated left pieces without room. Change: all seeds are tried again every 200 ms until one answers; a request waits up to 1.2 s for the catalog and, in the first 5 s, for endpoints; 0.88 of the room of an endpoint is used; room counts as taken for 200 ms after a piece found none.

--- a/crates/gateway/src/entry/answer.rs
+++ b/crates/gateway/src/entry/answer.rs
@@ -15,8 +15,17 @@
 use crate::front_end::{Refusal, RefusalReason, RequestMeta};
 use crate::telemetry::Story;
 
-/// When to ask again after this host had no catalog or stops: another host answers at once.
-const ELSEWHERE: Millis = Millis::new(100);
+/// When to ask again after this host had no catalog: all hosts may have started at the same time.
+const AFTER_START: Millis = Millis::new(800);
+
+/// How long a request waits for what a host learns after its start.
+const START_WAIT: Duration = Duration::from_millis(1_200);
+
+/// How long after its start a host may still learn of endpoints that have been there before.
+const LEARNING: Duration = Duration::from_secs(5);
+
+/// How often that is looked at.
+const START_LOOK: Duration = Duration::from_millis(20);
 
 /// The time that a client is taken to wait when it does not say.
 const DEFAULT_BUDGET: Millis = Millis::new(10_000);
@@ -36,6 +45,7 @@
         }
     };
     let mut story = Story::new(now, &meta);
+    wait_for_start(&gw, now, &meta).await;
     let response = match admit(&gw, now, meta, req, &mut story) {
         Ok(req) if req.route.kind.is_stream() => {
             answer_stream(gw.clone(), req, story, in_flight).await
@@ -57,6 +67,28 @@
     (gw.front_end.refuse)(refusal)
 }
 
+/// Lets a request wait for a moment while this host has no catalog yet, or knows no endpoint of the services
+/// of its route: both come within a second after a start.
+async fn wait_for_start(gw: &Gateway, arrived: Timestamp, meta: &RequestMeta) {
+    while gw.now().since(arrived) < START_WAIT && !is_started(gw, meta) {
+        monoio::time::sleep(START_LOOK).await;
+    }
+}
+
+fn is_started(gw: &Gateway, meta: &RequestMeta) -> bool {
+    let Some(catalog) = gw.catalog.get().filter(|_| gw.is_current.get()) else { return false };
+    // Later a service without endpoints has lost them, and none are expected.
+    if gw.now() > Timestamp::default().plus(LEARNING) {
+        return true;
+    }
+    // A request without a route needs no endpoint.
+    let Some(route) = catalog.route(&meta.host, &meta.path) else { return true };
+    let directory = gw.directory.borrow();
+    let of_targets = route.targets.iter().map(|target| &target.service);
+    let mut services = of_targets.chain(route.stages.iter().map(|stage| &stage.service));
+    services.all(|service| !directory.ready(service).is_empty())
+}
+
 /// Finds the route and the account of a request.
 fn admit(
     gw: &Gateway,
@@ -67,7 +99,7 @@
 ) -> Result<ClientRequest, Refusal> {
     let Some(catalog) = gw.catalog.get().filter(|_| gw.is_current.get()) else {
         let refusal = Refusal::not_run(RefusalReason::NoCatalog, "this host has just started");
-        return Err(refusal.with_retry_after(ELSEWHERE));
+        return Err(refusal.with_retry_after(AFTER_START));
     };
     story.catalog = catalog.version;
     let Some(route) = catalog.route(&meta.host, &meta.path).cloned() else {
--- a/crates/gateway/src/stages/call.rs
+++ b/crates/gateway/src/stages/call.rs
@@ -201,6 +201,7 @@
 ) {
     let now = gw.now();
     let mut unwanted = Vec::new();
+    let mut no_room = false;
     for (item, outcome) in items.into_iter().zip(outcomes) {
         match outcome {
             PieceOutcome::Made(handle) => {
@@ -232,13 +233,15 @@
                 unwanted.extend(stages.fail_job(item.job, StageFailure::InputGone));
             }
             PieceOutcome::Failed(PieceFailure::NoRoom) => {
-                let until = now.plus(FULL_PAUSE);
-                stages.with_work(&endpoint.id, |work| work.avoid_until = until);
+                no_room = true;
                 retry_item(gw, stages, item);
             }
             PieceOutcome::Failed(PieceFailure::Failed) => retry_item(gw, stages, item),
         }
     }
+    if no_room {
+        stages.with_work(&endpoint.id, |work| work.note_no_room(now, limits));
+    }
     release_results(gw, stages, unwanted);
 }
 
--- a/crates/gateway/src/stages/pump.rs
+++ b/crates/gateway/src/stages/pump.rs
@@ -46,14 +46,13 @@
     drop_late(gw, stages, &endpoints, &limits);
     let mut without_room = HashSet::new();
     while let Some(endpoint) = next_endpoint(gw, stages, &endpoints, &limits, &without_room) {
-        let results = stages.with_work(&endpoint.id, |work| work.results);
         let items = limits.items.get().max(1) as usize;
         let full = items.min(stages.queue.borrow().len());
         let offer = EndpointOffer {
             data_centre: endpoint.data_centre.clone(),
             overflowing: overflowing(gw, stages, &endpoints, items),
             items,
-            room: ByteCount::new(limits.result_room.get().saturating_sub(results.get())),
+            room: stages.with_work(&endpoint.id, |work| work.room(now, &limits)),
             full_call: stages.with_work(&endpoint.id, |work| work.expected(&limits, full)),
         };
         let items = stages.queue.borrow_mut().take_call(now, &offer);
--- a/crates/host/src/membership/join.rs
+++ b/crates/host/src/membership/join.rs
@@ -1,34 +1,59 @@
 //! Finds peers: at the start, and again after a partition.
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use std::net::SocketAddr;
 
 use super::context::TaskContext;
 use super::gossip::exchange;
-use super::limits::JOIN_INTERVAL;
+use super::limits::{JOIN_INTERVAL, JOIN_TRIES};
 use super::sync::synchronize;
+use masticstair_core::id::HostId;
 use masticstair_policy::membership::HostState;
-use monoio::time::sleep;
-use rand::seq::{IndexedRandom, IteratorRandom};
+use rand::seq::IteratorRandom;
 
-/// Gets the records of one seed; tries until one answers.
+/// Gets the records of one seed. All seeds are tried, again and again, until one answers: a seed without power
+/// does not refuse, and a connection to it only fails after a second.
 pub(crate) async fn join(cx: TaskContext) {
+    let mut tries = FuturesUnordered::new();
     while !cx.membership.with_tables(|tables, _| tables.synced) {
-        let Some(seed) = cx.membership.seeds().choose(&mut rand::rng()).copied() else { return };
-        let client = cx.peers.client_of_address(seed);
-        match synchronize(&cx, &client, false).await {
-            Ok(host) => {
-                slog::info!(cx.log, "joined"; "seed" => %seed, "host" => %host);
-                cx.membership.with_tables(|tables, _| {
-                    tables.synced = true;
-                    tables.urgent = true;
-                });
-                cx.membership.changed.notify();
-                return;
-            }
-            Err(e) => {
-                slog::debug!(cx.log, "seed does not answer"; "seed" => %seed, "reason" => %e);
-                sleep(JOIN_INTERVAL).await;
-            }
+        let seeds = cx.membership.seeds();
+        if tries.len() < JOIN_TRIES * seeds.len() {
+            tries.extend(seeds.iter().map(|seed| try_seed(&cx, *seed)));
+        }
+        let pause = monoio::time::timeout(JOIN_INTERVAL, next_success(&mut tries));
+        if let Ok((seed, host)) = pause.await {
+            slog::info!(cx.log, "joined"; "seed" => %seed, "peer" => %host);
+            cx.membership.with_tables(|tables, _| {
+                tables.synced = true;
+                tables.urgent = true;
+            });
+            cx.membership.changed.notify();
+        }
+    }
+}
+
+async fn try_seed(cx: &TaskContext, seed: SocketAddr) -> Option<(SocketAddr, HostId)> {
+    let client = cx.peers.client_of_address(seed);
+    match synchronize(cx, &client, false).await {
+        Ok(host) => Some((seed, host)),
+        Err(e) => {
+            slog::debug!(cx.log, "seed does not answer"; "seed" => %seed, "reason" => %e);
+            None
+        }
+    }
+}
+
+/// Returns the first seed that answers; waits when there is no try left.
+async fn next_success<F>(tries: &mut FuturesUnordered<F>) -> (SocketAddr, HostId)
+where
+    F: Future<Output = Option<(SocketAddr, HostId)>>,
+{
+    loop {
+        match tries.next().await {
+            Some(Some(success)) => return success,
+            Some(None) => {}
+            None => std::future::pending().await,
         }
     }
 }
--- a/crates/host/src/membership/limits.rs
+++ b/crates/host/src/membership/limits.rs
@@ -50,6 +50,9 @@
 /// The time between attempts to join while no peer is known.
 pub const JOIN_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Tries to reach each seed that may be in progress at the same time.
+pub const JOIN_TRIES: usize = 5;
+
 /// The deadline of each message of a comparison.
 pub const SYNC_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/policy/src/stage_queue/stage_work.rs
+++ b/crates/policy/src/stage_queue/stage_work.rs
@@ -14,6 +14,12 @@
 /// What a call may take beyond that, for the network and the turn of an endpoint that has other callers.
 const LOST_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long room counts as taken by unknown results before it is tried again.
+const FOREIGN_RESULTS: Duration = Duration::from_millis(200);
+
+/// The part of the room that is used: the sizes of results are approximate.
+const USED_ROOM: f64 = 0.88;
+
 /// The work of one endpoint of a stage service, as its caller knows it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StageWork {
@@ -21,6 +27,9 @@
     pub calls: u32,
     /// Results that the endpoint keeps, as far as they were not given up.
     pub results: ByteCount,
+    /// Room that is taken by results that this host does not know of, and until when that is assumed: a host
+    /// that formed the calls before leaves results behind, and so does a call whose answer was lost.
+    pub foreign: (ByteCount, Timestamp),
     /// The endpoint gets no call before this time.
     pub avoid_until: Timestamp,
     /// Calls in a row that failed.
@@ -34,6 +43,7 @@
         Self {
             calls: 0,
             results: ByteCount::default(),
+            foreign: (ByteCount::default(), Timestamp::default()),
             avoid_until: Timestamp::default(),
             failures: 0,
             pace: 1.0,
@@ -47,6 +57,22 @@
         self.calls < limits.running.get().max(1) && now >= self.avoid_until
     }
 
+    /// Returns the memory that is left for results, as far as this host knows.
+    pub fn room(&self, now: Timestamp, limits: &BatchLimits) -> ByteCount {
+        let (foreign, until) = self.foreign;
+        let foreign = if now < until { foreign.get() } else { 0 };
+        let taken = self.results.get() + foreign;
+        let usable = (limits.result_room.get() as f64 * USED_ROOM) as u64;
+        ByteCount::new(usable.saturating_sub(taken))
+    }
+
+    /// Notes that the endpoint had no room for a result.
+    pub fn note_no_room(&mut self, now: Timestamp, limits: &BatchLimits) {
+        let known = self.results.get();
+        let foreign = limits.result_room.get().saturating_sub(known);
+        self.foreign = (ByteCount::new(foreign), now.plus(FOREIGN_RESULTS));
+    }
+
     /// Returns the expected time of a call.
     pub fn expected(&self, limits: &BatchLimits, items: usize) -> Duration {
         nominal(limits, items).mul_f64(self.pace)
