Let no stage call end the connection to the host that forms the calls

A host that stopped was asked again every 2 s, and each request then ran alone. Change: a stage without time ends at once; the host that forms the calls answers at the end of the stage's time and the requester waits longer than that; a stage moves to the next host in the order of all, and to the own one last.

--- a/crates/gateway/src/stages/run.rs
+++ b/crates/gateway/src/stages/run.rs
@@ -2,6 +2,7 @@
 use masticstair_core::prelude::*;
 use masticstair_policy::stage_queue::StageItem;
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::job::Job;
 use super::pump::{expected_wait, pump};
@@ -10,6 +11,9 @@
 use crate::front_end::StageSource;
 use crate::messages::{CancelRequest, StageAnswer, StageFailure, StageReply, StageRequest};
 
+/// How long after the time of a stage its requester is told at the latest.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+
 /// Runs a stage on the endpoints of its service.
 pub(crate) async fn run_stage(
     gw: &Rc<Gateway>,
@@ -33,7 +37,7 @@
     let number = stages.last.get().next();
     stages.last.set(number);
     let (reply, done) = oneshot::channel();
-    let pieces = request.pieces;
+    let (pieces, left) = (request.pieces, request.left.duration());
     let job = Job {
         from,
         deadline: now.plus(request.left.duration()),
@@ -59,7 +63,14 @@
     stages.by_request.borrow_mut().insert(job.key(), number);
     stages.jobs.borrow_mut().insert(number, job);
     pump(gw, &stages);
-    done.await.unwrap_or(StageReply::Failed(StageFailure::Cancelled))
+    match monoio::time::timeout(left + ANSWER_MARGIN, done).await {
+        Ok(reply) => reply.unwrap_or(StageReply::Failed(StageFailure::Cancelled)),
+        Err(_) => {
+            let made = stages.fail_job(number, StageFailure::Late);
+            release_results(gw, &stages, made);
+            StageReply::Failed(StageFailure::Late)
+        }
+    }
 }
 
 /// Ends a stage whose request has ended. Results that were made are given up.
--- a/crates/gateway/src/stages/submit.rs
+++ b/crates/gateway/src/stages/submit.rs
@@ -12,47 +12,79 @@
 };
 use crate::{Gateway, PeerHost};
 
+/// Hosts that are asked in turn to form the calls of a stage.
+const MAX_OWNERS: usize = 3;
+
+/// How much longer than the stage its answer may take to come back.
+const OWNER_MARGIN: Duration = Duration::from_millis(600);
+
 /// How long the end of a stage or results that are given up may take to reach another host.
 const NOTE_LIMIT: Duration = Duration::from_millis(500);
 
-/// Has a stage run by the host that forms the calls of its service, or by this one when that host does not
-/// answer. Ends the stage when it is dropped.
+/// Has a stage run by the host that forms the calls of its service, by the next one when that host does not
+/// answer, and in the end by this one. Ends the stage when it is dropped.
 pub(crate) async fn submit_stage(gw: &Rc<Gateway>, request: StageRequest) -> StageReply {
     let started = gw.now();
-    let own = gw.host.clone();
-    let cancel = CancelRequest { call: request.call.clone(), stage: request.stage };
-    if let Some(owner) = gw.owners.owner(gw, &request.service) {
-        let guard = CancelGuard::new(gw, Some(owner.clone()), cancel.clone());
-        let _watched = gw.owners.watch(gw, &owner);
-        let limit = request.left.duration();
-        let message = Message::Stage(Box::new(request.clone()));
-        let answer = ask(&owner, &message, limit).await;
-        guard.finish();
-        match answer {
-            Ok(Reply::Stage(answer))
-                if answer.reply == StageReply::Failed(StageFailure::NoEndpoint) => {}
-            Ok(Reply::Stage(answer)) => {
-                note_wait(gw, &request, &answer);
-                return answer.reply;
-            }
-            other => {
-                info!(gw.log, "stage moves to this host"; "request" => %request.call,
-                    "service" => %request.service, "owner" => %owner.host,
-                    "reason" => ?other);
-                gw.owners.avoid(gw.now(), &owner.host);
-            }
+    for _ in 0..MAX_OWNERS {
+        let Some(owner) = gw.owners.owner(gw, &request.service) else { break };
+        let request = shortened(&request, gw.now().since(started));
+        if request.left == Millis::default() {
+            return StageReply::Failed(StageFailure::Late);
+        }
+        if let Some(reply) = submit_to(gw, &owner, request).await {
+            return reply;
         }
     }
-    let waited = Millis::new(gw.now().since(started).as_millis() as u64);
-    let left = Millis::new(request.left.get().saturating_sub(waited.get()));
-    let due = Millis::new(request.due.get().saturating_sub(waited.get()));
+    let request = shortened(&request, gw.now().since(started));
+    let cancel = CancelRequest { call: request.call.clone(), stage: request.stage };
     let guard = CancelGuard::new(gw, None, cancel);
-    let answer = run_stage(gw, own, StageRequest { left, due, ..request.clone() }).await;
+    let answer = run_stage(gw, gw.host.clone(), request.clone()).await;
     guard.finish();
     note_wait(gw, &request, &answer);
     answer.reply
 }
 
+/// Takes the time that has passed from what a request has left.
+fn shortened(request: &StageRequest, passed: Duration) -> StageRequest {
+    let passed = passed.as_millis() as u64;
+    let left = Millis::new(request.left.get().saturating_sub(passed));
+    let due = Millis::new(request.due.get().saturating_sub(passed));
+    StageRequest { left, due, ..request.clone() }
+}
+
+/// Has a stage run by another host; none when it does not.
+async fn submit_to(
+    gw: &Rc<Gateway>,
+    owner: &PeerHost,
+    request: StageRequest,
+) -> Option<StageReply> {
+    let cancel = CancelRequest { call: request.call.clone(), stage: request.stage };
+    let guard = CancelGuard::new(gw, Some(owner.clone()), cancel);
+    let _watched = gw.owners.watch(gw, owner);
+    // A call that misses its deadline closes the connection and ends all others on it, so the host has to
+    // answer before.
+    let limit = request.left.duration() + OWNER_MARGIN;
+    let message = Message::Stage(Box::new(request.clone()));
+    let answer = ask(owner, &message, limit).await;
+    guard.finish();
+    let reason = match answer {
+        Ok(Reply::Stage(answer)) => {
+            note_wait(gw, &request, &answer);
+            if answer.reply != StageReply::Failed(StageFailure::NoEndpoint) {
+                return Some(answer.reply);
+            }
+            "the host knows no endpoint".into()
+        }
+        Ok(Reply::Refused(reason)) => reason,
+        Ok(_) => "the answer belongs to another message".into(),
+        Err(reason) => reason,
+    };
+    info!(gw.log, "stage moves to another host"; "request" => %request.call,
+        "service" => %request.service, "owner" => %owner.host, "reason" => reason.as_ref());
+    gw.owners.avoid(gw.now(), &owner.host);
+    None
+}
+
 fn note_wait(gw: &Gateway, request: &StageRequest, answer: &StageAnswer) {
     let wait = answer.wait.duration();
     gw.stage_times.note_wait(gw.now(), &request.service, request.priority, wait);
