Tell the waits of all priorities, drop late stages in long queues, give stages back at a stop

Change: each answer of a stage tells the waits of four priorities, which hold for 500 ms; above two rounds of full calls every late stage is dropped; stages that have not begun go to the next host at a stop; refused requests are asked back after 1 s at the earliest.

--- a/crates/gateway/src/entry/stage_plan.rs
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -29,7 +29,7 @@
 const MIN_CONGESTION: Duration = Duration::from_millis(150);
 
 /// The shortest and the longest time after which a refused request is asked to come back.
-const RETRY_RANGE: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(2_500)];
+const RETRY_RANGE: [Duration; 2] = [Duration::from_millis(1_000), Duration::from_millis(2_500)];
 
 /// Refuses a request at once whose stages are so busy that its answer would be late.
 pub(super) fn admit_stages(gw: &Gateway, req: &ClientRequest) -> Result<(), Refusal> {
--- a/crates/gateway/src/entry/stage_times.rs
+++ b/crates/gateway/src/entry/stage_times.rs
@@ -3,15 +3,20 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::messages::PRIORITIES;
+
 /// The weight of a new measurement in a mean.
 const WEIGHT: f64 = 0.15;
 
+/// How long a word of a wait holds; requests of others come meanwhile as well.
+const FRESH: Duration = Duration::from_millis(500);
+
 /// How long stages and first events take, and how long stages wait for a call, by service.
 #[derive(Debug, Default)]
 pub struct StageTimes {
     means: RefCell<HashMap<ServiceName, Duration>>,
-    /// The last word of the host that forms the calls, by priority.
-    waits: RefCell<HashMap<(ServiceName, u8), (Timestamp, Duration)>>,
+    /// The last word of the host that forms the calls.
+    waits: RefCell<HashMap<ServiceName, (Timestamp, [Millis; PRIORITIES])>>,
 }
 
 impl StageTimes {
@@ -29,18 +34,17 @@
         self.means.borrow().get(service).copied().unwrap_or(first)
     }
 
-    /// Notes how long a stage of a priority would wait.
-    pub fn note_wait(&self, now: Timestamp, service: &ServiceName, priority: u8, wait: Duration) {
-        self.waits.borrow_mut().insert((service.clone(), priority), (now, wait));
+    /// Notes how long stages would wait, by priority.
+    pub fn note_waits(&self, now: Timestamp, service: &ServiceName, waits: [Millis; PRIORITIES]) {
+        self.waits.borrow_mut().insert(service.clone(), (now, waits));
     }
 
-    /// Returns how long a stage of a priority waits, as far as is known: what waited when the last word came
-    /// is worked off meanwhile.
+    /// Returns how long a stage of a priority waits, as far as is known: without another word what waited is
+    /// worked off.
     pub fn wait(&self, now: Timestamp, service: &ServiceName, priority: u8) -> Duration {
         let waits = self.waits.borrow();
-        let Some((at, wait)) = waits.get(&(service.clone(), priority)) else {
-            return Duration::ZERO;
-        };
-        wait.saturating_sub(now.since(*at))
+        let Some((at, waits)) = waits.get(service) else { return Duration::ZERO };
+        let wait = waits[usize::from(priority).min(PRIORITIES - 1)].duration();
+        wait.saturating_sub(now.since(*at).saturating_sub(FRESH))
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,7 +22,9 @@
 use crate::event::GatewayEvent;
 use crate::front_end::{EndpointCall, FrontEnd};
 use crate::messages::{Message, Reply, decode, encode};
-use crate::stages::{Owners, StageDispatch, cancel_stage, pump_all, release_results, run_stage};
+use crate::stages::{
+    Owners, StageDispatch, cancel_stage, give_back_stages, pump_all, release_results, run_stage,
+};
 use crate::telemetry::GatewayMetrics;
 use crate::{CatalogInForce, GatewayConfig, PeerHost, Peers};
 
@@ -381,7 +383,7 @@
 
 /// Tells the load balancer to send no more clients, and lets the requests in progress end.
 async fn stop_gateway(
-    gw: &Gateway,
+    gw: &Rc<Gateway>,
     control: Option<&ControlHost>,
     close: futures_channel::oneshot::Sender<()>,
 ) {
@@ -392,6 +394,7 @@
     if let Some(control) = control {
         control.changed.notify();
     }
+    give_back_stages(gw);
     if gw.cfg.listen.is_some() {
         monoio::time::sleep(LEAVE_NOTICE.min(grace)).await;
     }
--- a/crates/gateway/src/messages/mod.rs
+++ b/crates/gateway/src/messages/mod.rs
@@ -9,5 +9,5 @@
 pub use follow::{FollowReply, FollowRequest};
 pub use message::{Message, Reply, decode, encode};
 pub use release::ReleaseRequest;
-pub use stage_reply::{StageAnswer, StageFailure, StageReply};
+pub use stage_reply::{PRIORITIES, StageAnswer, StageFailure, StageReply};
 pub use stage_request::{CancelRequest, StageRequest};
--- a/crates/gateway/src/messages/stage_reply.rs
+++ b/crates/gateway/src/messages/stage_reply.rs
@@ -15,6 +15,8 @@
     Failed,
     /// Its request has ended.
     Cancelled,
+    /// The host that formed the calls stops; another one has to.
+    Moved,
 }
 
 impl Display for StageFailure {
@@ -25,6 +27,7 @@
             Self::NoEndpoint => "no endpoint takes work",
             Self::Failed => "its pieces failed too often",
             Self::Cancelled => "its request has ended",
+            Self::Moved => "the host that formed its calls stops",
         })
     }
 }
@@ -38,11 +41,15 @@
     Failed(StageFailure),
 }
 
+/// Priorities that are told apart.
+pub const PRIORITIES: usize = 4;
+
 /// What became of a stage, and how busy its service is.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StageAnswer {
     /// What became of it.
     pub reply: StageReply,
-    /// How long another stage of the same priority would wait for a call now.
-    pub wait: Millis,
+    /// How long another stage would wait for a call now, by priority; those above the last one wait as long
+    /// as it.
+    pub waits: [Millis; PRIORITIES],
 }
--- a/crates/gateway/src/stages/mod.rs
+++ b/crates/gateway/src/stages/mod.rs
@@ -15,5 +15,5 @@
 pub(crate) use owner::Owners;
 pub(crate) use pump::pump_all;
 pub(crate) use release::release_results;
-pub(crate) use run::{cancel_stage, run_stage};
+pub(crate) use run::{cancel_stage, give_back_stages, run_stage};
 pub(crate) use submit::{give_up_results, submit_stage};
--- a/crates/gateway/src/stages/pump.rs
+++ b/crates/gateway/src/stages/pump.rs
@@ -18,6 +18,9 @@
 /// whose time passes.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 
+/// Rounds of full calls above which stages that would be late are dropped although earlier ones are done.
+const LATE_ROUNDS: usize = 2;
+
 /// The longest wait that is told.
 const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(10);
 
@@ -132,11 +135,13 @@
     limits: &BatchLimits,
 ) {
     let next_calls = endpoints.len() * limits.items.get().max(1) as usize;
-    if stages.queue.borrow().len() <= next_calls {
+    let waiting = stages.queue.borrow().len();
+    if waiting <= next_calls {
         return;
     }
     let call = limits.call.duration();
-    let late = stages.queue.borrow_mut().take_late(gw.now(), call);
+    let first_only = waiting <= LATE_ROUNDS * next_calls;
+    let late = stages.queue.borrow_mut().take_late(gw.now(), call, first_only);
     for number in late {
         let made = stages.fail_job(number, StageFailure::Late);
         release_results(gw, stages, made);
--- a/crates/gateway/src/stages/run.rs
+++ b/crates/gateway/src/stages/run.rs
@@ -20,10 +20,14 @@
     from: HostId,
     request: StageRequest,
 ) -> StageAnswer {
-    let (service, priority) = (request.service.clone(), request.priority);
+    let service = request.service.clone();
     let reply = run(gw, from, request).await;
-    let wait = expected_wait(gw, &gw.stages.service_of(&service), priority);
-    StageAnswer { reply, wait: Millis::new(wait.as_millis() as u64) }
+    let stages = gw.stages.service_of(&service);
+    let waits = std::array::from_fn(|priority| {
+        let wait = expected_wait(gw, &stages, priority as u8);
+        Millis::new(wait.as_millis() as u64)
+    });
+    StageAnswer { reply, waits }
 }
 
 async fn run(gw: &Rc<Gateway>, from: HostId, request: StageRequest) -> StageReply {
@@ -73,6 +77,23 @@
     }
 }
 
+/// Gives stages of other hosts back that have not begun; their requesters turn to the next host.
+pub(crate) fn give_back_stages(gw: &Rc<Gateway>) {
+    for stages in gw.stages.all() {
+        let is_foreign = |job: &Job| job.from != gw.host;
+        let waiting = stages.queue.borrow().waiting_jobs();
+        let jobs = stages.jobs.borrow();
+        let foreign = jobs.iter().filter(|(number, job)| {
+            is_foreign(job) && waiting.get(number) == Some(&(job.request.pieces as usize))
+        });
+        let numbers: Vec<_> = foreign.map(|(number, _)| *number).collect();
+        drop(jobs);
+        for number in numbers {
+            stages.fail_job(number, StageFailure::Moved);
+        }
+    }
+}
+
 /// Ends a stage whose request has ended. Results that were made are given up.
 pub(crate) fn cancel_stage(gw: &Rc<Gateway>, from: HostId, cancel: CancelRequest) {
     let key = (from, cancel);
--- a/crates/gateway/src/stages/submit.rs
+++ b/crates/gateway/src/stages/submit.rs
@@ -70,10 +70,12 @@
     let reason = match answer {
         Ok(Reply::Stage(answer)) => {
             note_wait(gw, &request, &answer);
-            if answer.reply != StageReply::Failed(StageFailure::NoEndpoint) {
-                return Some(answer.reply);
+            match answer.reply {
+                StageReply::Failed(e @ (StageFailure::NoEndpoint | StageFailure::Moved)) => {
+                    e.to_string().into()
+                }
+                reply => return Some(reply),
             }
-            "the host knows no endpoint".into()
         }
         Ok(Reply::Refused(reason)) => reason,
         Ok(_) => "the answer belongs to another message".into(),
@@ -86,8 +88,7 @@
 }
 
 fn note_wait(gw: &Gateway, request: &StageRequest, answer: &StageAnswer) {
-    let wait = answer.wait.duration();
-    gw.stage_times.note_wait(gw.now(), &request.service, request.priority, wait);
+    gw.stage_times.note_waits(gw.now(), &request.service, answer.waits);
 }
 
 /// Gives up results through the host that formed the calls.
--- a/crates/policy/src/stage_queue/queue.rs
+++ b/crates/policy/src/stage_queue/queue.rs
@@ -55,11 +55,25 @@
         self.waiting.iter().filter(|item| item.priority <= priority).count()
     }
 
-    /// Takes out the stages that can no longer be on time and for which nothing has been done yet, and
-    /// returns them. The endpoints have enough to do that is on time.
-    pub fn take_late(&mut self, now: Timestamp, call: Duration) -> Vec<JobNumber> {
+    /// Takes out the stages that can no longer be on time, and returns them; with `first_only` those for which
+    /// nothing has been done yet.
+    pub fn take_late(
+        &mut self,
+        now: Timestamp,
+        call: Duration,
+        first_only: bool,
+    ) -> Vec<JobNumber> {
         let end = now.plus(call);
-        self.take_jobs(|item| item.is_first && item.due < end)
+        self.take_jobs(|item| (item.is_first || !first_only) && item.due < end)
+    }
+
+    /// Returns how many items of each stage wait.
+    pub fn waiting_jobs(&self) -> HashMap<JobNumber, usize> {
+        let mut jobs = HashMap::new();
+        for item in &self.waiting {
+            *jobs.entry(item.job).or_default() += 1;
+        }
+        jobs
     }
 
     /// Drops the items of a stage that is no longer needed.
