--- /dev/null
+++ b/crates/policy/tests/choices.rs
@@ -0,0 +1,126 @@
+//! Choices of endpoints and engines, and the budget for repeats.
+
+use masticstair_core::prelude::*;
+use masticstair_policy::engine_choice::{EngineView, pick_engine, rendezvous_order};
+use masticstair_policy::repeat_budget::{BudgetTerms, RepeatBudget};
+use masticstair_policy::service_choice::{Candidate, EndpointHealth, pick_endpoint};
+use std::time::Duration;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::new(1 + ms * 1_000)
+}
+
+fn engine(affinity: u64) -> EngineView {
+    EngineView {
+        affinity,
+        pace: 1.0,
+        in_flight: 0,
+        prompt_backlog: 0,
+        is_near: true,
+        is_avoided: false,
+        failing: 0.0,
+        cold: Duration::ZERO,
+    }
+}
+
+/// Guards against prompts that are read again on every engine, and against an engine that is flooded.
+#[test]
+fn engine_that_keeps_the_prompt_is_chosen_while_it_has_time() {
+    struct Case {
+        name: &'static str,
+        engines: Vec<EngineView>,
+        chosen: usize,
+    }
+    let busy = |affinity| EngineView { prompt_backlog: 60_000, ..engine(affinity) };
+    let cases = [
+        Case { name: "keeper", engines: vec![engine(1), engine(9), engine(5)], chosen: 1 },
+        Case { name: "keeper is busy", engines: vec![engine(1), busy(9), engine(5)], chosen: 2 },
+        Case { name: "both keepers busy", engines: vec![engine(1), busy(9), busy(5)], chosen: 0 },
+        Case {
+            name: "keeper is avoided",
+            engines: vec![engine(1), EngineView { is_avoided: true, ..engine(9) }, engine(5)],
+            chosen: 2,
+        },
+    ];
+    for case in cases {
+        let (shared, own) = (TokenCount::new(6_000), TokenCount::new(2_000));
+        let patience = Duration::from_millis(600);
+        let chosen =
+            pick_engine(&case.engines, shared, own, 4, patience, || Draw::new(0)).unwrap();
+        assert_eq!(chosen, case.chosen, "{}", case.name);
+    }
+}
+
+/// Guards against an owner that changes for most keys when one host leaves.
+#[test]
+fn few_keys_move_when_a_holder_leaves() {
+    let holders: Vec<String> = (0..10).map(|n| format!("host-{n}")).collect();
+    let moved = (0..1_000_u32).filter(|key| {
+        let key = key.to_le_bytes();
+        let all = rendezvous_order(&key, holders.iter().map(|h| h.as_bytes()))[0];
+        let rest = rendezvous_order(&key, holders[..9].iter().map(|h| h.as_bytes()))[0];
+        all != 9 && all != rest
+    });
+    assert_eq!(moved.count(), 0);
+}
+
+/// Guards against calls to endpoints that fail fast or were lost.
+#[test]
+fn healthy_endpoint_is_picked() {
+    let usual = Candidate {
+        in_flight: 0,
+        capacity: 4,
+        latency: Duration::from_millis(40),
+        failing: 0.0,
+        is_local: true,
+        is_avoided: false,
+    };
+    struct Case {
+        name: &'static str,
+        other: Candidate,
+        picked: usize,
+    }
+    let cases = [
+        Case { name: "fails fast", other: Candidate { failing: 0.9, latency: Duration::from_millis(5), ..usual }, picked: 0 },
+        Case { name: "avoided", other: Candidate { is_avoided: true, latency: Duration::from_millis(5), ..usual }, picked: 0 },
+        Case { name: "busy", other: Candidate { in_flight: 8, ..usual }, picked: 0 },
+        Case { name: "faster", other: Candidate { latency: Duration::from_millis(10), ..usual }, picked: 1 },
+    ];
+    for case in cases {
+        let picked = pick_endpoint(&[usual, case.other], || Draw::new(0)).unwrap();
+        assert_eq!(picked, case.picked, "{}", case.name);
+    }
+}
+
+/// Guards against an endpoint that is tried without a pause after its connections failed.
+#[test]
+fn lost_endpoint_is_left_alone_for_longer_each_time() {
+    let mut health = EndpointHealth::default();
+    health.note_lost(at(0));
+    assert!(health.is_avoided(at(499)) && !health.is_avoided(at(500)));
+    health.note_lost(at(500));
+    assert!(health.is_avoided(at(1_499)) && !health.is_avoided(at(1_500)));
+    health.note_answer(Duration::from_millis(5), false);
+    assert!(!health.is_avoided(at(501)));
+}
+
+/// Guards against hosts that together repeat more than the deployment allows.
+#[test]
+fn repeats_stay_within_the_part_of_a_host() {
+    let terms = BudgetTerms {
+        ratio: 0.2,
+        allowance: 40.0,
+        window: Duration::from_secs(10),
+        hosts: 8,
+    };
+    let service: ServiceName = "s".parse().unwrap();
+    let mut budget = RepeatBudget::default();
+    for n in 0..50 {
+        budget.note_request(at(n), &terms, &service);
+    }
+    let taken = (0..100).filter(|n| budget.take_repeat(at(100 + n), &terms, &service)).count();
+    // 0.8 x (40 / 8 + 0.2 x 50)
+    assert_eq!(taken, 12);
+    let later = (0..100).filter(|n| budget.take_repeat(at(20_000 + n), &terms, &service)).count();
+    assert_eq!(later, 4, "the window has passed");
+}
--- /dev/null
+++ b/crates/policy/tests/directory.rs
@@ -0,0 +1,187 @@
+//! What control hosts list and what entry hosts make of it.
+
+use masticstair_core::prelude::*;
+use masticstair_policy::directory::{
+    Announcement, AnnouncementTable, Directory, FeedReply, Listing, ServingEndpoint, ServingState,
+};
+use std::time::Duration;
+
+const SILENCE: Duration = Duration::from_secs(4);
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::new(1 + ms * 1_000)
+}
+
+fn endpoint(id: &str, address: &str, incarnation: u64, state: ServingState) -> ServingEndpoint {
+    ServingEndpoint {
+        id: id.parse().unwrap(),
+        service: "s".parse().unwrap(),
+        address: address.parse().unwrap(),
+        data_centre: "dc-1".parse().unwrap(),
+        capacity: Slots::new(1),
+        incarnation: Incarnation::new(incarnation),
+        state,
+        cold: Millis::new(0),
+    }
+}
+
+fn table() -> AnnouncementTable {
+    AnnouncementTable::new(at(0), Incarnation::new(7), SILENCE)
+}
+
+fn states(table: &AnnouncementTable) -> Vec<(String, ServingState)> {
+    table.endpoints().map(|e| (e.id.to_string(), e.state)).collect()
+}
+
+/// Guards against late or repeated announcements that bring an endpoint back or make it ready again.
+#[test]
+fn late_announcements_change_nothing() {
+    struct Case {
+        name: &'static str,
+        incarnation: u64,
+        sequence: u64,
+        state: ServingState,
+        after: ServingState,
+    }
+    use ServingState::{Gone, Leaving, Ready};
+    let cases = [
+        Case { name: "older sequence", incarnation: 5, sequence: 2, state: Ready, after: Leaving },
+        Case { name: "same sequence", incarnation: 5, sequence: 3, state: Ready, after: Leaving },
+        Case { name: "ready again", incarnation: 5, sequence: 4, state: Ready, after: Leaving },
+        Case { name: "older life", incarnation: 4, sequence: 9, state: Ready, after: Leaving },
+        Case { name: "later life", incarnation: 6, sequence: 1, state: Ready, after: Ready },
+    ];
+    for case in cases {
+        let mut table = table();
+        let leaving = endpoint("e", "10.0.0.1:80", 5, Leaving);
+        table.announce(at(10), Announcement { endpoint: leaving, sequence: 3 });
+        let endpoint = endpoint("e", "10.0.0.1:80", case.incarnation, case.state);
+        table.announce(at(20), Announcement { endpoint, sequence: case.sequence });
+        assert_eq!(states(&table), [("e".to_owned(), case.after)], "{}", case.name);
+    }
+    let mut table = table();
+    let ready = endpoint("e", "10.0.0.1:80", 5, Ready);
+    table.announce(at(10), Announcement { endpoint: ready.clone(), sequence: 3 });
+    table.leave(at(20), &ready.id, None);
+    table.announce(at(30), Announcement { endpoint: ready, sequence: 4 });
+    assert_eq!(states(&table), [("e".to_owned(), Gone)], "an announcement after the end");
+}
+
+/// Guards against endpoints that stay listed although they crashed.
+#[test]
+fn silent_endpoints_are_dropped() {
+    let mut table = table();
+    let ready = endpoint("e", "10.0.0.1:80", 5, ServingState::Ready);
+    table.announce(at(0), Announcement { endpoint: ready, sequence: 1 });
+    assert!(table.expire(at(4_000)).is_empty());
+    assert_eq!(table.expire(at(4_001)).len(), 1);
+    let reply = table.changes_after(at(4_001), Incarnation::new(7), table.position() - 1);
+    assert_eq!(reply.changes, [Listing::Dropped("e".parse().unwrap())]);
+}
+
+/// Guards against a follower that misses changes, or that gets everything again with each of them.
+#[test]
+fn followers_get_what_changed() {
+    let mut table = table();
+    for n in 0..3 {
+        let e = endpoint(&format!("e{n}"), &format!("10.0.0.{n}:80"), 1, ServingState::Ready);
+        table.announce(at(n), Announcement { endpoint: e, sequence: 1 });
+    }
+    let own = Incarnation::new(7);
+    let first = table.changes_after(at(5), Incarnation::default(), 0);
+    assert!(first.complete && first.changes.len() == 3 && !first.settled);
+    let none = table.changes_after(at(5), own, first.position);
+    assert!(!none.complete && none.changes.is_empty());
+    table.leave(at(6), &"e1".parse().unwrap(), None);
+    assert_eq!(table.changes_after(at(7), own, first.position).changes.len(), 1);
+    let other_life = table.changes_after(at(7), Incarnation::new(6), first.position);
+    assert!(other_life.complete, "positions of another process mean nothing");
+}
+
+fn reply(settled: bool, endpoints: &[ServingEndpoint]) -> FeedReply {
+    FeedReply {
+        incarnation: Incarnation::new(1),
+        position: 1,
+        complete: true,
+        settled,
+        changes: endpoints.iter().cloned().map(Listing::Listed).collect(),
+    }
+}
+
+fn ready(directory: &Directory) -> Vec<String> {
+    directory.ready(&"s".parse().unwrap()).iter().map(|e| e.id.to_string()).collect()
+}
+
+/// Guards against work for endpoints that leave, ended, or lost their address to another one.
+#[test]
+fn listings_of_all_control_hosts_are_joined() {
+    use ServingState::{Gone, Leaving, Ready};
+    struct Case {
+        name: &'static str,
+        first: Vec<ServingEndpoint>,
+        second: Vec<ServingEndpoint>,
+        ready: Vec<&'static str>,
+    }
+    let e = endpoint;
+    let cases = [
+        Case {
+            name: "each lists another one",
+            first: vec![e("a", "10.0.0.1:80", 1, Ready)],
+            second: vec![e("b", "10.0.0.2:80", 1, Ready)],
+            ready: vec!["a", "b"],
+        },
+        Case {
+            name: "one has heard that it leaves",
+            first: vec![e("a", "10.0.0.1:80", 1, Ready)],
+            second: vec![e("a", "10.0.0.1:80", 1, Leaving)],
+            ready: vec![],
+        },
+        Case {
+            name: "a later life is ready",
+            first: vec![e("a", "10.0.0.1:80", 1, Gone)],
+            second: vec![e("a", "10.0.0.1:80", 2, Ready)],
+            ready: vec!["a"],
+        },
+        Case {
+            name: "the address belongs to a later endpoint",
+            first: vec![e("a", "10.0.0.1:80", 1, Ready)],
+            second: vec![e("b", "10.0.0.1:80", 2, Ready)],
+            ready: vec!["b"],
+        },
+    ];
+    for case in cases {
+        let mut directory = Directory::default();
+        directory.take(at(0), &"c1".parse().unwrap(), reply(true, &case.first));
+        directory.take(at(0), &"c2".parse().unwrap(), reply(true, &case.second));
+        assert_eq!(ready(&directory), case.ready, "{}", case.name);
+    }
+}
+
+/// Guards against an entry host that forgets every endpoint when control restarts or is lost.
+#[test]
+fn traffic_goes_on_without_control() {
+    let control: HostId = "c1".parse().unwrap();
+    let a = endpoint("a", "10.0.0.1:80", 1, ServingState::Ready);
+    let mut directory = Directory::default();
+    directory.take(at(0), &control, reply(true, std::slice::from_ref(&a)));
+    directory.refresh(at(60_000));
+    assert_eq!(ready(&directory), ["a"], "no control host answers");
+    directory.take(at(61_000), &control, reply(false, &[]));
+    assert_eq!(ready(&directory), ["a"], "the control host has just started");
+    directory.take(at(66_000), &control, reply(true, &[]));
+    assert!(ready(&directory).is_empty(), "the control host has settled without it");
+}
+
+/// Guards against an endpoint that only a lost control host lists.
+#[test]
+fn stale_listings_do_not_count_beside_fresh_ones() {
+    let (lost, live): (HostId, HostId) = ("c1".parse().unwrap(), "c2".parse().unwrap());
+    let a = endpoint("a", "10.0.0.1:80", 1, ServingState::Ready);
+    let b = endpoint("b", "10.0.0.2:80", 1, ServingState::Ready);
+    let mut directory = Directory::default();
+    directory.take(at(0), &lost, reply(true, std::slice::from_ref(&a)));
+    directory.take(at(0), &live, reply(true, std::slice::from_ref(&b)));
+    directory.take(at(7_000), &live, reply(true, std::slice::from_ref(&b)));
+    directory.refresh(at(7_000));
+    assert_eq!(ready(&directory), ["b"]);
+}
--- /dev/null
+++ b/crates/policy/tests/stage_queue.rs
@@ -0,0 +1,149 @@
+//! Calls of stage services: what goes into the next one.
+
+use masticstair_core::catalog::BatchLimits;
+use masticstair_core::prelude::*;
+use masticstair_policy::stage_queue::{EndpointOffer, JobNumber, StageItem, StageQueue, StageWork};
+use smallvec::smallvec;
+use std::time::Duration;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::new(1 + ms * 1_000)
+}
+
+fn item(job: u64, due: u64) -> StageItem {
+    let number = (0..job).fold(JobNumber::default(), |n, _| n.next());
+    StageItem {
+        job: number,
+        piece: 0,
+        due: at(due),
+        deadline: at(due + 4_000),
+        since: at(0),
+        priority: 0,
+        near: None,
+        result: ByteCount::new(10),
+        is_first: true,
+        failures: 0,
+    }
+}
+
+fn offer() -> EndpointOffer {
+    EndpointOffer {
+        data_centre: "dc-1".parse().unwrap(),
+        overflowing: smallvec![],
+        items: 2,
+        room: ByteCount::new(1_000),
+        full_call: Duration::from_millis(200),
+    }
+}
+
+fn dues(taken: &[StageItem]) -> Vec<u64> {
+    taken.iter().map(|i| (i.due.get() - 1) / 1_000).collect()
+}
+
+fn limits() -> BatchLimits {
+    BatchLimits {
+        running: Slots::new(1),
+        queued: Slots::new(2),
+        items: Slots::new(8),
+        call: Millis::new(100),
+        item_us: 10_000,
+        result_room: ByteCount::new(100),
+        result_ttl: Millis::new(4_000),
+    }
+}
+
+/// Guards against calls that are filled in the order of arrival, or with what is too late already.
+#[test]
+fn urgent_items_that_can_be_on_time_go_first() {
+    struct Case {
+        name: &'static str,
+        items: Vec<StageItem>,
+        taken: Vec<u64>,
+    }
+    let cases = [
+        Case {
+            name: "earliest objective first",
+            items: vec![item(1, 900), item(2, 700), item(3, 800)],
+            taken: vec![700, 800],
+        },
+        Case {
+            name: "late ones last",
+            items: vec![item(1, 100), item(2, 900), item(3, 800)],
+            taken: vec![800, 900],
+        },
+        Case {
+            name: "priority outweighs a small difference",
+            items: vec![
+                StageItem { priority: 1, ..item(1, 700) },
+                item(2, 900),
+                StageItem { priority: 1, ..item(3, 300) },
+            ],
+            taken: vec![300, 900],
+        },
+        Case {
+            name: "what has no room waits",
+            items: vec![StageItem { result: ByteCount::new(2_000), ..item(1, 700) }, item(2, 900)],
+            taken: vec![900],
+        },
+    ];
+    for case in cases {
+        let mut queue = StageQueue::default();
+        queue.push(case.items);
+        assert_eq!(dues(&queue.take_call(at(0), &offer())), case.taken, "{}", case.name);
+    }
+}
+
+/// Guards against results that cross data centres while the endpoints at home have time, and against items
+/// that wait for them for too long.
+#[test]
+fn items_stay_in_their_data_centre_while_they_can() {
+    struct Case {
+        name: &'static str,
+        now: u64,
+        overflowing: bool,
+        due: u64,
+        taken: usize,
+    }
+    let cases = [
+        Case { name: "home has time", now: 0, overflowing: false, due: 2_000, taken: 0 },
+        Case { name: "home has too much to do", now: 0, overflowing: true, due: 2_000, taken: 1 },
+        Case { name: "waited for long", now: 400, overflowing: false, due: 2_000, taken: 1 },
+        Case { name: "short of time", now: 0, overflowing: false, due: 300, taken: 1 },
+    ];
+    for case in cases {
+        let home: DataCentreId = "dc-2".parse().unwrap();
+        let mut queue = StageQueue::default();
+        queue.push([StageItem { near: Some(home.clone()), ..item(1, case.due) }]);
+        let overflowing = if case.overflowing { smallvec![home] } else { smallvec![] };
+        let offer = EndpointOffer { overflowing, ..offer() };
+        assert_eq!(queue.take_call(at(case.now), &offer).len(), case.taken, "{}", case.name);
+    }
+}
+
+/// Guards against a full queue in which everything is late, and against lost work of earlier stages.
+#[test]
+fn late_stages_are_taken_out() {
+    let mut queue = StageQueue::default();
+    queue.push([item(1, 100), StageItem { is_first: false, ..item(2, 100) }, item(3, 900)]);
+    let call = Duration::from_millis(200);
+    assert_eq!(queue.take_late(at(0), call, true), [item(1, 0).job]);
+    assert_eq!(queue.take_late(at(0), call, false), [item(2, 0).job]);
+    assert_eq!(queue.take_hopeless(at(4_800), call), [item(3, 0).job]);
+    assert!(queue.is_empty());
+}
+
+/// Guards against pieces for which an endpoint has no room, and calls that are given up too early.
+#[test]
+fn endpoint_takes_what_it_has_room_for() {
+    let mut work = StageWork::default();
+    assert_eq!(work.room(at(0), &limits()), ByteCount::new(88));
+    work.results = ByteCount::new(50);
+    assert_eq!(work.room(at(0), &limits()), ByteCount::new(38));
+    work.note_no_room(at(0), &limits());
+    assert_eq!(work.room(at(100), &limits()), ByteCount::new(0));
+    assert_eq!(work.room(at(201), &limits()), ByteCount::new(38));
+    assert!(work.patience(&limits(), 8) > Duration::from_millis(2 * 180));
+    work.note_failure(at(0), Duration::from_millis(700));
+    assert!(!work.is_free(at(699), &limits()));
+    assert!(work.is_free(at(700), &limits()));
+}
