Form the calls of stages on control hosts

Change: control hosts follow the endpoints as well and form the calls; entry hosts take over while none answers.

--- a/crates/gateway/src/entry/follow.rs
+++ b/crates/gateway/src/entry/follow.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::control::ControlHost;
 use crate::gateway::{install_catalog, note_endpoints};
 use crate::messages::{FollowReply, FollowRequest, Message, Reply, decode, encode};
 use crate::{Gateway, PeerHost};
@@ -54,6 +55,20 @@
     }
 }
 
+/// Follows what endpoints announce to this host itself.
+pub(crate) async fn follow_own_table(gw: Rc<Gateway>, control: Rc<ControlHost>) {
+    let host = gw.host.clone();
+    loop {
+        let (incarnation, position) = gw.directory.borrow().position(&host);
+        let now = gw.now();
+        let feed = control.table.borrow().changes_after(now, incarnation, position);
+        if gw.directory.borrow_mut().take(now, &host, feed) {
+            note_endpoints(&gw);
+        }
+        control.changed.notified(WAIT).await;
+    }
+}
+
 /// A catalog that a quorum has accepted is held by at least one host of every majority, so after the word of
 /// most control hosts this host knows it.
 fn check_current(
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -15,6 +15,6 @@
 mod stream_body;
 
 pub(crate) use answer::answer_request;
-pub(crate) use follow::follow_control_hosts;
+pub(crate) use follow::{follow_control_hosts, follow_own_table};
 pub(crate) use ready::answer_ready;
 pub use stage_times::StageTimes;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,7 +18,9 @@
 use std::time::{Duration, Instant};
 
 use crate::control::{CatalogStore, ControlHost, answer_control};
-use crate::entry::{StageTimes, answer_ready, answer_request, follow_control_hosts};
+use crate::entry::{
+    StageTimes, answer_ready, answer_request, follow_control_hosts, follow_own_table,
+};
 use crate::event::GatewayEvent;
 use crate::front_end::{EndpointCall, FrontEnd};
 use crate::messages::{Message, Reply, decode, encode};
@@ -114,10 +116,14 @@
         self.stopping.get()
     }
 
+    /// Returns the live hosts, this one included.
+    pub(crate) fn hosts(&self) -> Vec<PeerHost> {
+        (self.peers)().0
+    }
+
     /// Returns the hosts that take clients, this one included.
     pub(crate) fn entry_hosts(&self) -> Vec<PeerHost> {
-        let (hosts, _) = (self.peers)();
-        hosts.into_iter().filter(|h| !h.is_control).collect()
+        self.hosts().into_iter().filter(|h| !h.is_control).collect()
     }
 
     /// Returns the control hosts but for this one, and whether this host has joined the others.
@@ -214,9 +220,10 @@
     start_listeners(&gw, control.as_ref(), &closed)?;
     monoio::spawn(take_events(gw.clone(), control.clone(), parts.events));
     monoio::spawn(keep_house(gw.clone(), control.clone()));
-    if gw.cfg.listen.is_some() {
-        monoio::spawn(follow_control_hosts(gw.clone()));
+    if let Some(control) = &control {
+        monoio::spawn(follow_own_table(gw.clone(), control.clone()));
     }
+    monoio::spawn(follow_control_hosts(gw.clone()));
     stop.await;
     stop_gateway(&gw, control.as_deref(), close_tx).await;
     Ok(())
--- a/crates/gateway/src/stages/owner.rs
+++ b/crates/gateway/src/stages/owner.rs
@@ -27,13 +27,17 @@
 
 impl Owners {
     /// Returns the host that forms the calls of a service; none when this one does.
+    ///
+    /// Control hosts do: they are few, well connected and not restarted with the entry hosts, so that a call
+    /// has items of all of them and the room of an endpoint is known in one place. Entry hosts take over
+    /// while no control host answers.
     pub(super) fn owner(&self, gw: &Gateway, service: &ServiceName) -> Option<PeerHost> {
         let now = gw.now();
-        let hosts: Vec<_> = gw
-            .entry_hosts()
-            .into_iter()
-            .filter(|h| h.client.is_none() || (h.is_alive && !self.is_avoided(now, &h.host)))
-            .collect();
+        let is_usable =
+            |h: &PeerHost| h.client.is_none() || (h.is_alive && !self.is_avoided(now, &h.host));
+        let (control, entry): (Vec<_>, Vec<_>) =
+            gw.hosts().into_iter().filter(is_usable).partition(|h| h.is_control);
+        let hosts = if control.is_empty() { entry } else { control };
         let holders = hosts.iter().map(|h| h.host.as_str().as_bytes());
         let first = *rendezvous_order(service.as_str().as_bytes(), holders).first()?;
         hosts.into_iter().nth(first).filter(|h| h.client.is_some())
--- a/crates/policy/tests/choices.rs
+++ b/crates/policy/tests/choices.rs
@@ -45,8 +45,7 @@
     for case in cases {
         let (shared, own) = (TokenCount::new(6_000), TokenCount::new(2_000));
         let patience = Duration::from_millis(600);
-        let chosen =
-            pick_engine(&case.engines, shared, own, 4, patience, || Draw::new(0)).unwrap();
+        let chosen = pick_engine(&case.engines, shared, own, 4, patience, || Draw::new(0)).unwrap();
         assert_eq!(chosen, case.chosen, "{}", case.name);
     }
 }
@@ -81,10 +80,22 @@
         picked: usize,
     }
     let cases = [
-        Case { name: "fails fast", other: Candidate { failing: 0.9, latency: Duration::from_millis(5), ..usual }, picked: 0 },
-        Case { name: "avoided", other: Candidate { is_avoided: true, latency: Duration::from_millis(5), ..usual }, picked: 0 },
+        Case {
+            name: "fails fast",
+            other: Candidate { failing: 0.9, latency: Duration::from_millis(5), ..usual },
+            picked: 0,
+        },
+        Case {
+            name: "avoided",
+            other: Candidate { is_avoided: true, latency: Duration::from_millis(5), ..usual },
+            picked: 0,
+        },
         Case { name: "busy", other: Candidate { in_flight: 8, ..usual }, picked: 0 },
-        Case { name: "faster", other: Candidate { latency: Duration::from_millis(10), ..usual }, picked: 1 },
+        Case {
+            name: "faster",
+            other: Candidate { latency: Duration::from_millis(10), ..usual },
+            picked: 1,
+        },
     ];
     for case in cases {
         let picked = pick_endpoint(&[usual, case.other], || Draw::new(0)).unwrap();
@@ -107,12 +118,8 @@
 /// Guards against hosts that together repeat more than the deployment allows.
 #[test]
 fn repeats_stay_within_the_part_of_a_host() {
-    let terms = BudgetTerms {
-        ratio: 0.2,
-        allowance: 40.0,
-        window: Duration::from_secs(10),
-        hosts: 8,
-    };
+    let terms =
+        BudgetTerms { ratio: 0.2, allowance: 40.0, window: Duration::from_secs(10), hosts: 8 };
     let service: ServiceName = "s".parse().unwrap();
     let mut budget = RepeatBudget::default();
     for n in 0..50 {
