--- a/crates/gateway/src/control/answer.rs
+++ b/crates/gateway/src/control/answer.rs
@@ -51,7 +51,8 @@
     id: &EndpointId,
     incarnation: Option<Incarnation>,
 ) -> ControlReply {
-    if control.table.borrow_mut().leave(gw.now(), id, incarnation) {
+    let elsewhere = gw.directory.borrow().find(id);
+    if control.table.borrow_mut().leave(gw.now(), id, incarnation, elsewhere.as_deref()) {
         info!(gw.log, "endpoint ends"; "endpoint" => %id,
             "incarnation" => incarnation.map(|i| i.get()));
         control.changed.notify();
--- a/crates/policy/src/directory/announcement_table.rs
+++ b/crates/policy/src/directory/announcement_table.rs
@@ -80,20 +80,30 @@
     }
 
     /// Notes that an endpoint ends; tells whether the listing changed. `incarnation` is the life that says
-    /// so, if it is known.
+    /// so, if it is known. `elsewhere` is what other control hosts list of it: an endpoint may announce itself
+    /// to one of them and tell its end to this one.
     pub fn leave(
         &mut self,
         now: Timestamp,
         id: &EndpointId,
         incarnation: Option<Incarnation>,
+        elsewhere: Option<&ServingEndpoint>,
     ) -> bool {
-        let Some(entry) = self.endpoints.get_mut(id) else { return false };
-        let is_other_life = incarnation.is_some_and(|i| i < entry.endpoint.incarnation);
-        if is_other_life || entry.endpoint.state == ServingState::Gone {
+        let own = self.endpoints.get(id).map(|entry| (&entry.endpoint, entry.sequence));
+        let known = match (own, elsewhere) {
+            (Some((own, _)), Some(other)) if other.incarnation > own.incarnation => {
+                Some((other, 0))
+            }
+            (None, Some(other)) => Some((other, 0)),
+            (own, _) => own,
+        };
+        let Some((endpoint, sequence)) = known else { return false };
+        let is_other_life = incarnation.is_some_and(|i| i < endpoint.incarnation);
+        if is_other_life || endpoint.state == ServingState::Gone {
             return false;
         }
-        entry.endpoint.state = ServingState::Gone;
-        entry.heard = now;
+        let endpoint = ServingEndpoint { state: ServingState::Gone, ..endpoint.clone() };
+        self.endpoints.insert(id.clone(), Entry { endpoint, sequence, heard: now });
         self.note_change(id.clone());
         true
     }
--- a/crates/policy/src/directory/directory_table.rs
+++ b/crates/policy/src/directory/directory_table.rs
@@ -78,6 +78,12 @@
         self.ready.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns the newest record of an endpoint, whoever lists it.
+    pub fn find(&self, id: &EndpointId) -> Option<Arc<ServingEndpoint>> {
+        let records = self.feeds.values().filter_map(|feed| feed.listed.get(id));
+        records.max_by_key(|e| (e.incarnation, e.state)).cloned()
+    }
+
     /// Returns the data centre of the endpoint at an address.
     pub fn data_centre_at(&self, address: SocketAddr) -> Option<&DataCentreId> {
         let mut endpoints = self.ready.values().flat_map(|endpoints| endpoints.iter());
--- a/crates/policy/tests/directory.rs
+++ b/crates/policy/tests/directory.rs
@@ -62,7 +62,7 @@
     let mut table = table();
     let ready = endpoint("e", "10.0.0.1:80", 5, Ready);
     table.announce(at(10), Announcement { endpoint: ready.clone(), sequence: 3 });
-    table.leave(at(20), &ready.id, None);
+    table.leave(at(20), &ready.id, None, None);
     table.announce(at(30), Announcement { endpoint: ready, sequence: 4 });
     assert_eq!(states(&table), [("e".to_owned(), Gone)], "an announcement after the end");
 }
@@ -92,7 +92,7 @@
     assert!(first.complete && first.changes.len() == 3 && !first.settled);
     let none = table.changes_after(at(5), own, first.position);
     assert!(!none.complete && none.changes.is_empty());
-    table.leave(at(6), &"e1".parse().unwrap(), None);
+    table.leave(at(6), &"e1".parse().unwrap(), None, None);
     assert_eq!(table.changes_after(at(7), own, first.position).changes.len(), 1);
     let other_life = table.changes_after(at(7), Incarnation::new(6), first.position);
     assert!(other_life.complete, "positions of another process mean nothing");
@@ -185,3 +185,29 @@
     directory.refresh(at(7_000));
     assert_eq!(ready(&directory), ["b"]);
 }
+
+/// Guards against an endpoint that stays ready because it told its end to another control host than the one
+/// that it announces itself to.
+#[test]
+fn end_is_noted_by_any_control_host() {
+    struct Case {
+        name: &'static str,
+        elsewhere: Option<ServingEndpoint>,
+        life: Option<u64>,
+        noted: bool,
+    }
+    let listed = |incarnation| Some(endpoint("e", "10.0.0.1:80", incarnation, ServingState::Ready));
+    let cases = [
+        Case { name: "not listed anywhere", elsewhere: None, life: None, noted: false },
+        Case { name: "listed elsewhere", elsewhere: listed(5), life: None, noted: true },
+        Case { name: "the same life", elsewhere: listed(5), life: Some(5), noted: true },
+        Case { name: "an earlier life ended", elsewhere: listed(5), life: Some(4), noted: false },
+    ];
+    for case in cases {
+        let mut table = table();
+        let life = case.life.map(Incarnation::new);
+        let id = "e".parse().unwrap();
+        let noted = table.leave(at(10), &id, life, case.elsewhere.as_ref());
+        assert_eq!(noted, case.noted, "{}", case.name);
+    }
+}
