--- a/crates/core/tests/catalog.rs
+++ b/crates/core/tests/catalog.rs
@@ -1,5 +1,7 @@
 //! Checks and lookups of catalogs.
 
+#![allow(clippy::unwrap_used)]
+
 use masticstair_core::catalog::{
     Catalog, CatalogError, ClientAccount, ClientLimits, Route, RouteKind, Service, Target,
 };
--- a/crates/gateway/src/front_end/answer_meta.rs
+++ b/crates/gateway/src/front_end/answer_meta.rs
@@ -1,14 +1,5 @@
 use masticstair_core::prelude::*;
 
-/// The load that an endpoint reports with an answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LoadReport {
-    /// Calls that run.
-    pub running: u32,
-    /// Calls that wait.
-    pub queued: u32,
-}
-
 /// What the gateway needs to know of an endpoint's answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AnswerMeta {
@@ -22,6 +13,4 @@
     pub inputs_gone: bool,
     /// Whether the endpoint signed the answer; one without a signature is not complete.
     pub signed: bool,
-    /// The load of the endpoint.
-    pub load: Option<LoadReport>,
 }
--- a/crates/gateway/src/front_end/mod.rs
+++ b/crates/gateway/src/front_end/mod.rs
@@ -14,7 +14,7 @@
 mod stage_source;
 mod upstream_terms;
 
-pub use answer_meta::{AnswerMeta, LoadReport};
+pub use answer_meta::AnswerMeta;
 pub use control_reply::ControlReply;
 pub use control_request::ControlRequest;
 pub use endpoint_call::EndpointCall;
--- a/crates/gateway/src/front_end/refusal_reason.rs
+++ b/crates/gateway/src/front_end/refusal_reason.rs
@@ -21,8 +21,6 @@
     Deadline,
     /// The connection to the endpoint broke.
     Broken,
-    /// This host stops.
-    Stopping,
 }
 
 impl RefusalReason {
@@ -38,7 +36,6 @@
             Self::Stages => "stages",
             Self::Deadline => "deadline",
             Self::Broken => "broken",
-            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/gateway/src/stages/owner.rs
+++ b/crates/gateway/src/stages/owner.rs
@@ -7,7 +7,7 @@
 
 use crate::messages::{Message, decode, encode};
 use crate::{Gateway, PeerHost};
-use masticstair_net::peer::GatewayMessage;
+use masticstair_net::peer::{GatewayMessage, PeerClient};
 
 /// How long a host that did not answer forms no calls for this one.
 const AVOID: Duration = Duration::from_secs(2);
@@ -22,7 +22,7 @@
 #[derive(Default)]
 pub(crate) struct Owners {
     avoided: RefCell<HashMap<HostId, Timestamp>>,
-    watched: RefCell<HashMap<HostId, Rc<Cell<u32>>>>,
+    watched: RefCell<HashMap<HostId, Rc<Waiting>>>,
 }
 
 impl Owners {
@@ -56,31 +56,48 @@
     /// every call that waits for the host.
     pub(super) fn watch(&self, gw: &Rc<Gateway>, host: &PeerHost) -> Watched {
         let mut watched = self.watched.borrow_mut();
-        let count = watched.entry(host.host.clone()).or_default().clone();
-        count.set(count.get() + 1);
-        if let (1, Some(client)) = (count.get(), host.client.clone()) {
-            let (gw, count) = (gw.clone(), count.clone());
+        let waiting = watched.entry(host.host.clone()).or_default().clone();
+        waiting.calls.set(waiting.calls.get() + 1);
+        if let (false, Some(client)) = (waiting.is_pinged.replace(true), host.client.clone()) {
+            let (gw, waiting) = (gw.clone(), waiting.clone());
             monoio::spawn(async move {
-                while count.get() > 0 {
-                    monoio::time::sleep(PING_INTERVAL).await;
-                    let Ok(content) = encode(&Message::Ping) else { return };
-                    let ping = GatewayMessage { content, budget: PING_LIMIT };
-                    if count.get() > 0 && client.gateway(ping).await.is_err() {
-                        slog::info!(gw.log, "host does not answer"; "peer" => %client.address());
-                    }
-                }
+                ping(&gw, &client, &waiting).await;
+                waiting.is_pinged.set(false);
             });
         }
-        Watched(count)
+        Watched(waiting)
+    }
+}
+
+/// What waits for a host.
+#[derive(Default)]
+struct Waiting {
+    calls: Cell<u32>,
+    /// Whether a task pings the host.
+    is_pinged: Cell<bool>,
+}
+
+async fn ping(gw: &Gateway, client: &PeerClient, waiting: &Waiting) {
+    loop {
+        monoio::time::sleep(PING_INTERVAL).await;
+        let Ok(content) = encode(&Message::Ping) else { return };
+        let message = GatewayMessage { content, budget: PING_LIMIT };
+        if waiting.calls.get() == 0 {
+            return;
+        }
+        if let Err(e) = client.gateway(message).await {
+            slog::info!(gw.log, "host does not answer"; "peer" => %client.address(),
+                "reason" => %e);
+        }
     }
 }
 
 /// A call that waits for a host; ends when it is dropped.
-pub(super) struct Watched(Rc<Cell<u32>>);
+pub(super) struct Watched(Rc<Waiting>);
 
 impl Drop for Watched {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.calls.set(self.0.calls.get() - 1);
     }
 }
 
--- a/crates/gateway/src/stages/release.rs
+++ b/crates/gateway/src/stages/release.rs
@@ -24,10 +24,12 @@
     results: Vec<ResultHandle>,
 ) {
     for handle in results {
-        if let Some(kept) = stages.kept.borrow_mut().get_mut(&handle) {
-            if std::mem::replace(&mut kept.released, true) {
-                continue;
-            }
+        let mut kept = stages.kept.borrow_mut();
+        let was_released =
+            kept.get_mut(&handle).is_some_and(|kept| std::mem::replace(&mut kept.released, true));
+        drop(kept);
+        if was_released {
+            continue;
         }
         if let Some(address) = (gw.front_end.result_address)(&handle) {
             collect(gw, stages, address, handle);
--- a/crates/net/src/http/relay/relay_body.rs
+++ b/crates/net/src/http/relay/relay_body.rs
@@ -1,6 +1,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 
 use super::RelayError;
 use super::relay_connection::RelayConnection;
@@ -71,11 +71,6 @@
         Ok(pieces.into())
     }
 
-    /// Returns the length that the endpoint announced, if it did.
-    pub fn announced_length(&self) -> Option<u64> {
-        self.body.size_hint().exact()
-    }
-
     fn release(&mut self) {
         if let Some(connection) = self.connection.take().filter(|_| self.keep) {
             self.pool.put_back(connection);
--- a/crates/policy/src/directory/directory_table.rs
+++ b/crates/policy/src/directory/directory_table.rs
@@ -94,11 +94,6 @@
     pub fn ready_count(&self) -> usize {
         self.ready.values().map(|endpoints| endpoints.len()).sum()
     }
-
-    /// Returns how many control hosts have replied within a time.
-    pub fn fresh_feeds(&self, now: Timestamp, within: Duration) -> usize {
-        self.feeds.values().filter(|feed| now.since(feed.heard) < within).count()
-    }
 }
 
 /// Keeps the latest life at each address: an address is given to another endpoint after the first one ended.
--- a/crates/policy/src/stage_queue/stage_work.rs
+++ b/crates/policy/src/stage_queue/stage_work.rs
@@ -98,11 +98,6 @@
         let factor = 1_u32 << self.failures.min(5).saturating_sub(1);
         self.avoid_until = now.plus(base * factor);
     }
-
-    /// Returns the time of a call relative to the catalog.
-    pub fn pace(&self) -> f64 {
-        self.pace
-    }
 }
 
 fn nominal(limits: &BatchLimits, items: usize) -> Duration {
--- a/crates/policy/tests/choices.rs
+++ b/crates/policy/tests/choices.rs
@@ -1,5 +1,7 @@
 //! Choices of endpoints and engines, and the budget for repeats.
 
+#![allow(clippy::unwrap_used)]
+
 use masticstair_core::prelude::*;
 use masticstair_policy::engine_choice::{EngineView, pick_engine, rendezvous_order};
 use masticstair_policy::repeat_budget::{BudgetTerms, RepeatBudget};
--- a/crates/policy/tests/directory.rs
+++ b/crates/policy/tests/directory.rs
@@ -1,5 +1,7 @@
 //! What control hosts list and what entry hosts make of it.
 
+#![allow(clippy::unwrap_used)]
+
 use masticstair_core::prelude::*;
 use masticstair_policy::directory::{
     Announcement, AnnouncementTable, Directory, FeedReply, Listing, ServingEndpoint, ServingState,
--- a/crates/policy/tests/stage_queue.rs
+++ b/crates/policy/tests/stage_queue.rs
@@ -1,5 +1,7 @@
 //! Calls of stage services: what goes into the next one.
 
+#![allow(clippy::unwrap_used)]
+
 use masticstair_core::catalog::BatchLimits;
 use masticstair_core::prelude::*;
 use masticstair_policy::stage_queue::{EndpointOffer, JobNumber, StageItem, StageQueue, StageWork};
