--- a/crates/store/tests/state_support/mod.rs
+++ b/crates/store/tests/state_support/mod.rs
@@ -1,12 +1,14 @@
 //! One value of every variant of the messages of the replicated state.
 
 use masticstair_core::bundle::Right;
+use masticstair_core::catalog::CatalogDocument;
 use masticstair_core::id::FencingNumber;
 use masticstair_core::prelude::*;
 use masticstair_policy::bundle_history::{
     BundleAction, BundleOutcome, BundleRefusal, BundleReply, BundleSummary, ContentChange,
     ContentPart, HistoryPage, Origin,
 };
+use masticstair_policy::catalog_register::CatalogReply;
 use masticstair_policy::issuer::{Holder, IssuerCommand, IssuerLease, IssuerReply, RenewalCount};
 use masticstair_policy::run_once::{
     CallKey, Claim, Claimant, FoundCall, RecordedAnswer, RunOnceBound, RunOnceCommand, RunOnceReply,
@@ -63,6 +65,10 @@
     ContentChange { base: digest(), digest: digest(), parts }
 }
 
+pub fn document() -> CatalogDocument {
+    CatalogDocument { version: CatalogVersion::new(300), content: b"{\"version\":300}"[..].into() }
+}
+
 pub fn commands() -> Vec<Command> {
     let mut cmds = run_once_commands().into_iter().map(Command::RunOnce).collect::<Vec<_>>();
     cmds.extend(issuer_commands().into_iter().map(Command::Issuer));
@@ -70,6 +76,7 @@
     let change = BundleAction::SubmitChange(change());
     let actions = [submit, change, BundleAction::SignOff(digest()), BundleAction::Roll(digest())];
     let anna = Operator::new("anna", 1);
+    cmds.push(Command::Catalog(document()));
     cmds.extend(actions.map(|action| Command::Bundle(Box::new(anna.command("id", 5, action)))));
     cmds
 }
@@ -152,6 +159,14 @@
         Reply::Issuer(IssuerReply::Full(9)),
         Reply::Undecodable("why".into()),
     ];
+    let version = CatalogVersion::new(300);
+    let catalog_replies = [
+        CatalogReply::Replaced(version),
+        CatalogReply::Held(version),
+        CatalogReply::Older(version),
+        CatalogReply::OtherContent(version),
+    ];
+    replies.extend(catalog_replies.map(Reply::Catalog));
     replies.extend(run_once_replies().into_iter().map(Reply::RunOnce));
     replies.extend(refusals().into_iter().map(|r| Reply::Bundle(BundleReply::Refused(r))));
     replies
@@ -170,6 +185,7 @@
         Query::HistoryPage { after: Some(digest()), limit: Slots::new(3) },
         Query::HistoryPage { after: None, limit: Slots::new(u32::MAX) },
         Query::Issuer("engines".parse().unwrap()),
+        Query::Catalog,
     ]
 }
 
@@ -197,6 +213,8 @@
         Answer::HistoryPage(Some(HistoryPage { bundles: vec![summary], more: true })),
         Answer::HistoryPage(None),
         Answer::Issuer(lease()),
+        Answer::Catalog(Some(document())),
+        Answer::Catalog(None),
         Answer::Undecodable("why".into()),
     ];
     answers.extend(run_once_replies().into_iter().map(Answer::Call));
