Split the gateway into a file for each of its tasks

Change: each is a file of its own; the parts of a gateway are turned into it in one place. Conclusion: behaviour is the same.

--- a/crates/gateway/src/entry/follow.rs
+++ b/crates/gateway/src/entry/follow.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use crate::control::ControlHost;
-use crate::gateway::{install_catalog, note_endpoints};
+use crate::housekeeping::note_endpoints;
+use crate::install_catalog::install_catalog;
 use crate::messages::{FollowReply, FollowRequest, Message, Reply, decode, encode};
 use crate::{Gateway, PeerHost};
 
--- a/crates/gateway/src/entry/stream_body.rs
+++ b/crates/gateway/src/entry/stream_body.rs
@@ -41,7 +41,6 @@
 }
 
 impl StreamState {
-    #[allow(clippy::too_many_arguments)]
     pub(super) fn new(
         gw: Rc<Gateway>,
         req: ClientRequest,
--- /dev/null
+++ b/crates/gateway/src/run_gateway.rs
@@ -0,0 +1,41 @@
+use futures_util::future::FutureExt;
+use std::io;
+use std::rc::Rc;
+
+use crate::control::ControlHost;
+use crate::entry::{follow_control_hosts, follow_own_table};
+use crate::housekeeping::keep_house;
+use crate::listeners::start_listeners;
+use crate::stop_gateway::stop_gateway;
+use crate::take_events::take_events;
+use crate::{Gateway, GatewayParts};
+
+/// Runs a gateway until `stop` completes and its requests have ended.
+///
+/// # Errors
+///
+/// Returns the error of the operating system when an address cannot be bound.
+pub async fn run_gateway(
+    parts: GatewayParts,
+    stop: impl Future<Output = ()> + 'static,
+) -> io::Result<()> {
+    let incarnation = parts.incarnation;
+    let (gateway, store, events) = Gateway::new(parts);
+    let gw = Rc::new(gateway);
+    let control = gw.cfg.control_listen.map(|_| {
+        let host = ControlHost::new(gw.now(), incarnation, gw.cfg.heartbeat, store);
+        Rc::new(host)
+    });
+    let (close_tx, close_rx) = futures_channel::oneshot::channel::<()>();
+    let closed = close_rx.map(|_| ()).boxed_local().shared();
+    start_listeners(&gw, control.as_ref(), &closed)?;
+    monoio::spawn(take_events(gw.clone(), control.clone(), events));
+    monoio::spawn(keep_house(gw.clone(), control.clone()));
+    if let Some(control) = &control {
+        monoio::spawn(follow_own_table(gw.clone(), control.clone()));
+    }
+    monoio::spawn(follow_control_hosts(gw.clone()));
+    stop.await;
+    stop_gateway(&gw, control.as_deref(), close_tx).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/take_events.rs
@@ -0,0 +1,68 @@
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use masticstair_core::id::HostId;
+use slog::warn;
+use std::rc::Rc;
+
+use crate::Gateway;
+use crate::control::{ControlHost, answer_follow};
+use crate::event::GatewayEvent;
+use crate::install_catalog::install_catalog;
+use crate::messages::{Message, Reply, decode, encode};
+use crate::stages::{cancel_stage, release_results, run_stage};
+
+/// Takes messages and catalogs of other threads, each message by a task of its own.
+pub(crate) async fn take_events(
+    gw: Rc<Gateway>,
+    control: Option<Rc<ControlHost>>,
+    mut events: mpsc::UnboundedReceiver<GatewayEvent>,
+) {
+    while let Some(event) = events.next().await {
+        match event {
+            GatewayEvent::Catalog(document) => {
+                install_catalog(&gw, &document.content);
+                if let Some(control) = &control {
+                    control.changed.notify();
+                }
+            }
+            GatewayEvent::Message { from, content, reply } => {
+                let (gw, control) = (gw.clone(), control.clone());
+                monoio::spawn(async move {
+                    let answer = answer_message(&gw, control.as_deref(), from, &content).await;
+                    match answer.and_then(|answer| encode(&answer)) {
+                        // A peer that is gone needs no answer.
+                        Ok(answer) => drop(reply.send(answer)),
+                        Err(e) => warn!(gw.log, "message not answered"; "reason" => e.as_ref()),
+                    }
+                });
+            }
+        }
+    }
+}
+
+async fn answer_message(
+    gw: &Rc<Gateway>,
+    control: Option<&ControlHost>,
+    from: HostId,
+    content: &[u8],
+) -> Result<Reply, Box<str>> {
+    Ok(match (decode(content)?, control) {
+        (Message::Follow(request), Some(control)) => {
+            let reply = answer_follow(gw, control, request).await;
+            Reply::Follow(Box::new(reply))
+        }
+        (Message::Follow(_), None) => Reply::Refused("this host is no control host".into()),
+        (Message::Stage(_), _) if gw.is_stopping() => Reply::Refused("this host stops".into()),
+        (Message::Stage(request), _) => Reply::Stage(run_stage(gw, from, *request).await),
+        (Message::Cancel(cancel), _) => {
+            cancel_stage(gw, from, cancel);
+            Reply::Done
+        }
+        (Message::Release(release), _) => {
+            let stages = gw.stages.service_of(&release.service);
+            release_results(gw, &stages, release.results);
+            Reply::Done
+        }
+        (Message::Ping, _) => Reply::Done,
+    })
+}
