--- a/crates/gateway/src/control/answer.rs
+++ b/crates/gateway/src/control/answer.rs
@@ -5,11 +5,18 @@
 use masticstair_policy::directory::Announcement;
 use slog::{info, warn};
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::{ControlHost, StoreError};
 use crate::Gateway;
 use crate::front_end::{ControlReply, ControlRequest};
 
+/// How long the listing of an endpoint that ends is waited for; it gives up on the call after a second.
+const UNKNOWN_WAIT: Duration = Duration::from_millis(600);
+
+/// How often it is looked for.
+const UNKNOWN_LOOK: Duration = Duration::from_millis(30);
+
 /// Answers a request to a control host.
 pub(crate) async fn answer_control(
     gw: Rc<Gateway>,
@@ -18,7 +25,7 @@
 ) -> Response {
     let reply = match (gw.front_end.read_control)(&req) {
         ControlRequest::Announce(announcement) => announce(&gw, &control, *announcement),
-        ControlRequest::Leave(id, incarnation) => leave(&gw, &control, &id, incarnation),
+        ControlRequest::Leave(id, incarnation) => leave(&gw, &control, &id, incarnation).await,
         ControlRequest::Unusable(reason) => {
             warn!(gw.log, "announcement ignored"; "reason" => reason.as_ref(),
                 "path" => req.path());
@@ -45,17 +52,28 @@
     ControlReply::Noted
 }
 
-fn leave(
+/// Notes the end of an endpoint. One that announces itself to another control host may not be known here
+/// yet, so its listing is waited for; an end that is acknowledged and not noted would leave it with work.
+async fn leave(
     gw: &Gateway,
     control: &ControlHost,
     id: &EndpointId,
     incarnation: Option<Incarnation>,
 ) -> ControlReply {
+    let arrived = gw.now();
+    let is_known =
+        || control.table.borrow().contains(id) || gw.directory.borrow().find(id).is_some();
+    while !is_known() && gw.now().since(arrived) < UNKNOWN_WAIT {
+        monoio::time::sleep(UNKNOWN_LOOK).await;
+    }
     let elsewhere = gw.directory.borrow().find(id);
     if control.table.borrow_mut().leave(gw.now(), id, incarnation, elsewhere.as_deref()) {
         info!(gw.log, "endpoint ends"; "endpoint" => %id,
             "incarnation" => incarnation.map(|i| i.get()));
         control.changed.notify();
+    } else {
+        info!(gw.log, "end of an endpoint that is not listed"; "endpoint" => %id,
+            "known" => is_known(), "waited_ms" => gw.now().since(arrived).as_millis() as u64);
     }
     ControlReply::Noted
 }
--- a/crates/policy/src/directory/announcement_table.rs
+++ b/crates/policy/src/directory/announcement_table.rs
@@ -127,6 +127,11 @@
         over
     }
 
+    /// Tells whether an endpoint announced itself here or ended lately.
+    pub fn contains(&self, id: &EndpointId) -> bool {
+        self.endpoints.contains_key(id)
+    }
+
     /// Returns the position after the last change.
     pub fn position(&self) -> u64 {
         self.position
