--- a/crates/core/src/message/vote.rs
+++ b/crates/core/src/message/vote.rs
@@ -7,6 +7,9 @@
     pub term: Term,
     /// The candidate.
     pub candidate: ReplicaId,
+    /// The replica that is asked. A host that lost its disk answers as another replica, which holds nothing of
+    /// what this one acknowledged and must not vote for it.
+    pub voter: ReplicaId,
     /// The candidate's last entry.
     pub last_index: LogIndex,
     /// The term of that entry.
--- a/crates/net/src/peer/wire/vote.rs
+++ b/crates/net/src/peer/wire/vote.rs
@@ -14,6 +14,7 @@
     out.set_last_term(request.last_term.get());
     out.set_pre_vote(request.pre_vote);
     out.set_transfer(request.transfer);
+    out.set_voter(request.voter.as_bytes());
 }
 
 /// Reads a request for a vote.
@@ -21,6 +22,7 @@
     Ok(VoteRequest {
         term: Term::new(request.get_term()),
         candidate: read_replica("candidate", request.get_candidate())?,
+        voter: read_replica("voter", request.get_voter())?,
         last_index: LogIndex::new(request.get_last_index()),
         last_term: Term::new(request.get_last_term()),
         pre_vote: request.get_pre_vote(),
--- a/crates/net/tests/peer.rs
+++ b/crates/net/tests/peer.rs
@@ -26,6 +26,7 @@
         let vote = VoteRequest {
             term: Term::new(3),
             candidate: ReplicaId::random(),
+            voter: ReplicaId::random(),
             last_index: LogIndex::new(4),
             last_term: Term::new(2),
             pre_vote: false,
--- a/crates/store/src/consensus/handlers/vote.rs
+++ b/crates/store/src/consensus/handlers/vote.rs
@@ -1,4 +1,5 @@
 use masticstair_core::message::{HardState, VoteReply, VoteRequest};
+use slog::info;
 use std::time::Instant;
 
 use crate::consensus::rules::grant_vote;
@@ -11,6 +12,11 @@
 /// stand.
 pub(crate) async fn vote(shared: &Shared, req: VoteRequest) -> Result<VoteReply, AnswerError> {
     shared.check_serving()?;
+    if req.voter != shared.me.id {
+        info!(shared.log, "vote refused: another replica of this host is asked";
+            "asked" => %req.voter, "term" => %req.term);
+        return Ok(VoteReply { term: shared.state.borrow().hard.term, granted: false });
+    }
     if req.candidate == shared.me.id {
         return Ok(take_over(shared, &req));
     }
--- a/crates/store/src/consensus/requests/transfer.rs
+++ b/crates/store/src/consensus/requests/transfer.rs
@@ -63,6 +63,7 @@
     Some(VoteRequest {
         term: state.hard.term,
         candidate: successor,
+        voter: successor,
         last_index: state.log.last_index(),
         last_term: state.log.last_term(),
         pre_vote: false,
--- a/crates/store/src/consensus/rules/tests/vote.rs
+++ b/crates/store/src/consensus/rules/tests/vote.rs
@@ -100,6 +100,7 @@
         let req = VoteRequest {
             term: term(case.candidate.0),
             candidate: id(1),
+            voter: id(2),
             last_index: index(case.candidate.1.1),
             last_term: term(case.candidate.1.0),
             pre_vote: case.pre_vote,
--- a/crates/store/src/consensus/tasks/campaign.rs
+++ b/crates/store/src/consensus/tasks/campaign.rs
@@ -73,6 +73,8 @@
     VoteRequest {
         term,
         candidate: shared.me.id,
+        // Each voter is asked by its own id.
+        voter: shared.me.id,
         last_index: state.log.last_index(),
         last_term: state.log.last_term(),
         pre_vote: false,
@@ -106,7 +108,7 @@
     voter: Replica,
     req: VoteRequest,
 ) -> (ReplicaId, Option<VoteReply>) {
-    let call = (shared.link(&voter).vote)(req);
+    let call = (shared.link(&voter).vote)(VoteRequest { voter: voter.id, ..req });
     let reply = monoio::time::timeout(shared.cfg.call_timeout.duration(), call).await;
     (voter.id, reply.ok().and_then(Result::ok))
 }
--- a/crates/store/tests/consensus_storage.rs
+++ b/crates/store/tests/consensus_storage.rs
@@ -6,7 +6,7 @@
 use consensus_common::case::{Case, run_cases};
 use consensus_common::cluster::Cluster;
 use consensus_common::{eventually, fast_config};
-use masticstair_core::id::{LogIndex, Term};
+use masticstair_core::id::{LogIndex, ReplicaId, Term};
 use masticstair_core::message::VoteRequest;
 use masticstair_store::consensus::{ProposeError, Refusal, Role};
 use std::rc::Rc;
@@ -33,6 +33,12 @@
             spares: 0,
             run: |c| Box::pin(vote_waits_for_sync(c)),
         },
+        Case {
+            name: "vote: a host with another disk does not vote for the replica that it had",
+            voters: 3,
+            spares: 0,
+            run: |c| Box::pin(vote_is_that_of_the_replica_asked(c)),
+        },
         Case {
             name: "slow disk on the leader: the followers commit without it",
             voters: 3,
@@ -88,6 +94,7 @@
     let req = VoteRequest {
         term: Term::new(status.term.get() + 50),
         candidate: c.replica(leader).id,
+        voter: c.replica(voter).id,
         last_index: LogIndex::new(u64::MAX),
         last_term: Term::new(u64::MAX),
         pre_vote: false,
@@ -107,6 +114,23 @@
     assert!(!second.granted, "voted twice in term {}", req.term);
 }
 
+/// A replica whose id was asked for on another disk.
+async fn vote_is_that_of_the_replica_asked(c: Rc<Cluster>) {
+    let leader = c.settled_leader().await;
+    let node = c.node((leader + 1) % 3).unwrap();
+    let req = VoteRequest {
+        term: Term::new(node.status().term.get() + 50),
+        candidate: c.replica(leader).id,
+        voter: ReplicaId::random(),
+        last_index: LogIndex::new(u64::MAX),
+        last_term: Term::new(u64::MAX),
+        pre_vote: false,
+        transfer: true,
+    };
+    let reply = node.vote(req).await.unwrap();
+    assert!(!reply.granted, "a host voted for the replica that it had before it lost its disk");
+}
+
 async fn slow_disk(c: Rc<Cluster>) {
     let leader = c.settled_leader().await;
     c.disk(leader).sync_delay.set(Duration::from_millis(500));
