Derive the waits, the limits and the view of the hosts once

Cause: read-through of the whole change. Each request cloned the list of all hosts up to four times only to count or filter it; the rate of a stage service was computed once for each of four priorities; a new catalog was parsed once for each control host that told of it; the limits of a stage service, the most runs of an attempt and the end of a job with the release of its results were written three to seven times; a comment claimed bounds that are not applied. Conclusion: behaviour is meant to be the same.

--- a/crates/core/src/catalog/route.rs
+++ b/crates/core/src/catalog/route.rs
@@ -60,6 +60,11 @@
         Ok(())
     }
 
+    /// Returns how many endpoints one attempt of a client may run on.
+    pub fn max_runs(&self) -> u32 {
+        if self.kind.is_repeatable() { self.max_attempts.get().max(1) } else { 1 }
+    }
+
     /// Picks the service of one request by the weights.
     pub fn pick_target(&self, draw: Draw) -> &ServiceName {
         let total: u64 = self.targets.iter().map(|t| u64::from(t.weight.get())).sum();
--- a/crates/gateway/src/entry/follow.rs
+++ b/crates/gateway/src/entry/follow.rs
@@ -2,7 +2,7 @@
 use masticstair_net::peer::GatewayMessage;
 use slog::{info, warn};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,12 +35,12 @@
 /// Follows every control host, each by a task of its own.
 pub(crate) async fn follow_control_hosts(gw: Rc<Gateway>) {
     let confirmed = Confirmed::default();
-    let followed: Rc<RefCell<HashMap<HostId, ()>>> = Rc::default();
+    let followed: Rc<RefCell<HashSet<HostId>>> = Rc::default();
     let started = gw.now();
     loop {
         let (hosts, joined) = gw.control_hosts();
         for host in &hosts {
-            if followed.borrow_mut().insert(host.host.clone(), ()).is_none() {
+            if followed.borrow_mut().insert(host.host.clone()) {
                 let (gw, name, confirmed) = (gw.clone(), host.host.clone(), confirmed.clone());
                 let followed = followed.clone();
                 monoio::spawn(async move {
@@ -142,7 +142,7 @@
 
 fn take(gw: &Rc<Gateway>, host: &HostId, reply: FollowReply, confirmed: &Confirmed) {
     if let Some(content) = &reply.catalog {
-        install_catalog(gw, content);
+        install_catalog(gw, reply.catalog_version, content);
     }
     confirmed.borrow_mut().insert(host.clone(), reply.catalog_version);
     let changed = gw.directory.borrow_mut().take(gw.now(), host, reply.feed);
--- a/crates/gateway/src/entry/plain.rs
+++ b/crates/gateway/src/entry/plain.rs
@@ -62,8 +62,7 @@
     story: &mut Story,
 ) -> Result<(RelayHead, Bytes), Refusal> {
     gw.note_requests(&req.service, 1);
-    let repeatable = req.route.kind.is_repeatable();
-    let max_runs = if repeatable { req.route.max_attempts.get().max(1) } else { 1 };
+    let max_runs = req.route.max_runs();
     let mut asked: Vec<EndpointId> = Vec::new();
     let mut runs = 0;
     let mut last: Option<AttemptEnd> = None;
--- a/crates/gateway/src/entry/stage_plan.rs
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -65,9 +65,7 @@
 
 /// Returns the time of a call that has the pieces of one request.
 fn nominal_time(gw: &Gateway, service: &ServiceName, pieces: u32) -> Duration {
-    let catalog = gw.catalog.get();
-    let limits = catalog.as_ref().and_then(|c| c.services.get(service)?.batch);
-    limits.map_or(FIRST_STAGE_TIME, |l| {
+    gw.batch_limits(service).map_or(FIRST_STAGE_TIME, |l| {
         l.call.duration() + Duration::from_micros(l.item_us) * pieces.min(l.items.get())
     })
 }
@@ -224,7 +222,7 @@
 
 /// Returns the time that the rest of a request takes after a stage: the longest way through the stages that
 /// need its results, and the first event.
-pub(super) fn time_after(gw: &Gateway, req: &ClientRequest, stage: usize) -> Duration {
+fn time_after(gw: &Gateway, req: &ClientRequest, stage: usize) -> Duration {
     let stages = &req.route.stages;
     let mut longest = vec![Duration::ZERO; stages.len()];
     for later in (stage + 1..stages.len()).rev() {
--- a/crates/gateway/src/entry/stream.rs
+++ b/crates/gateway/src/entry/stream.rs
@@ -130,8 +130,7 @@
     resume_after: Option<u64>,
     runs: &mut u32,
 ) -> Result<Opened, Refusal> {
-    let repeatable = req.route.kind.is_repeatable();
-    let max_runs = if repeatable { req.route.max_attempts.get().max(1) } else { 1 };
+    let max_runs = req.route.max_runs();
     let mut asked: Vec<EndpointId> = Vec::new();
     let mut last: Option<AttemptEnd> = None;
     loop {
@@ -212,7 +211,7 @@
     let shared = prompt.map(|p| p.shared()).unwrap_or_default();
     let total = prompt.map(|p| p.input).unwrap_or_default();
     let own = TokenCount::new(total.get().saturating_sub(shared.get()));
-    let hosts = gw.entry_hosts().len();
+    let hosts = gw.entry_host_count();
     let patience = req.route.objective.duration().mul_f64(KEEPER_PART);
     let draw = || Draw::new(rand::random());
     let position = pick_engine(&views, shared, own, hosts, patience, draw)?;
--- a/crates/gateway/src/entry/stream_body.rs
+++ b/crates/gateway/src/entry/stream_body.rs
@@ -143,8 +143,7 @@
 }
 
 fn can_resume(state: &StreamState) -> bool {
-    let max_runs = state.req.route.max_attempts.get();
-    state.req.route.kind.is_repeatable() && state.runs < max_runs
+    state.runs < state.req.route.max_runs()
 }
 
 /// Takes the whole events that came, but for those that were passed on before.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 use futures_channel::mpsc;
 use http::HeaderValue;
 use http::header::HOST;
+use masticstair_core::catalog::BatchLimits;
 use masticstair_core::prelude::*;
 use masticstair_net::http::relay::{RelayCall, RelayPool};
 use masticstair_policy::directory::Directory;
@@ -19,7 +20,7 @@
 use crate::front_end::{EndpointCall, FrontEnd};
 use crate::stages::{Owners, StageDispatch};
 use crate::telemetry::GatewayMetrics;
-use crate::{CatalogInForce, GatewayConfig, GatewayParts, PeerHost, Peers};
+use crate::{CatalogInForce, GatewayConfig, GatewayParts, PeerHost, PeerView, Peers};
 
 /// A running gateway; its tasks share one thread.
 pub struct Gateway {
@@ -91,20 +92,26 @@
         self.stopping.get()
     }
 
-    /// Returns the live hosts, this one included.
-    pub(crate) fn hosts(&self) -> Vec<PeerHost> {
-        (self.peers)().0
+    /// Returns the other hosts as they are known now.
+    pub(crate) fn peers(&self) -> Rc<PeerView> {
+        (self.peers)()
     }
 
-    /// Returns the hosts that take clients, this one included.
-    pub(crate) fn entry_hosts(&self) -> Vec<PeerHost> {
-        self.hosts().into_iter().filter(|h| !h.is_control).collect()
+    /// Returns how many hosts take clients, this one included.
+    pub(crate) fn entry_host_count(&self) -> usize {
+        self.peers().hosts.iter().filter(|h| !h.is_control).count()
     }
 
     /// Returns the control hosts but for this one, and whether this host has joined the others.
     pub(crate) fn control_hosts(&self) -> (Vec<PeerHost>, bool) {
-        let (hosts, joined) = (self.peers)();
-        (hosts.into_iter().filter(|h| h.is_control && h.client.is_some()).collect(), joined)
+        let view = self.peers();
+        let others = view.hosts.iter().filter(|h| h.is_control && h.client.is_some());
+        (others.cloned().collect(), view.joined)
+    }
+
+    /// Returns how the endpoints of a stage service work, as the catalog in force says.
+    pub(crate) fn batch_limits(&self, service: &ServiceName) -> Option<BatchLimits> {
+        self.catalog.get()?.services.get(service)?.batch
     }
 
     /// Notes requests for a service in the budget for repeats.
@@ -126,7 +133,7 @@
             ratio: self.cfg.repeat_ratio,
             allowance: self.cfg.repeat_allowance,
             window: self.cfg.repeat_window.duration(),
-            hosts: self.entry_hosts().len(),
+            hosts: self.entry_host_count(),
         }
     }
 
--- a/crates/gateway/src/install_catalog.rs
+++ b/crates/gateway/src/install_catalog.rs
@@ -1,9 +1,14 @@
+use masticstair_core::id::CatalogVersion;
 use slog::{info, warn};
 
 use crate::Gateway;
 
 /// Puts a catalog in force if it is newer than the one before.
-pub(crate) fn install_catalog(gw: &Gateway, content: &[u8]) {
+pub(crate) fn install_catalog(gw: &Gateway, version: CatalogVersion, content: &[u8]) {
+    // Every control host tells of a new catalog; only the first word of it is read.
+    if version <= gw.catalog.version() {
+        return;
+    }
     match (gw.front_end.read_catalog)(content) {
         Ok((document, catalog)) => {
             let version = document.version;
--- a/crates/gateway/src/listeners.rs
+++ b/crates/gateway/src/listeners.rs
@@ -64,7 +64,7 @@
     Ok(())
 }
 
-/// Bounds on clients. They are those of the catalog where it allows less than these.
+/// Bounds on clients: the usual ones of a catalog. Those of the catalog in force are not applied.
 fn client_limits() -> ServerLimits {
     let limits = masticstair_core::catalog::ClientLimits::default();
     ServerLimits {
--- a/crates/gateway/src/stages/call.rs
+++ b/crates/gateway/src/stages/call.rs
@@ -10,7 +10,7 @@
 
 use super::kept_result::KeptResult;
 use super::pump::pump;
-use super::release::release_results;
+use super::release::{fail_jobs, release_results};
 use super::service_stages::ServiceStages;
 use crate::Gateway;
 use crate::front_end::{PieceFailure, PieceOutcome, StageCall, StageCallItem};
@@ -253,8 +253,7 @@
         return;
     }
     if exhausted || !gw.take_repeat(&stages.service) {
-        let made = stages.fail_job(item.job, StageFailure::Failed);
-        release_results(gw, stages, made);
+        fail_jobs(gw, stages, [item.job], StageFailure::Failed);
         return;
     }
     stages.queue.borrow_mut().push([item]);
--- a/crates/gateway/src/stages/owner.rs
+++ b/crates/gateway/src/stages/owner.rs
@@ -33,14 +33,15 @@
     /// while no control host answers.
     pub(super) fn owner(&self, gw: &Gateway, service: &ServiceName) -> Option<PeerHost> {
         let now = gw.now();
+        let view = gw.peers();
         let is_usable =
-            |h: &PeerHost| h.client.is_none() || (h.is_alive && !self.is_avoided(now, &h.host));
-        let (control, entry): (Vec<_>, Vec<_>) =
-            gw.hosts().into_iter().filter(is_usable).partition(|h| h.is_control);
+            |h: &&PeerHost| h.client.is_none() || (h.is_alive && !self.is_avoided(now, &h.host));
+        let (control, entry): (Vec<&PeerHost>, Vec<_>) =
+            view.hosts.iter().filter(is_usable).partition(|h| h.is_control);
         let hosts = if control.is_empty() { entry } else { control };
         let holders = hosts.iter().map(|h| h.host.as_str().as_bytes());
         let first = *rendezvous_order(service.as_str().as_bytes(), holders).first()?;
-        hosts.into_iter().nth(first).filter(|h| h.client.is_some())
+        hosts.get(first).filter(|h| h.client.is_some()).map(|h| (*h).clone())
     }
 
     /// Notes that a host did not answer.
--- a/crates/gateway/src/stages/pump.rs
+++ b/crates/gateway/src/stages/pump.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use super::call::{begin_call, run_call};
-use super::release::release_results;
+use super::release::fail_jobs;
 use super::service_stages::ServiceStages;
 use crate::Gateway;
-use crate::messages::StageFailure;
+use crate::messages::{PRIORITIES, StageFailure};
 
 /// How often items that wait are looked at without an event, for endpoints that were left alone and items
 /// whose time passes.
@@ -36,8 +36,7 @@
     if stages.queue.borrow().is_empty() {
         return;
     }
-    let catalog = gw.catalog.get();
-    let limits = catalog.as_ref().and_then(|c| c.services.get(&stages.service)?.batch);
+    let limits = gw.batch_limits(&stages.service);
     let endpoints = gw.directory.borrow().ready(&stages.service);
     let (Some(limits), false) = (limits, endpoints.is_empty()) else {
         fail_all(gw, stages);
@@ -120,10 +119,7 @@
         .min()
         .unwrap_or_default();
     let hopeless = stages.queue.borrow_mut().take_hopeless(gw.now(), fastest);
-    for number in hopeless {
-        let made = stages.fail_job(number, StageFailure::Late);
-        release_results(gw, stages, made);
-    }
+    fail_jobs(gw, stages, hopeless, StageFailure::Late);
 }
 
 /// Drops stages that would be late while the endpoints have enough to do that is on time: a refusal at once
@@ -142,39 +138,37 @@
     let call = limits.call.duration();
     let first_only = waiting <= LATE_ROUNDS * next_calls;
     let late = stages.queue.borrow_mut().take_late(gw.now(), call, first_only);
-    for number in late {
-        let made = stages.fail_job(number, StageFailure::Late);
-        release_results(gw, stages, made);
-    }
+    fail_jobs(gw, stages, late, StageFailure::Late);
 }
 
-/// Returns how long a stage of a priority would wait for a call now.
-pub(super) fn expected_wait(gw: &Gateway, stages: &ServiceStages, priority: u8) -> Duration {
-    let catalog = gw.catalog.get();
-    let limits = catalog.as_ref().and_then(|c| c.services.get(&stages.service)?.batch);
-    let Some(limits) = limits else { return Duration::ZERO };
-    let ahead = stages.queue.borrow().ahead(priority);
-    if ahead == 0 {
-        return Duration::ZERO;
-    }
+/// Returns how long another stage would wait for a call now, by priority.
+pub(super) fn expected_waits(gw: &Gateway, stages: &ServiceStages) -> [Millis; PRIORITIES] {
+    let rate = full_rate(gw, stages);
+    std::array::from_fn(|priority| {
+        let ahead = stages.queue.borrow().ahead(priority as u8);
+        let wait = rate.map_or(0.0, |rate| ahead as f64 / rate);
+        let wait = Duration::from_secs_f64(wait.min(MAX_EXPECTED_WAIT.as_secs_f64()));
+        Millis::new(wait.as_millis() as u64)
+    })
+}
+
+/// Returns the items a second of all endpoints with full calls; none when the service runs no stages.
+fn full_rate(gw: &Gateway, stages: &ServiceStages) -> Option<f64> {
+    let limits = gw.batch_limits(&stages.service)?;
     let now = gw.now();
     let items = limits.items.get().max(1) as usize;
     let endpoints = gw.directory.borrow().ready(&stages.service);
     let usable = endpoints.iter().filter(|e| stages.with_work(&e.id, |w| now >= w.avoid_until));
-    // Items a second of all endpoints with full calls.
     let rate: f64 = usable
         .map(|e| stages.with_work(&e.id, |work| work.expected(&limits, items)))
         .map(|call| items as f64 / call.as_secs_f64().max(1e-3))
         .sum();
-    Duration::from_secs_f64((ahead as f64 / rate.max(1.0)).min(MAX_EXPECTED_WAIT.as_secs_f64()))
+    Some(rate.max(1.0))
 }
 
 fn fail_all(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>) {
     let numbers: Vec<_> = stages.jobs.borrow().keys().copied().collect();
-    for number in numbers {
-        let made = stages.fail_job(number, StageFailure::NoEndpoint);
-        release_results(gw, stages, made);
-    }
+    fail_jobs(gw, stages, numbers, StageFailure::NoEndpoint);
 }
 
 fn look_again(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>) {
--- a/crates/gateway/src/stages/release.rs
+++ b/crates/gateway/src/stages/release.rs
@@ -1,4 +1,5 @@
 use masticstair_core::prelude::*;
+use masticstair_policy::stage_queue::JobNumber;
 use slog::debug;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -7,6 +8,7 @@
 use super::pump::pump;
 use super::service_stages::ServiceStages;
 use crate::Gateway;
+use crate::messages::StageFailure;
 
 /// How long results are collected before they are given up with one call.
 const COLLECT: Duration = Duration::from_millis(15);
@@ -37,6 +39,19 @@
     }
 }
 
+/// Ends stages without their results, and gives up what was made of them.
+pub(super) fn fail_jobs(
+    gw: &Rc<Gateway>,
+    stages: &Rc<ServiceStages>,
+    numbers: impl IntoIterator<Item = JobNumber>,
+    failure: StageFailure,
+) {
+    for number in numbers {
+        let made = stages.fail_job(number, failure);
+        release_results(gw, stages, made);
+    }
+}
+
 fn collect(
     gw: &Rc<Gateway>,
     stages: &Rc<ServiceStages>,
--- a/crates/gateway/src/stages/run.rs
+++ b/crates/gateway/src/stages/run.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use super::job::Job;
-use super::pump::{expected_wait, pump};
-use super::release::release_results;
+use super::pump::{expected_waits, pump};
+use super::release::fail_jobs;
 use crate::Gateway;
 use crate::front_end::StageSource;
 use crate::messages::{CancelRequest, StageAnswer, StageFailure, StageReply, StageRequest};
@@ -23,10 +23,7 @@
     let service = request.service.clone();
     let reply = run(gw, from, request).await;
     let stages = gw.stages.service_of(&service);
-    let waits = std::array::from_fn(|priority| {
-        let wait = expected_wait(gw, &stages, priority as u8);
-        Millis::new(wait.as_millis() as u64)
-    });
+    let waits = expected_waits(gw, &stages);
     StageAnswer { reply, waits }
 }
 
@@ -70,8 +67,7 @@
     match monoio::time::timeout(left + ANSWER_MARGIN, done).await {
         Ok(reply) => reply.unwrap_or(StageReply::Failed(StageFailure::Cancelled)),
         Err(_) => {
-            let made = stages.fail_job(number, StageFailure::Late);
-            release_results(gw, &stages, made);
+            fail_jobs(gw, &stages, [number], StageFailure::Late);
             StageReply::Failed(StageFailure::Late)
         }
     }
@@ -88,9 +84,7 @@
         });
         let numbers: Vec<_> = foreign.map(|(number, _)| *number).collect();
         drop(jobs);
-        for number in numbers {
-            stages.fail_job(number, StageFailure::Moved);
-        }
+        fail_jobs(gw, &stages, numbers, StageFailure::Moved);
     }
 }
 
@@ -99,9 +93,6 @@
     let key = (from, cancel);
     for stages in gw.stages.all() {
         let number = stages.by_request.borrow().get(&key).copied();
-        if let Some(number) = number {
-            let made = stages.fail_job(number, StageFailure::Cancelled);
-            release_results(gw, &stages, made);
-        }
+        fail_jobs(gw, &stages, number, StageFailure::Cancelled);
     }
 }
--- a/crates/gateway/src/take_events.rs
+++ b/crates/gateway/src/take_events.rs
@@ -20,7 +20,7 @@
     while let Some(event) = events.next().await {
         match event {
             GatewayEvent::Catalog(document) => {
-                install_catalog(&gw, &document.content);
+                install_catalog(&gw, document.version, &document.content);
                 if let Some(control) = &control {
                     control.changed.notify();
                 }
--- a/crates/host/src/daemon/gateway_thread.rs
+++ b/crates/host/src/daemon/gateway_thread.rs
@@ -3,19 +3,22 @@
 use masticstair_core::catalog::CatalogDocument;
 use masticstair_gateway::control::{CatalogStore, StoreError};
 use masticstair_gateway::front_end::FrontEnd;
-use masticstair_gateway::{GatewayEvent, GatewayParts, PeerHost, Peers, run_gateway};
+use masticstair_gateway::{GatewayEvent, GatewayParts, PeerHost, PeerView, Peers, run_gateway};
 use masticstair_net::runtime::block_on;
 use masticstair_policy::catalog_register::CatalogReply;
 use masticstair_policy::membership::HostState as Liveness;
 use masticstair_store::state::{Answer, Command, Query, Reply};
 use slog::error;
+use std::cell::RefCell;
 use std::io;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use super::StartError;
 use crate::control::{ControlError, ControlHandle};
+use crate::membership::{HostView, MembershipSnapshot};
 use crate::state::HostState;
 
 /// How long storing a small catalog may take; an operator asks another host after a second.
@@ -95,20 +98,29 @@
 /// Returns the live hosts of the membership. A host with a data folder is a control host.
 fn peers(state: &Arc<HostState>) -> Peers {
     let state = state.clone();
+    let made: RefCell<(Arc<MembershipSnapshot>, Rc<PeerView>)> = RefCell::default();
     Box::new(move || {
-        let Some(membership) = state.membership.get() else { return (Vec::new(), false) };
+        let Some(membership) = state.membership.get() else { return Rc::default() };
         let snapshot = membership.snapshot();
-        let host = |view: &crate::membership::HostView| PeerHost {
-            host: view.record.host.clone(),
-            incarnation: view.record.incarnation,
-            is_control: view.record.durable,
-            is_alive: view.record.state == Liveness::Alive,
-            client: view.peer.clone(),
-        };
-        (snapshot.hosts.iter().map(host).collect(), snapshot.synced)
+        let mut made = made.borrow_mut();
+        if !Arc::ptr_eq(&made.0, &snapshot) {
+            let hosts = snapshot.hosts.iter().map(peer_host).collect();
+            let view = PeerView { hosts, joined: snapshot.synced };
+            *made = (snapshot, Rc::new(view));
+        }
+        made.1.clone()
     })
 }
 
+fn peer_host(view: &HostView) -> PeerHost {
+    PeerHost {
+        host: view.record.host.clone(),
+        is_control: view.record.durable,
+        is_alive: view.record.state == Liveness::Alive,
+        client: view.peer.clone(),
+    }
+}
+
 type Replace = Box<
     dyn Fn(
         CatalogDocument,
--- a/crates/policy/src/directory/directory_table.rs
+++ b/crates/policy/src/directory/directory_table.rs
@@ -1,5 +1,5 @@
 use masticstair_core::prelude::*;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,12 +43,12 @@
         let is_fresh = |feed: &&Feed| now.since(feed.heard) < FEED_RETENTION;
         let any_fresh = self.feeds.values().any(|feed| is_fresh(&feed));
         let mut newest: HashMap<&EndpointId, &Arc<ServingEndpoint>> = HashMap::new();
-        let mut fresh: HashMap<&EndpointId, ()> = HashMap::new();
+        let mut fresh: HashSet<&EndpointId> = HashSet::new();
         for feed in self.feeds.values() {
             let counts = !any_fresh || is_fresh(&feed);
             for (id, endpoint) in &feed.listed {
                 if counts {
-                    fresh.insert(id, ());
+                    fresh.insert(id);
                 }
                 // A stale listing still tells that an endpoint ended.
                 let known = newest.entry(id).or_insert(endpoint);
@@ -57,7 +57,7 @@
                 }
             }
         }
-        newest.retain(|id, _| fresh.contains_key(id));
+        newest.retain(|id, _| fresh.contains(id));
         let serving = newest_at_address(newest.into_values());
         let mut ready: HashMap<ServiceName, Vec<Arc<ServingEndpoint>>> = HashMap::new();
         for endpoint in serving.into_values().filter(|e| e.state == ServingState::Ready) {
