Queue kept results by their end, and items that wait by stage

Every look at its queue walked all results of the last 10 s (about 35,000 on the busiest service, several hundred looks a second) and every item that waits, and every made piece copied the results of its stage so far.

Change: kept results are queued in the order in which they run out; items of one stage wait as one entry; a stage counts its missing results. What is chosen for a call is unchanged.

--- a/crates/gateway/src/stages/call.rs
+++ b/crates/gateway/src/stages/call.rs
@@ -2,13 +2,12 @@
 use masticstair_core::prelude::*;
 use masticstair_net::http::relay::RelayCall;
 use masticstair_policy::directory::ServingEndpoint;
-use masticstair_policy::stage_queue::StageItem;
+use masticstair_policy::stage_queue::{FreedRoom, StageItem};
 use slog::{debug, info};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::kept_result::KeptResult;
 use super::pump::pump;
 use super::release::{fail_jobs, release_results};
 use super::service_stages::ServiceStages;
@@ -164,7 +163,7 @@
 /// Tells whether no result was seen before; an endpoint may send an answer twice.
 fn is_new(stages: &ServiceStages, outcomes: &[PieceOutcome]) -> bool {
     let kept = stages.kept.borrow();
-    outcomes.iter().all(|o| !matches!(o, PieceOutcome::Made(handle) if kept.contains_key(handle)))
+    outcomes.iter().all(|o| !matches!(o, PieceOutcome::Made(handle) if kept.contains(handle)))
 }
 
 fn encode(
@@ -205,26 +204,24 @@
     for (item, outcome) in items.into_iter().zip(outcomes) {
         match outcome {
             PieceOutcome::Made(handle) => {
-                let kept = KeptResult {
-                    endpoint: endpoint.id.clone(),
-                    size: item.result,
-                    until: now.plus(limits.result_ttl.duration()),
-                    released: false,
-                    freed: false,
-                };
-                stages.kept.borrow_mut().insert(handle.clone(), kept);
+                let room = FreedRoom { endpoint: endpoint.id.clone(), size: item.result };
+                let until = now.plus(limits.result_ttl.duration());
+                stages.kept.borrow_mut().keep(handle.clone(), room, until);
                 let size = item.result.get();
                 stages.with_work(&endpoint.id, |work| {
                     work.results = ByteCount::new(work.results.get() + size);
                 });
                 let mut jobs = stages.jobs.borrow_mut();
-                let job = jobs.get_mut(&item.job);
-                match job.and_then(|job| job.results.get_mut(item.piece as usize)) {
-                    Some(place) => *place = Some(handle),
-                    None => unwanted.push(handle),
-                }
+                let Some(job) = jobs.get_mut(&item.job) else {
+                    unwanted.push(handle);
+                    continue;
+                };
+                unwanted.extend(job.take_result(item.piece, handle));
+                let is_complete = job.missing == 0;
                 drop(jobs);
-                stages.complete_job(item.job);
+                if is_complete {
+                    stages.complete_job(item.job);
+                }
             }
             PieceOutcome::Failed(PieceFailure::Late) => {
                 unwanted.extend(stages.fail_job(item.job, StageFailure::Late));
--- a/crates/gateway/src/stages/job.rs
+++ b/crates/gateway/src/stages/job.rs
@@ -10,6 +10,8 @@
     pub(super) request: StageRequest,
     /// The results so far, by piece.
     pub(super) results: Vec<Option<ResultHandle>>,
+    /// Pieces without a result.
+    pub(super) missing: u32,
     pub(super) deadline: Timestamp,
     pub(super) due: Timestamp,
     pub(super) reply: oneshot::Sender<StageReply>,
@@ -21,8 +23,15 @@
         (self.from.clone(), cancel)
     }
 
-    /// Returns the results when all pieces are made.
-    pub(super) fn complete(&self) -> Option<Vec<ResultHandle>> {
-        self.results.iter().cloned().collect()
+    /// Takes the result of a piece; gives it back when the piece has one or the stage has no such piece.
+    pub(super) fn take_result(&mut self, piece: u32, handle: ResultHandle) -> Option<ResultHandle> {
+        match self.results.get_mut(piece as usize) {
+            Some(place @ None) => {
+                *place = Some(handle);
+                self.missing -= 1;
+                None
+            }
+            _ => Some(handle),
+        }
     }
 }
--- a/crates/gateway/src/stages/mod.rs
+++ b/crates/gateway/src/stages/mod.rs
@@ -3,7 +3,6 @@
 mod call;
 mod dispatch;
 mod job;
-mod kept_result;
 mod owner;
 mod pump;
 mod release;
--- a/crates/gateway/src/stages/release.rs
+++ b/crates/gateway/src/stages/release.rs
@@ -26,11 +26,7 @@
     results: Vec<ResultHandle>,
 ) {
     for handle in results {
-        let mut kept = stages.kept.borrow_mut();
-        let was_released =
-            kept.get_mut(&handle).is_some_and(|kept| std::mem::replace(&mut kept.released, true));
-        drop(kept);
-        if was_released {
+        if stages.kept.borrow_mut().release(&handle) {
             continue;
         }
         if let Some(address) = (gw.front_end.result_address)(&handle) {
--- a/crates/gateway/src/stages/run.rs
+++ b/crates/gateway/src/stages/run.rs
@@ -44,6 +44,7 @@
         deadline: now.plus(request.left.duration()),
         due: now.plus(request.due.duration()),
         results: vec![None; pieces as usize],
+        missing: pieces,
         request,
         reply,
     };
--- /dev/null
+++ b/crates/policy/src/stage_queue/freed_room.rs
@@ -0,0 +1,10 @@
+use masticstair_core::prelude::*;
+
+/// Memory for results that an endpoint has again.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FreedRoom {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The approximate size of the result that it kept.
+    pub size: ByteCount,
+}
--- a/crates/policy/src/stage_queue/queue.rs
+++ b/crates/policy/src/stage_queue/queue.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::waiting_stage::WaitingStage;
 use super::{EndpointOffer, JobNumber, StageItem};
 
 /// What one step of priority is worth against the time to the objective. Priorities decide among requests
@@ -12,18 +13,23 @@
 /// Items of one service that wait for a call.
 #[derive(Debug, Default)]
 pub struct StageQueue {
-    waiting: Vec<StageItem>,
+    waiting: Vec<WaitingStage>,
 }
 
 impl StageQueue {
-    /// Adds items.
+    /// Adds items. Those of one stage that come one after the other are looked at together.
     pub fn push(&mut self, items: impl IntoIterator<Item = StageItem>) {
-        self.waiting.extend(items);
+        for item in items {
+            match self.waiting.last_mut() {
+                Some(last) if last.takes(&item) => last.pieces.push((item.piece, item.failures)),
+                _ => self.waiting.push(WaitingStage::new(item)),
+            }
+        }
     }
 
     /// Returns how many items wait.
     pub fn len(&self) -> usize {
-        self.waiting.len()
+        self.waiting.iter().map(WaitingStage::len).sum()
     }
 
     /// Tells whether no item waits.
@@ -33,7 +39,9 @@
 
     /// Returns how many items wait for a data centre.
     pub fn near(&self, data_centre: &DataCentreId) -> usize {
-        self.waiting.iter().filter(|item| item.near.as_ref() == Some(data_centre)).count()
+        let near =
+            self.waiting.iter().filter(|stage| stage.item.near.as_ref() == Some(data_centre));
+        near.map(WaitingStage::len).sum()
     }
 
     /// Returns the data centres with more waiting items than `capacity` tells that their endpoints take with
@@ -43,8 +51,10 @@
         capacity: impl Fn(&DataCentreId) -> usize,
     ) -> SmallVec<[DataCentreId; 4]> {
         let mut waiting: HashMap<&DataCentreId, usize> = HashMap::new();
-        for near in self.waiting.iter().filter_map(|item| item.near.as_ref()) {
-            *waiting.entry(near).or_default() += 1;
+        for stage in &self.waiting {
+            if let Some(near) = &stage.item.near {
+                *waiting.entry(near).or_default() += stage.len();
+            }
         }
         let over = waiting.into_iter().filter(|(near, count)| *count > capacity(near));
         over.map(|(near, _)| near.clone()).collect()
@@ -52,7 +62,8 @@
 
     /// Returns how many items of at least this priority wait.
     pub fn ahead(&self, priority: u8) -> usize {
-        self.waiting.iter().filter(|item| item.priority <= priority).count()
+        let ahead = self.waiting.iter().filter(|stage| stage.item.priority <= priority);
+        ahead.map(WaitingStage::len).sum()
     }
 
     /// Takes out the stages that can no longer be on time, and returns them; with `first_only` those for which
@@ -70,15 +81,15 @@
     /// Returns how many items of each stage wait.
     pub fn waiting_jobs(&self) -> HashMap<JobNumber, usize> {
         let mut jobs = HashMap::new();
-        for item in &self.waiting {
-            *jobs.entry(item.job).or_default() += 1;
+        for stage in &self.waiting {
+            *jobs.entry(stage.item.job).or_default() += stage.len();
         }
         jobs
     }
 
     /// Drops the items of a stage that is no longer needed.
     pub fn drop_job(&mut self, job: JobNumber) {
-        self.waiting.retain(|item| item.job != job);
+        self.waiting.retain(|stage| stage.item.job != job);
     }
 
     /// Takes out the items that a call that begins now cannot end in time, and returns their stages.
@@ -88,11 +99,14 @@
     }
 
     fn take_jobs(&mut self, is_meant: impl Fn(&StageItem) -> bool) -> Vec<JobNumber> {
-        let meant = self.waiting.iter().filter(|item| is_meant(item));
-        let mut jobs: Vec<_> = meant.map(|item| item.job).collect();
+        let meant = self.waiting.iter().filter(|stage| is_meant(&stage.item));
+        let mut jobs: Vec<_> = meant.map(|stage| stage.item.job).collect();
+        if jobs.is_empty() {
+            return jobs;
+        }
         jobs.sort_unstable();
         jobs.dedup();
-        self.waiting.retain(|item| jobs.binary_search(&item.job).is_err());
+        self.waiting.retain(|stage| jobs.binary_search(&stage.item.job).is_err());
         jobs
     }
 
@@ -101,20 +115,19 @@
     /// endpoint.
     pub fn take_call(&mut self, now: Timestamp, offer: &EndpointOffer) -> Vec<StageItem> {
         let end = now.plus(offer.full_call);
-        self.waiting.sort_by_key(|item| rank(item, end, &offer.data_centre));
+        self.waiting.sort_by_key(|stage| rank(&stage.item, end, &offer.data_centre));
         let mut room = offer.room.get();
         let mut taken = Vec::new();
-        let mut left = Vec::new();
-        for item in self.waiting.drain(..) {
-            let size = item.result.get();
-            if taken.len() < offer.items && size <= room && is_eligible(&item, now, offer) {
-                room -= size;
-                taken.push(item);
-            } else {
-                left.push(item);
+        for stage in &mut self.waiting {
+            let space = offer.items - taken.len();
+            if space == 0 {
+                break;
+            }
+            if is_eligible(&stage.item, now, offer) {
+                stage.take(space, &mut room, &mut taken);
             }
         }
-        self.waiting = left;
+        self.waiting.retain(|stage| stage.len() > 0);
         taken
     }
 }
--- a/crates/policy/tests/stage_queue.rs
+++ b/crates/policy/tests/stage_queue.rs
@@ -4,7 +4,9 @@
 
 use masticstair_core::catalog::BatchLimits;
 use masticstair_core::prelude::*;
-use masticstair_policy::stage_queue::{EndpointOffer, JobNumber, StageItem, StageQueue, StageWork};
+use masticstair_policy::stage_queue::{
+    EndpointOffer, FreedRoom, JobNumber, KeptResults, StageItem, StageQueue, StageWork,
+};
 use smallvec::smallvec;
 use std::time::Duration;
 
@@ -149,3 +151,56 @@
     assert!(!work.is_free(at(699), &limits()));
     assert!(work.is_free(at(700), &limits()));
 }
+
+/// Guards against pieces of one stage that are taken twice, lost or given the failures of another one.
+#[test]
+fn pieces_of_a_stage_are_taken_once_each() {
+    let pieces =
+        (0..5).map(|piece| StageItem { piece, failures: (piece / 4) as u8, ..item(1, 900) });
+    let mut queue = StageQueue::default();
+    queue.push(pieces);
+    queue.push([item(2, 800)]);
+    let mut taken = Vec::new();
+    for left in [4, 2, 0] {
+        taken.extend(queue.take_call(at(0), &offer()));
+        assert_eq!(queue.len(), left);
+    }
+    let taken: Vec<_> = taken.iter().map(|i| (i.job, i.piece, i.failures)).collect();
+    let (one, two) = (item(1, 0).job, item(2, 0).job);
+    let expected = [(two, 0, 0), (one, 0, 0), (one, 1, 0), (one, 2, 0), (one, 3, 0), (one, 4, 1)];
+    assert_eq!(taken, expected);
+}
+
+/// Guards against room that is given back twice or never, repeated answers that are not recognised, and
+/// results that are remembered for ever.
+#[test]
+fn kept_results_run_out_once() {
+    let handle = |n: u32| ResultHandle::new(format!("10.0.0.1:80/{n}"));
+    let room = FreedRoom { endpoint: "m1".parse().unwrap(), size: ByteCount::new(10) };
+    let mut kept = KeptResults::default();
+    for n in 0..3 {
+        kept.keep(handle(n), room.clone(), at(4_000 + u64::from(n)));
+    }
+    assert!(!kept.release(&handle(0)), "given up for the first time");
+    assert!(kept.release(&handle(0)), "given up before");
+    assert_eq!(kept.free(&handle(0)), Some(room.clone()));
+    struct Case {
+        name: &'static str,
+        now: u64,
+        freed: usize,
+        known: usize,
+    }
+    let cases = [
+        Case { name: "nothing is over", now: 3_999, freed: 0, known: 3 },
+        Case { name: "the first has been freed", now: 4_000, freed: 0, known: 3 },
+        Case { name: "the others are freed", now: 4_002, freed: 2, known: 3 },
+        Case { name: "none is freed twice", now: 9_999, freed: 0, known: 3 },
+        Case { name: "the first is forgotten", now: 10_000, freed: 0, known: 2 },
+        Case { name: "all are forgotten", now: 10_002, freed: 0, known: 0 },
+    ];
+    for case in cases {
+        assert_eq!(kept.expire(at(case.now)).len(), case.freed, "{}", case.name);
+        assert_eq!(kept.len(), case.known, "{}", case.name);
+    }
+    assert!(!kept.contains(&handle(2)));
+}
