--- a/crates/host/src/control/thread.rs
+++ b/crates/host/src/control/thread.rs
@@ -131,7 +131,7 @@
     let addr = listener.local_addr().map_err(bind_error)?;
     let membership = Membership::new(MembershipConfig {
         identity: identity.clone(),
-        address: addr,
+        address: state.cfg.peer_address.unwrap_or(addr),
         data_centre: state.cfg.data_centre.clone(),
         durable: state.cfg.data_folder.is_some(),
         seeds: state.cfg.seeds.clone().into(),
--- a/crates/host/src/settings/mod.rs
+++ b/crates/host/src/settings/mod.rs
@@ -35,6 +35,8 @@
     pub listen: SocketAddr,
     /// Where other hosts reach this host.
     pub peer_listen: SocketAddr,
+    /// Where other hosts reach `peer_listen`, when that is another address: behind a port that is forwarded.
+    pub peer_address: Option<SocketAddr>,
     /// Threads that serve callers; at least 1.
     pub workers: usize,
     /// Peer addresses of some other hosts, through which all are found.
--- a/crates/host/src/settings/read.rs
+++ b/crates/host/src/settings/read.rs
@@ -33,6 +33,7 @@
     let data_centre = r.text("data_centre");
     let listen = r.text("listen");
     let peer_listen = r.text("peer_listen");
+    let peer_address = r.optional_text("peer_address");
     let workers = r.number_or("workers", 1..=256, 1);
     let seeds = read_seeds(r);
     let data_folder = r.optional_text::<PathBuf>("data_folder");
@@ -55,6 +56,7 @@
         data_centre: data_centre?,
         listen: listen?,
         peer_listen: peer_listen?,
+        peer_address: peer_address?,
         workers: workers? as usize,
         seeds: seeds?,
         data_folder: data_folder?,
