Tell followers how busy stage services are

Cause: an entry host learned how long stages wait only from the answers to its own stages, which come after that wait; with 71 entry hosts each heard too late of a burst.

Change: control hosts put the load of the services whose calls they form (waits by priority, the time of calls as they are filled now) into each answer to a follower. The time expected of a stage is at least that of such a call.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -3,6 +3,7 @@
 use super::ControlHost;
 use crate::Gateway;
 use crate::messages::{FollowReply, FollowRequest};
+use crate::stages::stage_loads;
 
 /// The longest wait for something new, whatever the follower asks for.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -24,7 +25,8 @@
         let left = until.since(now);
         if is_new || left.is_zero() || gw.is_stopping() {
             let catalog = held.filter(|_| newer).map(|d| d.content.to_vec());
-            return FollowReply { feed, catalog_version: version, catalog };
+            let loads = stage_loads(gw);
+            return FollowReply { feed, catalog_version: version, catalog, loads };
         }
         control.changed.notified(left).await;
     }
--- a/crates/gateway/src/entry/follow.rs
+++ b/crates/gateway/src/entry/follow.rs
@@ -144,6 +144,9 @@
     if let Some(content) = &reply.catalog {
         install_catalog(gw, reply.catalog_version, content);
     }
+    for load in reply.loads {
+        gw.stage_times.note_load(gw.now(), load);
+    }
     confirmed.borrow_mut().insert(host.clone(), reply.catalog_version);
     let changed = gw.directory.borrow_mut().take(gw.now(), host, reply.feed);
     if changed {
--- a/crates/gateway/src/entry/stage_plan.rs
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -44,7 +44,8 @@
         if pieces > 0 {
             let wait = gw.stage_times.wait(now, &place.service, req.priority);
             waits = waits.max(wait);
-            longest[stage] += wait + nominal_time(gw, &place.service, pieces);
+            let call = nominal_time(gw, &place.service, pieces);
+            longest[stage] += wait + call.max(gw.stage_times.call(now, &place.service));
         }
     }
     let first = gw.stage_times.get(&req.service, FIRST_EVENT_TIME);
--- a/crates/gateway/src/entry/stage_times.rs
+++ b/crates/gateway/src/entry/stage_times.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::messages::PRIORITIES;
+use crate::messages::{PRIORITIES, StageLoad};
 
 /// The weight of a new measurement in a mean.
 const WEIGHT: f64 = 0.15;
@@ -15,8 +15,8 @@
 #[derive(Debug, Default)]
 pub struct StageTimes {
     means: RefCell<HashMap<ServiceName, Duration>>,
-    /// The last word of the host that forms the calls.
-    waits: RefCell<HashMap<ServiceName, (Timestamp, [Millis; PRIORITIES])>>,
+    /// The last word of the host that forms the calls, and when it came.
+    loads: RefCell<HashMap<ServiceName, (Timestamp, StageLoad)>>,
 }
 
 impl StageTimes {
@@ -34,17 +34,24 @@
         self.means.borrow().get(service).copied().unwrap_or(first)
     }
 
-    /// Notes how long stages would wait, by priority.
-    pub fn note_waits(&self, now: Timestamp, service: &ServiceName, waits: [Millis; PRIORITIES]) {
-        self.waits.borrow_mut().insert(service.clone(), (now, waits));
+    /// Notes how busy a service is.
+    pub fn note_load(&self, now: Timestamp, load: StageLoad) {
+        self.loads.borrow_mut().insert(load.service.clone(), (now, load));
     }
 
     /// Returns how long a stage of a priority waits, as far as is known: without another word what waited is
     /// worked off.
     pub fn wait(&self, now: Timestamp, service: &ServiceName, priority: u8) -> Duration {
-        let waits = self.waits.borrow();
-        let Some((at, waits)) = waits.get(service) else { return Duration::ZERO };
-        let wait = waits[usize::from(priority).min(PRIORITIES - 1)].duration();
+        let loads = self.loads.borrow();
+        let Some((at, load)) = loads.get(service) else { return Duration::ZERO };
+        let wait = load.waits[usize::from(priority).min(PRIORITIES - 1)].duration();
         wait.saturating_sub(now.since(*at).saturating_sub(FRESH))
     }
+
+    /// Returns how long the calls of a service take, as far as is known.
+    pub fn call(&self, now: Timestamp, service: &ServiceName) -> Duration {
+        let loads = self.loads.borrow();
+        let fresh = loads.get(service).filter(|(at, _)| now.since(*at) < 2 * FRESH);
+        fresh.map_or(Duration::ZERO, |(_, load)| load.call.duration())
+    }
 }
--- a/crates/gateway/src/messages/follow.rs
+++ b/crates/gateway/src/messages/follow.rs
@@ -2,6 +2,8 @@
 use masticstair_policy::directory::FeedReply;
 use serde::{Deserialize, Serialize};
 
+use super::StageLoad;
+
 /// Asks a control host for what is new.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct FollowRequest {
@@ -24,4 +26,6 @@
     pub catalog_version: CatalogVersion,
     /// The document of the catalog, when it is newer than that of the sender.
     pub catalog: Option<Vec<u8>>,
+    /// How busy the stage services are whose calls the control host forms.
+    pub loads: Vec<StageLoad>,
 }
--- a/crates/gateway/src/messages/stage_reply.rs
+++ b/crates/gateway/src/messages/stage_reply.rs
@@ -2,6 +2,8 @@
 use serde::{Deserialize, Serialize};
 use std::fmt::{Display, Formatter};
 
+use super::StageLoad;
+
 /// Why a stage was not done.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StageFailure {
@@ -41,15 +43,11 @@
     Failed(StageFailure),
 }
 
-/// Priorities that are told apart.
-pub const PRIORITIES: usize = 4;
-
 /// What became of a stage, and how busy its service is.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StageAnswer {
     /// What became of it.
     pub reply: StageReply,
-    /// How long another stage would wait for a call now, by priority; those above the last one wait as long
-    /// as it.
-    pub waits: [Millis; PRIORITIES],
+    /// How busy its service is.
+    pub load: StageLoad,
 }
--- a/crates/gateway/src/stages/call.rs
+++ b/crates/gateway/src/stages/call.rs
@@ -89,6 +89,7 @@
                 "endpoint" => %endpoint.id, "items" => items.len(),
                 "took_ms" => took.as_millis() as u64);
             stages.with_work(&endpoint.id, |work| work.note_call(&limits, items.len(), took));
+            stages.note_call_time(gw.now(), took);
             take_outcomes(&gw, &stages, &endpoint, &limits, items, outcomes);
         }
         CallEnd::NotRun(pause, reason) => {
--- /dev/null
+++ b/crates/gateway/src/stages/load.rs
@@ -0,0 +1,53 @@
+//! How busy the stage services are whose calls this host forms.
+
+use masticstair_core::prelude::*;
+use std::time::Duration;
+
+use super::service_stages::ServiceStages;
+use crate::Gateway;
+use crate::messages::StageLoad;
+
+/// The longest wait that is told.
+const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(10);
+
+/// How long the time of the last calls tells what the next one takes.
+const CALL_MEMORY: Duration = Duration::from_secs(1);
+
+/// Returns the load of every service whose calls this host forms.
+pub(crate) fn stage_loads(gw: &Gateway) -> Vec<StageLoad> {
+    let all = gw.stages.all();
+    let own = all.iter().filter(|stages| gw.owners.owner(gw, &stages.service).is_none());
+    own.map(|stages| stage_load(gw, stages)).collect()
+}
+
+/// Returns the load of a service.
+pub(super) fn stage_load(gw: &Gateway, stages: &ServiceStages) -> StageLoad {
+    let rate = full_rate(gw, stages);
+    let waits = std::array::from_fn(|priority| {
+        let ahead = stages.queue.borrow().ahead(priority as u8);
+        let wait = rate.map_or(0.0, |rate| ahead as f64 / rate);
+        millis(Duration::from_secs_f64(wait.min(MAX_EXPECTED_WAIT.as_secs_f64())))
+    });
+    let (at, mean) = stages.call_time.get();
+    let is_fresh = gw.now().since(at) < CALL_MEMORY;
+    let call = if is_fresh { millis(mean) } else { Millis::default() };
+    StageLoad { service: stages.service.clone(), waits, call }
+}
+
+fn millis(time: Duration) -> Millis {
+    Millis::new(time.as_millis() as u64)
+}
+
+/// Returns the items a second of all endpoints with full calls; none when the service runs no stages.
+fn full_rate(gw: &Gateway, stages: &ServiceStages) -> Option<f64> {
+    let limits = gw.batch_limits(&stages.service)?;
+    let now = gw.now();
+    let items = limits.items.get().max(1) as usize;
+    let endpoints = gw.directory.borrow().ready(&stages.service);
+    let usable = endpoints.iter().filter(|e| stages.with_work(&e.id, |w| now >= w.avoid_until));
+    let rate: f64 = usable
+        .map(|e| stages.with_work(&e.id, |work| work.expected(&limits, items)))
+        .map(|call| items as f64 / call.as_secs_f64().max(1e-3))
+        .sum();
+    Some(rate.max(1.0))
+}
--- a/crates/gateway/src/stages/mod.rs
+++ b/crates/gateway/src/stages/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod dispatch;
 mod job;
+mod load;
 mod owner;
 mod pump;
 mod release;
@@ -11,6 +12,7 @@
 mod submit;
 
 pub use dispatch::StageDispatch;
+pub(crate) use load::stage_loads;
 pub(crate) use owner::Owners;
 pub(crate) use pump::pump_all;
 pub(crate) use release::release_results;
--- a/crates/gateway/src/stages/pump.rs
+++ b/crates/gateway/src/stages/pump.rs
@@ -12,7 +12,7 @@
 use super::release::fail_jobs;
 use super::service_stages::ServiceStages;
 use crate::Gateway;
-use crate::messages::{PRIORITIES, StageFailure};
+use crate::messages::StageFailure;
 
 /// How often items that wait are looked at without an event, for endpoints that were left alone and items
 /// whose time passes.
@@ -21,9 +21,6 @@
 /// Rounds of full calls above which stages that would be late are dropped although earlier ones are done.
 const LATE_ROUNDS: usize = 2;
 
-/// The longest wait that is told.
-const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(10);
-
 /// Starts calls on every service, after the endpoints have changed.
 pub(crate) fn pump_all(gw: &Rc<Gateway>) {
     for stages in gw.stages.all() {
@@ -141,31 +138,6 @@
     fail_jobs(gw, stages, late, StageFailure::Late);
 }
 
-/// Returns how long another stage would wait for a call now, by priority.
-pub(super) fn expected_waits(gw: &Gateway, stages: &ServiceStages) -> [Millis; PRIORITIES] {
-    let rate = full_rate(gw, stages);
-    std::array::from_fn(|priority| {
-        let ahead = stages.queue.borrow().ahead(priority as u8);
-        let wait = rate.map_or(0.0, |rate| ahead as f64 / rate);
-        let wait = Duration::from_secs_f64(wait.min(MAX_EXPECTED_WAIT.as_secs_f64()));
-        Millis::new(wait.as_millis() as u64)
-    })
-}
-
-/// Returns the items a second of all endpoints with full calls; none when the service runs no stages.
-fn full_rate(gw: &Gateway, stages: &ServiceStages) -> Option<f64> {
-    let limits = gw.batch_limits(&stages.service)?;
-    let now = gw.now();
-    let items = limits.items.get().max(1) as usize;
-    let endpoints = gw.directory.borrow().ready(&stages.service);
-    let usable = endpoints.iter().filter(|e| stages.with_work(&e.id, |w| now >= w.avoid_until));
-    let rate: f64 = usable
-        .map(|e| stages.with_work(&e.id, |work| work.expected(&limits, items)))
-        .map(|call| items as f64 / call.as_secs_f64().max(1e-3))
-        .sum();
-    Some(rate.max(1.0))
-}
-
 fn fail_all(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>) {
     let numbers: Vec<_> = stages.jobs.borrow().keys().copied().collect();
     fail_jobs(gw, stages, numbers, StageFailure::NoEndpoint);
--- a/crates/gateway/src/stages/run.rs
+++ b/crates/gateway/src/stages/run.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use super::job::Job;
-use super::pump::{expected_waits, pump};
+use super::load::stage_load;
+use super::pump::pump;
 use super::release::fail_jobs;
 use crate::Gateway;
 use crate::front_end::StageSource;
@@ -23,8 +24,7 @@
     let service = request.service.clone();
     let reply = run(gw, from, request).await;
     let stages = gw.stages.service_of(&service);
-    let waits = expected_waits(gw, &stages);
-    StageAnswer { reply, waits }
+    StageAnswer { reply, load: stage_load(gw, &stages) }
 }
 
 async fn run(gw: &Rc<Gateway>, from: HostId, request: StageRequest) -> StageReply {
--- a/crates/gateway/src/stages/service_stages.rs
+++ b/crates/gateway/src/stages/service_stages.rs
@@ -3,10 +3,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::job::Job;
 use crate::messages::{CancelRequest, StageFailure, StageReply};
 
+/// The weight of a new call in the mean time of calls.
+const CALL_WEIGHT: f64 = 0.1;
+
 /// The stages that this host runs on one service.
 pub(crate) struct ServiceStages {
     pub(super) service: ServiceName,
@@ -20,6 +24,8 @@
     pub(super) kept: RefCell<KeptResults>,
     /// Results to give up with the next call to each endpoint.
     pub(super) to_release: RefCell<HashMap<SocketAddr, Vec<ResultHandle>>>,
+    /// When the last call ended, and the mean time of calls.
+    pub(super) call_time: Cell<(Timestamp, Duration)>,
     /// Whether a task will look at the queue again.
     pub(super) timer: Cell<bool>,
 }
@@ -35,6 +41,7 @@
             last: Cell::default(),
             kept: RefCell::default(),
             to_release: RefCell::default(),
+            call_time: Cell::default(),
             timer: Cell::default(),
         }
     }
@@ -48,6 +55,16 @@
         }
     }
 
+    /// Notes how long a call took.
+    pub(super) fn note_call_time(&self, now: Timestamp, took: Duration) {
+        let (_, mean) = self.call_time.get();
+        let mean = match mean.is_zero() {
+            true => took,
+            false => mean.mul_f64(1.0 - CALL_WEIGHT) + took.mul_f64(CALL_WEIGHT),
+        };
+        self.call_time.set((now, mean));
+    }
+
     /// Ends a job without its results and returns those that were made.
     pub(super) fn fail_job(&self, number: JobNumber, failure: StageFailure) -> Vec<ResultHandle> {
         let Some(job) = self.jobs.borrow_mut().remove(&number) else { return Vec::new() };
--- a/crates/gateway/src/stages/submit.rs
+++ b/crates/gateway/src/stages/submit.rs
@@ -7,8 +7,7 @@
 use super::release::release_results;
 use super::run::{cancel_stage, run_stage};
 use crate::messages::{
-    CancelRequest, Message, ReleaseRequest, Reply, StageAnswer, StageFailure, StageReply,
-    StageRequest,
+    CancelRequest, Message, ReleaseRequest, Reply, StageFailure, StageReply, StageRequest,
 };
 use crate::{Gateway, PeerHost};
 
@@ -40,7 +39,7 @@
     let guard = CancelGuard::new(gw, None, cancel);
     let answer = run_stage(gw, gw.host.clone(), request.clone()).await;
     guard.finish();
-    note_wait(gw, &request, &answer);
+    gw.stage_times.note_load(gw.now(), answer.load);
     answer.reply
 }
 
@@ -69,7 +68,7 @@
     guard.finish();
     let reason = match answer {
         Ok(Reply::Stage(answer)) => {
-            note_wait(gw, &request, &answer);
+            gw.stage_times.note_load(gw.now(), answer.load);
             match answer.reply {
                 StageReply::Failed(e @ (StageFailure::NoEndpoint | StageFailure::Moved)) => {
                     e.to_string().into()
@@ -87,10 +86,6 @@
     None
 }
 
-fn note_wait(gw: &Gateway, request: &StageRequest, answer: &StageAnswer) {
-    gw.stage_times.note_waits(gw.now(), &request.service, answer.waits);
-}
-
 /// Gives up results through the host that formed the calls.
 pub(crate) fn give_up_results(gw: &Rc<Gateway>, service: ServiceName, results: Vec<ResultHandle>) {
     if results.is_empty() {
