Leave a data centre alone that is not reached

A plain request with an objective of 120 ms spent 400 ms on one such connection.

Change: after three connections in a row that were not made in time, with no answer from the data centre between, its endpoints are used only when no others are left, for 1 s at a time. A connection may take half of the objective.

Calls on kept connections into the data centre still wait for their own limit.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -8,9 +8,12 @@
 use crate::Gateway;
 use crate::front_end::{AnswerMeta, UpstreamTerms};
 
-/// How long a connection to an endpoint may take.
+/// How long a connection to an endpoint may take at the most.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
+/// The least of that limit: within a region a connection takes some milliseconds, on busy hosts some tens.
+const MIN_CONNECT_LIMIT: Duration = Duration::from_millis(100);
+
 /// The longest idle time of a connection that is used again for a request that can be repeated.
 const REPEATABLE_IDLE: Duration = Duration::from_secs(3);
 
@@ -114,12 +117,15 @@
         target: req.target.clone(),
         headers: (gw.front_end.upstream_headers)(&req.headers, &upstream),
         body: req.body.clone(),
-        connect_timeout: CONNECT_LIMIT.min(left),
+        connect_timeout: connect_limit(req).min(left),
         max_idle: if repeatable { REPEATABLE_IDLE } else { UNREPEATABLE_IDLE },
     };
     let patience = terms.patience.min(left);
     let started = gw.now();
     let sent = monoio::time::timeout(patience, gw.pool.send(call)).await;
+    if let Ok(answer) = &sent {
+        gw.note_reach(endpoint, answer.as_ref().err());
+    }
     let now = gw.now();
     let end = match sent {
         Ok(Ok((head, body))) => return check_answer(gw, req, endpoint, head, body),
@@ -135,6 +141,11 @@
     Err(end)
 }
 
+/// Returns how long a connection may take: another endpoint shall still be able to answer on time.
+fn connect_limit(req: &ClientRequest) -> Duration {
+    (req.route.objective.duration() / 2).clamp(MIN_CONNECT_LIMIT, CONNECT_LIMIT)
+}
+
 fn check_answer(
     gw: &Gateway,
     req: &ClientRequest,
--- a/crates/gateway/src/entry/plain.rs
+++ b/crates/gateway/src/entry/plain.rs
@@ -127,7 +127,7 @@
 }
 
 fn pick(gw: &Gateway, req: &ClientRequest, asked: &[EndpointId]) -> Option<Arc<ServingEndpoint>> {
-    let ready = gw.directory.borrow().ready(&req.service);
+    let ready = gw.endpoints(&req.service);
     let now = gw.now();
     let others: Vec<_> = ready.iter().filter(|e| !asked.contains(&e.id)).collect();
     let candidates: Vec<_> = others
--- a/crates/gateway/src/entry/stream.rs
+++ b/crates/gateway/src/entry/stream.rs
@@ -187,7 +187,7 @@
     asked: &[EndpointId],
     near: Option<&DataCentreId>,
 ) -> Option<Arc<ServingEndpoint>> {
-    let ready = gw.directory.borrow().ready(&req.service);
+    let ready = gw.endpoints(&req.service);
     let others: Vec<_> = ready.iter().filter(|e| !asked.contains(&e.id)).collect();
     let prompt = req.meta.prompt.as_ref();
     let session = prompt.and_then(|prompt| prompt.session());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,15 +3,16 @@
 use http::header::HOST;
 use masticstair_core::catalog::BatchLimits;
 use masticstair_core::prelude::*;
-use masticstair_net::http::relay::{RelayCall, RelayPool};
-use masticstair_policy::directory::Directory;
+use masticstair_net::http::relay::{RelayCall, RelayError, RelayPool};
+use masticstair_policy::directory::{Directory, ServingEndpoint};
 use masticstair_policy::repeat_budget::{BudgetTerms, RepeatBudget};
-use masticstair_policy::service_choice::EndpointHealth;
+use masticstair_policy::service_choice::{DataCentreReach, EndpointHealth};
 use slog::Logger;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::control::CatalogStore;
@@ -33,6 +34,7 @@
     pub(crate) catalog: CatalogInForce,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) health: RefCell<HashMap<EndpointId, EndpointHealth>>,
+    reach: RefCell<HashMap<DataCentreId, DataCentreReach>>,
     pub(crate) pool: RelayPool,
     pub(crate) stages: StageDispatch,
     pub(crate) owners: Owners,
@@ -62,6 +64,7 @@
             catalog: CatalogInForce::default(),
             directory: RefCell::default(),
             health: RefCell::default(),
+            reach: RefCell::default(),
             pool: RelayPool::default(),
             stages: StageDispatch::default(),
             owners: Owners::default(),
@@ -137,6 +140,41 @@
         }
     }
 
+    /// Returns the endpoints of a service that take new work, but for those in data centres that this host does
+    /// not reach while others are left.
+    pub(crate) fn endpoints(&self, service: &ServiceName) -> Arc<[Arc<ServingEndpoint>]> {
+        let ready = self.directory.borrow().ready(service);
+        let now = self.now();
+        let reach = self.reach.borrow();
+        let is_reached = |e: &&Arc<ServingEndpoint>| {
+            !reach.get(&e.data_centre).is_some_and(|reach| reach.is_avoided(now))
+        };
+        let reached = ready.iter().filter(is_reached).count();
+        match reached {
+            0 => ready,
+            _ if reached == ready.len() => ready,
+            _ => ready.iter().filter(is_reached).cloned().collect(),
+        }
+    }
+
+    /// Notes an answer of an endpoint, or the error of a call to it, for the way to its data centre.
+    pub(crate) fn note_reach(&self, endpoint: &ServingEndpoint, error: Option<&RelayError>) {
+        let mut all = self.reach.borrow_mut();
+        let reach = all.entry(endpoint.data_centre.clone()).or_default();
+        match error {
+            None => reach.note_answer(),
+            Some(RelayError::ConnectTimeout(..)) => {
+                let was_avoided = reach.is_avoided(self.now());
+                reach.note_timeout(self.now());
+                if !was_avoided && reach.is_avoided(self.now()) {
+                    slog::warn!(self.log, "data centre not reached";
+                        "data_centre" => %endpoint.data_centre, "endpoint" => %endpoint.id);
+                }
+            }
+            Some(_) => {}
+        }
+    }
+
     /// Changes what is known of an endpoint.
     pub(crate) fn with_health<T>(
         &self,
--- a/crates/gateway/src/stages/call.rs
+++ b/crates/gateway/src/stages/call.rs
@@ -125,7 +125,9 @@
     };
     let patience = stages.with_work(&endpoint.id, |work| work.patience(limits, items.len()));
     let send = async {
-        let (head, body) = match gw.pool.send(call).await {
+        let sent = gw.pool.send(call).await;
+        gw.note_reach(endpoint, sent.as_ref().err());
+        let (head, body) = match sent {
             Ok(answer) => answer,
             Err(e) if e.may_have_sent() => return CallEnd::Lost(e.to_string().into()),
             Err(e) => return CallEnd::NotRun(LOST_PAUSE, e.to_string().into()),
--- a/crates/gateway/src/stages/load.rs
+++ b/crates/gateway/src/stages/load.rs
@@ -43,7 +43,7 @@
     let limits = gw.batch_limits(&stages.service)?;
     let now = gw.now();
     let items = limits.items.get().max(1) as usize;
-    let endpoints = gw.directory.borrow().ready(&stages.service);
+    let endpoints = gw.endpoints(&stages.service);
     let usable = endpoints.iter().filter(|e| stages.with_work(&e.id, |w| now >= w.avoid_until));
     let rate: f64 = usable
         .map(|e| stages.with_work(&e.id, |work| work.expected(&limits, items)))
--- a/crates/gateway/src/stages/pump.rs
+++ b/crates/gateway/src/stages/pump.rs
@@ -34,7 +34,7 @@
         return;
     }
     let limits = gw.batch_limits(&stages.service);
-    let endpoints = gw.directory.borrow().ready(&stages.service);
+    let endpoints = gw.endpoints(&stages.service);
     let (Some(limits), false) = (limits, endpoints.is_empty()) else {
         fail_all(gw, stages);
         return;
--- a/crates/policy/tests/choices.rs
+++ b/crates/policy/tests/choices.rs
@@ -5,7 +5,9 @@
 use masticstair_core::prelude::*;
 use masticstair_policy::engine_choice::{EngineView, pick_engine, rendezvous_order};
 use masticstair_policy::repeat_budget::{BudgetTerms, RepeatBudget};
-use masticstair_policy::service_choice::{Candidate, EndpointHealth, pick_endpoint};
+use masticstair_policy::service_choice::{
+    Candidate, DataCentreReach, EndpointHealth, pick_endpoint,
+};
 use std::time::Duration;
 
 fn at(ms: u64) -> Timestamp {
@@ -133,3 +135,38 @@
     let later = (0..100).filter(|n| budget.take_repeat(at(20_000 + n), &terms, &service)).count();
     assert_eq!(later, 4, "the window has passed");
 }
+
+/// Guards against requests that wait in turn for every endpoint of a data centre that is cut off, and against
+/// a data centre that is given up for one endpoint that is down.
+#[test]
+fn data_centre_is_avoided_after_several_timeouts() {
+    struct Case {
+        name: &'static str,
+        /// Whether each connection was made.
+        made: &'static [bool],
+        now: u64,
+        avoided: bool,
+    }
+    let cases = [
+        Case { name: "nothing known", made: &[], now: 0, avoided: false },
+        Case { name: "two timeouts", made: &[false, false], now: 0, avoided: false },
+        Case { name: "three timeouts", made: &[false, false, false], now: 0, avoided: true },
+        Case {
+            name: "an answer between",
+            made: &[false, false, true, false],
+            now: 0,
+            avoided: false,
+        },
+        Case { name: "tried again", made: &[false, false, false], now: 1_000, avoided: false },
+    ];
+    for case in cases {
+        let mut reach = DataCentreReach::default();
+        for made in case.made {
+            match made {
+                true => reach.note_answer(),
+                false => reach.note_timeout(at(0)),
+            }
+        }
+        assert_eq!(reach.is_avoided(at(case.now)), case.avoided, "{}", case.name);
+    }
+}
