Give slow stage endpoints nothing that is on time elsewhere

Cause: an endpoint whose calls take several times as long was given the next items as soon as it was free, also those that a faster endpoint would have ended on time some tens of milliseconds later.

Change: an item that would be late at an endpoint waits when the faster endpoints together end it on time.

--- a/crates/gateway/src/stages/pump.rs
+++ b/crates/gateway/src/stages/pump.rs
@@ -14,6 +14,9 @@
 use crate::Gateway;
 use crate::messages::StageFailure;
 
+/// An endpoint whose calls take this much longer than those of another one is slow beside it.
+const SLOW_FACTOR: f64 = 1.5;
+
 /// How often items that wait are looked at without an event, for endpoints that were left alone and items
 /// whose time passes.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
@@ -53,6 +56,7 @@
             items,
             room: stages.with_work(&endpoint.id, |work| work.room(now, &limits)),
             full_call: stages.with_work(&endpoint.id, |work| work.expected(&limits, full)),
+            elsewhere: elsewhere(gw, stages, &endpoints, &endpoint, &limits),
         };
         let items = stages.queue.borrow_mut().take_call(now, &offer);
         if items.is_empty() {
@@ -89,6 +93,28 @@
     Some(best.clone())
 }
 
+/// Returns the time within which the endpoints that are faster than `slow` end the call of an item that waits
+/// now: what waits is shared among them, and the slowest of their calls follows.
+fn elsewhere(
+    gw: &Gateway,
+    stages: &ServiceStages,
+    endpoints: &[Arc<ServingEndpoint>],
+    slow: &ServingEndpoint,
+    limits: &BatchLimits,
+) -> Option<Duration> {
+    let now = gw.now();
+    let items = limits.items.get().max(1) as usize;
+    let full = |id: &EndpointId| stages.with_work(id, |work| work.expected(limits, items));
+    let bound = full(&slow.id).div_f64(SLOW_FACTOR);
+    let is_faster = |e: &&Arc<ServingEndpoint>| {
+        stages.with_work(&e.id, |w| now >= w.avoid_until) && full(&e.id) < bound
+    };
+    let faster: Vec<_> = endpoints.iter().filter(is_faster).map(|e| full(&e.id)).collect();
+    let slowest = faster.iter().max()?;
+    let rounds = 1 + stages.queue.borrow().len() / (items * faster.len());
+    Some(*slowest * (rounds as u32 + 1))
+}
+
 fn overflowing(
     gw: &Gateway,
     stages: &ServiceStages,
--- a/crates/policy/src/stage_queue/endpoint_offer.rs
+++ b/crates/policy/src/stage_queue/endpoint_offer.rs
@@ -16,4 +16,7 @@
     pub room: ByteCount,
     /// The expected time of a full call.
     pub full_call: Duration,
+    /// The time within which the faster endpoints end the call of an item that waits for one of them; none when
+    /// no endpoint is faster.
+    pub elsewhere: Option<Duration>,
 }
--- a/crates/policy/src/stage_queue/queue.rs
+++ b/crates/policy/src/stage_queue/queue.rs
@@ -136,8 +136,13 @@
 const NEAR_WAIT: Duration = Duration::from_millis(400);
 
 /// Tells whether an item may go to an endpoint: it is needed near it, or its own data centre has too much to
-/// do, or it has waited for long or has no time to wait.
+/// do, or it has waited for long or has no time to wait. An endpoint that is slow gets nothing that is late
+/// there and on time elsewhere.
 fn is_eligible(item: &StageItem, now: Timestamp, offer: &EndpointOffer) -> bool {
+    let is_late_here = item.due < now.plus(offer.full_call);
+    if is_late_here && offer.elsewhere.is_some_and(|elsewhere| now.plus(elsewhere) <= item.due) {
+        return false;
+    }
     let Some(near) = &item.near else { return true };
     *near == offer.data_centre
         || offer.overflowing.contains(near)
--- a/crates/policy/tests/stage_queue.rs
+++ b/crates/policy/tests/stage_queue.rs
@@ -37,6 +37,7 @@
         items: 2,
         room: ByteCount::new(1_000),
         full_call: Duration::from_millis(200),
+        elsewhere: None,
     }
 }
 
@@ -204,3 +205,29 @@
     }
     assert!(!kept.contains(&handle(2)));
 }
+
+/// Guards against items that go to a slow endpoint although they would be on time at a faster one that is
+/// free soon, and against a slow endpoint that stands idle while nothing else helps.
+#[test]
+fn slow_endpoint_gets_no_item_that_is_on_time_elsewhere() {
+    struct Case {
+        name: &'static str,
+        due: u64,
+        elsewhere: Option<u64>,
+        taken: usize,
+    }
+    let cases = [
+        Case { name: "on time here", due: 900, elsewhere: Some(400), taken: 1 },
+        Case { name: "late here, on time elsewhere", due: 700, elsewhere: Some(400), taken: 0 },
+        Case { name: "late everywhere", due: 300, elsewhere: Some(400), taken: 1 },
+        Case { name: "no faster endpoint", due: 700, elsewhere: None, taken: 1 },
+    ];
+    for case in cases {
+        let mut queue = StageQueue::default();
+        queue.push([item(1, case.due)]);
+        let full_call = Duration::from_millis(800);
+        let elsewhere = case.elsewhere.map(Duration::from_millis);
+        let offer = EndpointOffer { full_call, elsewhere, ..offer() };
+        assert_eq!(queue.take_call(at(0), &offer).len(), case.taken, "{}", case.name);
+    }
+}
