Choose the engine where large results are

Cause: the engine was chosen before the stages and again near the same data centre, also when the endpoints there had no time and the results were made elsewhere; 3 MB results then crossed data centres for prompts whose shared part is read in a few milliseconds.

--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod plain;
 mod ready;
 mod stage_plan;
+mod stage_results;
 mod stage_times;
 mod stream;
 mod stream_body;
--- a/crates/gateway/src/entry/stage_plan.rs
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -8,6 +8,7 @@
 
 use super::client_request::ClientRequest;
 use super::held_results::HeldResults;
+use super::stage_results::StageResults;
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason, StageSource};
 use crate::messages::{StageFailure, StageReply, StageRequest};
@@ -79,7 +80,7 @@
     req: &ClientRequest,
     near: Option<&DataCentreId>,
     held: &mut HeldResults,
-) -> Result<Vec<ResultHandle>, Refusal> {
+) -> Result<StageResults, Refusal> {
     let mut restarts = 0;
     loop {
         match run_once(gw, req, near, held).await {
@@ -105,7 +106,7 @@
     req: &ClientRequest,
     near: Option<&DataCentreId>,
     held: &mut HeldResults,
-) -> Result<Vec<ResultHandle>, StageFailure> {
+) -> Result<StageResults, StageFailure> {
     let stages = &req.route.stages;
     let count = |stage: usize| req.meta.pieces.get(stage).copied().unwrap_or(1);
     let mut results: Vec<Option<Vec<ResultHandle>>> =
@@ -145,7 +146,8 @@
     }
     let is_last = |stage: usize| !stages.iter().any(|s| s.after.contains(&stage));
     let last = (0..stages.len()).filter(|stage| is_last(*stage));
-    Ok(last.filter_map(|stage| results[stage].clone()).flatten().collect())
+    let made = last.filter_map(|stage| Some((stages[stage].result, results[stage].clone()?)));
+    Ok(StageResults::new(gw, made.collect()))
 }
 
 /// Gives up the inputs of a stage that is done, unless another stage needs them.
--- a/crates/gateway/src/entry/stream.rs
+++ b/crates/gateway/src/entry/stream.rs
@@ -65,21 +65,21 @@
     }
     let mut held = HeldResults::new(&gw);
     let mut planned = choose(&gw, &req, &[], None);
-    let inputs = match &planned {
+    let results = match &planned {
         Some(engine) if !req.route.stages.is_empty() => {
             let near = engine.data_centre.clone();
             match run_stages(&gw, &req, Some(&near), &mut held).await {
-                Ok(inputs) => Some(inputs),
+                Ok(results) => Some(results),
                 Err(refusal) => return refuse(&gw, &story, &refusal),
             }
         }
         _ => None,
     };
-    if inputs.is_some() {
+    if let Some(results) = &results {
         story.staged = Some(gw.now());
-        let near = planned.as_ref().map(|engine| engine.data_centre.clone());
-        planned = choose(&gw, &req, &[], near.as_ref());
+        planned = choose(&gw, &req, &[], results.near.as_ref());
     }
+    let inputs = results.map(|results| results.handles);
     gw.note_requests(&req.service, 1);
     let resume = req.meta.resume_after;
     match open(&gw, &req, &mut story, planned, inputs.as_deref(), resume, &mut 0).await {
--- a/crates/gateway/src/entry/stream_body.rs
+++ b/crates/gateway/src/entry/stream_body.rs
@@ -197,7 +197,7 @@
     let inputs = match &state.inputs {
         Some(_) if state.events > 0 => {
             match run_stages(&gw, &state.req, None, &mut state.held).await {
-                Ok(inputs) => Some(inputs),
+                Ok(results) => Some(results.handles),
                 Err(refusal) => {
                     return Err(abort(state, &format!("{reason}; {}", refusal.detail)));
                 }
--- a/crates/policy/src/engine_choice/pick.rs
+++ b/crates/policy/src/engine_choice/pick.rs
@@ -25,7 +25,8 @@
 ///
 /// The engines with the highest affinity for the beginning of the prompt are taken to keep its `shared`
 /// tokens; `own` tokens are kept nowhere. The first of them whose first token is expected within `patience`
-/// gets the request, because reading the prompt elsewhere costs every request on that engine. Otherwise the
+/// gets the request, because reading the prompt elsewhere costs every request on that engine. A beginning that
+/// is read sooner than the inputs are moved is kept in each data centre by engines of its own. Otherwise the
 /// engine with the earliest first token gets it. `hosts` share the engines, and each is taken to have as
 /// much work there as this one.
 pub fn pick_engine(
@@ -44,7 +45,10 @@
     if shared.get() > 0 {
         let keeps =
             |position: &&usize| first_token_ms(&engines[**position], own.get(), hosts) < limit;
-        if let Some(keeper) = order.iter().take(KEEPERS).find(keeps) {
+        let moves = shared.get() as f64 / TOKENS_PER_MS < FAR_COST.as_secs_f64() * 1e3;
+        let any_near = order.iter().any(|position| engines[*position].is_near);
+        let takes = |position: &&usize| !moves || !any_near || engines[**position].is_near;
+        if let Some(keeper) = order.iter().filter(takes).take(KEEPERS).find(keeps) {
             return Some(*keeper);
         }
     }
--- a/crates/policy/tests/choices.rs
+++ b/crates/policy/tests/choices.rs
@@ -54,6 +54,34 @@
     }
 }
 
+/// Guards against large inputs that cross data centres for a beginning of a prompt that is read in less time.
+#[test]
+fn short_prompt_goes_where_its_inputs_are() {
+    struct Case {
+        name: &'static str,
+        shared: u64,
+        /// Whether each engine is where the inputs are.
+        near: [bool; 3],
+        chosen: usize,
+    }
+    let cases = [
+        Case { name: "short", shared: 170, near: [true, false, true], chosen: 2 },
+        Case { name: "long", shared: 6_000, near: [true, false, true], chosen: 1 },
+        Case { name: "none is near", shared: 170, near: [false; 3], chosen: 1 },
+    ];
+    for case in cases {
+        let engines: Vec<_> = [1, 9, 5]
+            .into_iter()
+            .zip(case.near)
+            .map(|(affinity, is_near)| EngineView { is_near, ..engine(affinity) })
+            .collect();
+        let (shared, own) = (TokenCount::new(case.shared), TokenCount::new(300));
+        let patience = Duration::from_millis(600);
+        let chosen = pick_engine(&engines, shared, own, 4, patience, || Draw::new(0)).unwrap();
+        assert_eq!(chosen, case.chosen, "{}", case.name);
+    }
+}
+
 /// Guards against an owner that changes for most keys when one host leaves.
 #[test]
 fn few_keys_move_when_a_holder_leaves() {
