Apply the catalog's limits on clients

Cause: the limits of the catalog were read and checked, and nothing obeyed them: a deployment that allows larger heads or longer idle connections than usual would have had requests refused and connections closed under its clients. An engine's answer other than 2xx or 5xx was noted with a latency of 0, which made the engine look fast.

Change: a connection of a client gets the limits of the catalog in force when it is accepted; the load balancer, endpoints and operators have limits of their own. Only failures of engines are noted from answers that are no streams.

--- a/crates/gateway/src/entry/stream.rs
+++ b/crates/gateway/src/entry/stream.rs
@@ -104,7 +104,9 @@
         let Opened { body, endpoint, .. } = opened;
         let left = req.deadline.since(gw.now());
         let read = monoio::time::timeout(left, body.read_all(ANSWER_LIMIT)).await;
-        gw.with_health(&endpoint.id, |h| h.note_answer(Duration::ZERO, status.is_server_error()));
+        if status.is_server_error() {
+            gw.with_health(&endpoint.id, |health| health.note_answer(Duration::ZERO, true));
+        }
         return match read {
             Ok(Ok(body)) => {
                 story.end(&gw, "answered", status.as_str());
--- a/crates/gateway/src/listeners.rs
+++ b/crates/gateway/src/listeners.rs
@@ -1,6 +1,7 @@
 //! The listeners of a gateway and the bounds on what comes in.
 
 use futures_util::future::{FutureExt, LocalBoxFuture, Shared};
+use masticstair_core::catalog::ClientLimits;
 use masticstair_core::prelude::*;
 use masticstair_net::http::server::{ConnectionCount, Handler, ServerLimits, bind, serve};
 use std::io;
@@ -17,6 +18,9 @@
 /// The largest catalog, in bytes; a command of the log has at most 17 MiB.
 const CONTROL_BODY: u64 = 16 << 20;
 
+/// The smallest limit of a head that the HTTP library takes.
+const LEAST_HEAD: ByteCount = ByteCount::new(8_192);
+
 /// Connections that a gateway takes.
 const CONNECTIONS: Slots = Slots::new(3_000);
 
@@ -35,26 +39,27 @@
     if let Some(addr) = gw.cfg.listen {
         let entry = gw.clone();
         let handler: Handler = Rc::new(move |req| answer_request(entry.clone(), req).boxed_local());
-        listen(addr, client_limits(), handler, closed)?;
+        let entry = gw.clone();
+        listen(addr, move || client_limits(&entry), handler, closed)?;
     }
     if let Some(addr) = gw.cfg.ready_listen.filter(|addr| gw.cfg.listen != Some(*addr)) {
         let entry = gw.clone();
         let handler: Handler =
             Rc::new(move |req| std::future::ready(answer_ready(&entry, &req)).boxed_local());
-        listen(addr, client_limits(), handler, closed)?;
+        listen(addr, own_limits, handler, closed)?;
     }
     if let (Some(addr), Some(control)) = (gw.cfg.control_listen, control) {
         let (gw, control) = (gw.clone(), control.clone());
         let handler: Handler =
             Rc::new(move |req| answer_control(gw.clone(), control.clone(), req).boxed_local());
-        listen(addr, control_limits(), handler, closed)?;
+        listen(addr, own_limits, handler, closed)?;
     }
     Ok(())
 }
 
 fn listen(
     addr: SocketAddr,
-    limits: ServerLimits,
+    limits: impl Fn() -> ServerLimits + 'static,
     handler: Handler,
     closed: &Closed,
 ) -> io::Result<()> {
@@ -64,21 +69,26 @@
     Ok(())
 }
 
-/// Bounds on clients: the usual ones of a catalog. Those of the catalog in force are not applied.
-fn client_limits() -> ServerLimits {
-    let limits = masticstair_core::catalog::ClientLimits::default();
+/// Bounds on clients, as the catalog in force says.
+fn client_limits(gw: &Gateway) -> ServerLimits {
+    server_limits(gw.catalog.get().map(|catalog| catalog.limits).unwrap_or_default())
+}
+
+/// Bounds on the load balancer, endpoints and operators. No catalog may keep the next one out.
+fn own_limits() -> ServerLimits {
+    let usual = server_limits(ClientLimits::default());
+    ServerLimits { head: CONTROL_HEAD.into(), body: CONTROL_BODY.into(), ..usual }
+}
+
+fn server_limits(limits: ClientLimits) -> ServerLimits {
     ServerLimits {
-        head: limits.head,
+        head: limits.head.max(LEAST_HEAD),
         // The time for a head begins when the connection is idle.
-        head_timeout: limits.idle,
+        head_timeout: limits.idle.max(limits.head_timeout),
         body: limits.body,
         large: None,
-        body_timeout: limits.idle,
+        body_timeout: limits.idle.max(limits.head_timeout),
         requests_per_connection: REQUESTS_PER_CONNECTION,
         connections: CONNECTIONS,
     }
 }
-
-fn control_limits() -> ServerLimits {
-    ServerLimits { head: CONTROL_HEAD.into(), body: CONTROL_BODY.into(), ..client_limits() }
-}
--- a/crates/host/src/daemon/worker.rs
+++ b/crates/host/src/daemon/worker.rs
@@ -119,7 +119,7 @@
             let _ = stop.await;
         };
         let (bounds, count) = (state.cfg.bounds, state.connections.clone());
-        serve(listener, bounds, count, handler(cx), stopped).await;
+        serve(listener, move || bounds, count, handler(cx), stopped).await;
         wait_until_idle(state).await;
     };
     if let Err(e) = block_on(main) {
--- a/crates/net/src/http/server/listen.rs
+++ b/crates/net/src/http/server/listen.rs
@@ -25,22 +25,23 @@
     TcpListener::bind_with_config(addr, &ListenerOpts::new())
 }
 
-/// Serves connections until `stop` completes; requests in progress are then still answered.
+/// Serves connections until `stop` completes; requests in progress are then still answered. A connection has the
+/// limits that are in force when it is accepted.
 pub async fn serve(
     listener: TcpListener,
-    limits: ServerLimits,
+    limits: impl Fn() -> ServerLimits + 'static,
     count: ConnectionCount,
     handler: Handler,
     stop: impl Future<Output = ()> + 'static,
 ) {
-    let limits = Rc::new(limits);
     let large = ConnectionCount::default();
     let stop: Stop = stop.boxed_local().shared();
     loop {
         match select(stop.clone(), pin!(listener.accept())).await {
             Either::Left(_) => return,
             Either::Right((Ok((stream, _)), _)) => {
-                let (limits, handler, count) = (limits.clone(), handler.clone(), count.clone());
+                let (handler, count) = (handler.clone(), count.clone());
+                let limits = Rc::new(limits());
                 let (large, stop) = (large.clone(), stop.clone());
                 monoio::spawn(async move {
                     // A token is one small write; waiting for more would delay it.
--- a/crates/net/tests/http_panics.rs
+++ b/crates/net/tests/http_panics.rs
@@ -33,7 +33,13 @@
         let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let addr = listener.local_addr().unwrap();
         let (limits, count) = (ServerLimits::default(), ConnectionCount::default());
-        monoio::spawn(server::serve(listener, limits, count, handler(), std::future::pending()));
+        monoio::spawn(server::serve(
+            listener,
+            move || limits,
+            count,
+            handler(),
+            std::future::pending(),
+        ));
         let slow = monoio::spawn(fetch(addr, "/slow"));
         for case in cases {
             let (status, body) = fetch(addr, case.path).await;
--- a/crates/standins/src/stand_in.rs
+++ b/crates/standins/src/stand_in.rs
@@ -90,7 +90,13 @@
         let handler: server::Handler =
             Rc::new(move |req| handle_request(running.clone(), req).boxed_local());
         let (limits, count) = (ServerLimits::default(), ConnectionCount::default());
-        monoio::spawn(server::serve(listener, limits, count, handler, std::future::pending()));
+        monoio::spawn(server::serve(
+            listener,
+            move || limits,
+            count,
+            handler,
+            std::future::pending(),
+        ));
         Ok(handle)
     }
 }
--- a/crates/standins/src/weight_store.rs
+++ b/crates/standins/src/weight_store.rs
@@ -39,7 +39,13 @@
         let handler: server::Handler =
             Rc::new(move |req| load(self, loads.clone(), req).boxed_local());
         let (limits, count) = (ServerLimits::default(), ConnectionCount::default());
-        monoio::spawn(server::serve(listener, limits, count, handler, std::future::pending()));
+        monoio::spawn(server::serve(
+            listener,
+            move || limits,
+            count,
+            handler,
+            std::future::pending(),
+        ));
         Ok(addr)
     }
 }
