Follow one request through the logs of several hosts

Cause: on call, the lines of a request had to be searched by hand in the logs of the entry host and the control hosts, and a stage that a control host gave up left no line there; a refusal at arrival did not say how old the wait was that decided it.

Change: masticstair explain prints the lines of one request and of its endpoints from several logs in the order of time. The host that forms calls writes a line for each stage that it gives up; the refusal at arrival names the busiest service, its wait and the age of that word.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -15,7 +15,8 @@
 use crate::admin::{AdminError, run_bundle, run_key, run_status};
 use crate::bench::{BenchError, BenchReport, format_bench_table, run_bench};
 use crate::demo::{DemoError, DemoOptions, run_demo};
-use crate::options::{Command, DeploymentProfile};
+use crate::explain::{LogLine, find_story, format_story};
+use crate::options::{Command, DeploymentProfile, ExplainOptions};
 use crate::replay::{ReplayOptions, Report, format_table, replay};
 use crate::stand_ins::{StandInsError, run_stand_ins};
 use crate::trace::{
@@ -100,6 +101,7 @@
             let report = run_demo(DemoOptions { progress: true })?;
             print_report(&report, json)
         }
+        Command::Explain(options) => explain(&options),
         Command::StandIns(options) => {
             let (calls, repeated) = run_stand_ins(&options)?;
             println!(
@@ -120,6 +122,23 @@
     }
 }
 
+fn explain(options: &ExplainOptions) -> Result<ExitCode, CommandError> {
+    let mut lines = Vec::new();
+    for file in &options.logs {
+        lines.extend(read(file)?.lines().filter_map(LogLine::parse));
+    }
+    match find_story(&lines, &options.request, options.around) {
+        Some(story) => {
+            io::stdout().lock().write_all(format_story(&story).as_bytes())?;
+            Ok(ExitCode::SUCCESS)
+        }
+        None => {
+            eprintln!("none of {} log lines has request {}", lines.len(), options.request);
+            Ok(ExitCode::FAILURE)
+        }
+    }
+}
+
 fn print_bench(report: &BenchReport, json: bool) -> Result<ExitCode, CommandError> {
     let mut out = io::stdout().lock();
     if json {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bench;
 pub mod commands;
 pub mod demo;
+pub mod explain;
 pub mod operator;
 pub mod options;
 pub mod replay;
--- a/crates/cli/src/options/mod.rs
+++ b/crates/cli/src/options/mod.rs
@@ -3,6 +3,7 @@
 mod bundle;
 mod change;
 mod connection;
+mod explain;
 mod format;
 mod key;
 mod status;
@@ -10,6 +11,7 @@
 pub use bundle::BundleCommand;
 pub use change::Change;
 pub use connection::Connection;
+pub use explain::ExplainOptions;
 pub use format::{Format, ParseFormatError};
 pub use key::KeyCommand;
 pub use status::StatusOptions;
@@ -46,6 +48,8 @@
         /// Print JSON instead of a table.
         json: bool,
     },
+    /// Follow a request through logs.
+    Explain(ExplainOptions),
     /// Run the endpoints of a deployment.
     StandIns(StandInsOptions),
     /// Make a trace.
@@ -129,7 +133,8 @@
     let bundle = bundle::bundle().map(Command::Bundle);
     let status = status::status().map(Command::Status);
     let bench = bench_command();
-    construct!([key, bundle, status, bench, demo, stand_ins, trace, replay])
+    let explain = explain::explain().map(Command::Explain);
+    construct!([key, bundle, status, explain, bench, demo, stand_ins, trace, replay])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operates and tries out masticstair, a serving system for model pipelines")
--- a/crates/gateway/src/entry/stage_plan.rs
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -38,13 +38,16 @@
     let stages = &req.route.stages;
     let mut longest = vec![Duration::ZERO; stages.len()];
     let mut waits = Duration::ZERO;
+    let mut busiest = None;
     for (stage, place) in stages.iter().enumerate() {
         let before = place.after.iter().map(|before| longest[*before]).max().unwrap_or_default();
         let pieces = req.meta.pieces.get(stage).copied().unwrap_or(1);
         longest[stage] = before;
         if pieces > 0 {
             let wait = gw.stage_times.wait(now, &place.service, req.priority);
-            waits = waits.max(wait);
+            if wait > waits {
+                (waits, busiest) = (wait, Some(&place.service));
+            }
             let call = nominal_time(gw, &place.service, pieces);
             longest[stage] += wait + call.max(gw.stage_times.call(now, &place.service));
         }
@@ -57,9 +60,12 @@
     }
     let back = (expected - objective).clamp(RETRY_RANGE[0], RETRY_RANGE[1]);
     let detail = format!(
-        "the first event is expected after {} ms ({} ms is on time)",
+        "the first event is expected after {} ms ({} ms is on time); {} ms of it wait for {}, as told {} ms ago",
         expected.as_millis(),
-        objective.as_millis()
+        objective.as_millis(),
+        waits.as_millis(),
+        busiest.map_or("none", ServiceName::as_str),
+        busiest.map_or(0, |service| gw.stage_times.age(now, service).as_millis())
     );
     let refusal = Refusal::not_run(RefusalReason::Stages, detail);
     Err(refusal.with_retry_after(Millis::new(back.as_millis() as u64)))
--- a/crates/gateway/src/entry/stage_times.rs
+++ b/crates/gateway/src/entry/stage_times.rs
@@ -48,6 +48,11 @@
         wait.saturating_sub(now.since(*at).saturating_sub(FRESH))
     }
 
+    /// Returns how long ago the last word of a service came.
+    pub fn age(&self, now: Timestamp, service: &ServiceName) -> Duration {
+        self.loads.borrow().get(service).map(|(at, _)| now.since(*at)).unwrap_or_default()
+    }
+
     /// Returns how long the calls of a service take, as far as is known.
     pub fn call(&self, now: Timestamp, service: &ServiceName) -> Duration {
         let loads = self.loads.borrow();
--- a/crates/gateway/src/stages/job.rs
+++ b/crates/gateway/src/stages/job.rs
@@ -12,6 +12,8 @@
     pub(super) results: Vec<Option<ResultHandle>>,
     /// Pieces without a result.
     pub(super) missing: u32,
+    /// When it came to this host.
+    pub(super) since: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) due: Timestamp,
     pub(super) reply: oneshot::Sender<StageReply>,
--- a/crates/gateway/src/stages/release.rs
+++ b/crates/gateway/src/stages/release.rs
@@ -1,6 +1,6 @@
 use masticstair_core::prelude::*;
 use masticstair_policy::stage_queue::JobNumber;
-use slog::debug;
+use slog::{debug, info};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,11 +43,27 @@
     failure: StageFailure,
 ) {
     for number in numbers {
+        note_failure(gw, stages, number, failure);
         let made = stages.fail_job(number, failure);
         release_results(gw, stages, made);
     }
 }
 
+/// Writes the line of a stage that is given up. Its requester tells of those that it has cancelled itself.
+fn note_failure(gw: &Gateway, stages: &ServiceStages, number: JobNumber, failure: StageFailure) {
+    let jobs = stages.jobs.borrow();
+    let Some(job) = jobs.get(&number).filter(|_| failure != StageFailure::Cancelled) else {
+        return;
+    };
+    let now = gw.now();
+    info!(gw.log, "stage given up"; "request" => %job.request.call, "stage" => job.request.stage,
+        "service" => %stages.service, "reason" => %failure, "pieces" => job.request.pieces,
+        "missing" => job.missing, "age_ms" => now.since(job.since).as_millis() as u64,
+        "due_in_ms" => job.due.since(now).as_millis() as u64,
+        "left_ms" => job.deadline.since(now).as_millis() as u64,
+        "waiting" => stages.queue.borrow().len(), "from" => %job.from);
+}
+
 fn collect(
     gw: &Rc<Gateway>,
     stages: &Rc<ServiceStages>,
--- a/crates/gateway/src/stages/run.rs
+++ b/crates/gateway/src/stages/run.rs
@@ -41,6 +41,7 @@
     let (pieces, left) = (request.pieces, request.left.duration());
     let job = Job {
         from,
+        since: now,
         deadline: now.plus(request.left.duration()),
         due: now.plus(request.due.duration()),
         results: vec![None; pieces as usize],
