Drop stages that reach no endpoint

Refused connections did not count for the way to a data centre, only those that timed out.

Change: connections that are refused count as well; while all endpoints of a service are left alone for more than 300 ms, stages that would be late when the first one is tried again are dropped at once, so that the client can ask another host.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -163,9 +163,9 @@
         let reach = all.entry(endpoint.data_centre.clone()).or_default();
         match error {
             None => reach.note_answer(),
-            Some(RelayError::ConnectTimeout(..)) => {
+            Some(RelayError::Connect { .. } | RelayError::ConnectTimeout(..)) => {
                 let was_avoided = reach.is_avoided(self.now());
-                reach.note_timeout(self.now());
+                reach.note_failure(self.now());
                 if !was_avoided && reach.is_avoided(self.now()) {
                     slog::warn!(self.log, "data centre not reached";
                         "data_centre" => %endpoint.data_centre, "endpoint" => %endpoint.id);
--- a/crates/gateway/src/stages/pump.rs
+++ b/crates/gateway/src/stages/pump.rs
@@ -1,7 +1,7 @@
 use masticstair_core::catalog::BatchLimits;
 use masticstair_core::prelude::*;
 use masticstair_policy::directory::ServingEndpoint;
-use masticstair_policy::stage_queue::EndpointOffer;
+use masticstair_policy::stage_queue::{EndpointOffer, stranded_until};
 use smallvec::SmallVec;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -46,6 +46,7 @@
     stages.expire_results(now);
     drop_hopeless(gw, stages, &endpoints, &limits);
     drop_late(gw, stages, &endpoints, &limits);
+    drop_stranded(gw, stages, &endpoints, &limits);
     let mut without_room = HashSet::new();
     while let Some(endpoint) = next_endpoint(gw, stages, &endpoints, &limits, &without_room) {
         let items = limits.items.get().max(1) as usize;
@@ -164,6 +165,20 @@
     fail_jobs(gw, stages, late, StageFailure::Late);
 }
 
+/// Drops stages that would be late when the first endpoint is tried again, while all of them are left alone:
+/// a host whose data centre is cut off may reach none, and the client can ask another host.
+fn drop_stranded(
+    gw: &Rc<Gateway>,
+    stages: &Rc<ServiceStages>,
+    endpoints: &[Arc<ServingEndpoint>],
+    limits: &BatchLimits,
+) {
+    let avoided = endpoints.iter().map(|e| stages.with_work(&e.id, |work| work.avoid_until));
+    let Some(next) = stranded_until(gw.now(), avoided) else { return };
+    let late = stages.queue.borrow_mut().take_late(next, limits.call.duration(), false);
+    fail_jobs(gw, stages, late, StageFailure::Late);
+}
+
 fn fail_all(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>) {
     let numbers: Vec<_> = stages.jobs.borrow().keys().copied().collect();
     fail_jobs(gw, stages, numbers, StageFailure::NoEndpoint);
--- a/crates/policy/src/stage_queue/mod.rs
+++ b/crates/policy/src/stage_queue/mod.rs
@@ -7,6 +7,7 @@
 mod queue;
 mod stage_item;
 mod stage_work;
+mod stranded;
 mod waiting_stage;
 
 pub use endpoint_offer::EndpointOffer;
@@ -16,3 +17,4 @@
 pub use queue::StageQueue;
 pub use stage_item::StageItem;
 pub use stage_work::StageWork;
+pub use stranded::stranded_until;
--- a/crates/policy/tests/choices.rs
+++ b/crates/policy/tests/choices.rs
@@ -167,7 +167,7 @@
 /// Guards against requests that wait in turn for every endpoint of a data centre that is cut off, and against
 /// a data centre that is given up for one endpoint that is down.
 #[test]
-fn data_centre_is_avoided_after_several_timeouts() {
+fn data_centre_is_avoided_after_several_failures() {
     struct Case {
         name: &'static str,
         /// Whether each connection was made.
@@ -177,8 +177,8 @@
     }
     let cases = [
         Case { name: "nothing known", made: &[], now: 0, avoided: false },
-        Case { name: "two timeouts", made: &[false, false], now: 0, avoided: false },
-        Case { name: "three timeouts", made: &[false, false, false], now: 0, avoided: true },
+        Case { name: "two failures", made: &[false, false], now: 0, avoided: false },
+        Case { name: "three failures", made: &[false, false, false], now: 0, avoided: true },
         Case {
             name: "an answer between",
             made: &[false, false, true, false],
@@ -192,7 +192,7 @@
         for made in case.made {
             match made {
                 true => reach.note_answer(),
-                false => reach.note_timeout(at(0)),
+                false => reach.note_failure(at(0)),
             }
         }
         assert_eq!(reach.is_avoided(at(case.now)), case.avoided, "{}", case.name);
--- a/crates/policy/tests/stage_queue.rs
+++ b/crates/policy/tests/stage_queue.rs
@@ -6,6 +6,7 @@
 use masticstair_core::prelude::*;
 use masticstair_policy::stage_queue::{
     EndpointOffer, FreedRoom, JobNumber, KeptResults, StageItem, StageQueue, StageWork,
+    stranded_until,
 };
 use smallvec::smallvec;
 use std::time::Duration;
@@ -231,3 +232,24 @@
         assert_eq!(queue.take_call(at(0), &offer).len(), case.taken, "{}", case.name);
     }
 }
+
+/// Guards against stages that wait to their deadline while no endpoint is reached, and against stages that are
+/// dropped because every endpoint was full for a moment.
+#[test]
+fn service_is_stranded_while_every_endpoint_is_left_alone_for_long() {
+    struct Case {
+        name: &'static str,
+        avoided: &'static [u64],
+        until: Option<u64>,
+    }
+    let cases = [
+        Case { name: "no endpoint", avoided: &[], until: None },
+        Case { name: "one is free", avoided: &[0, 5_000], until: None },
+        Case { name: "full for a moment", avoided: &[120, 5_000], until: None },
+        Case { name: "none is reached", avoided: &[1_400, 700], until: Some(700) },
+    ];
+    for case in cases {
+        let avoided = case.avoided.iter().map(|ms| at(*ms));
+        assert_eq!(stranded_until(at(0), avoided), case.until.map(at), "{}", case.name);
+    }
+}
