Run one cluster of host processes at a time in the tests

Six clusters of five debug processes ran at the same time: voters were starved, proposals ended with an unknown outcome, on which the test's operator gave up at once, and a host needed more than 2 s to catch up.

Change: clusters take turns, since the bounds are those of one deployment, and stay as they are. The operator of the tests sends a signed command again when its outcome is unknown, as operators do; it has the same 10 s for it.

--- a/crates/host/tests/support/cluster.rs
+++ b/crates/host/tests/support/cluster.rs
@@ -6,7 +6,7 @@
 use masticstair_standins::CallLog;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
@@ -32,11 +32,19 @@
     pub observer: Arc<HostState>,
     _control: ControlThread,
     _folder: TempDir,
+    /// Released last, after the processes have ended.
+    _turn: MutexGuard<'static, ()>,
 }
 
+/// One cluster runs at a time: its processes would take each other's processors, and the bounds of the tests are
+/// those of one deployment.
+static TURN: Mutex<()> = Mutex::new(());
+
 impl Cluster {
     /// Starts `count` hosts in four data centres, puts the bundle in force and starts endpoints.
     pub fn start(count: usize) -> Self {
+        // A test that failed leaves nothing behind that the next one uses.
+        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let folder = tempfile::tempdir().unwrap();
         let ports: Vec<(SocketAddr, SocketAddr)> =
             (0..count).map(|_| (free_addr(), free_addr())).collect();
@@ -62,7 +70,8 @@
         }
         let (observer, control) = start_observer(&seeds, &operators);
         let log = CallLog::default();
-        let mut cluster = Self { hosts, log, observer, _control: control, _folder: folder };
+        let mut cluster =
+            Self { hosts, log, observer, _control: control, _folder: folder, _turn: turn };
         (0..count).for_each(|i| cluster.start_host(i));
         cluster.roll(super::BUNDLE, 0);
         let addrs = cluster.hosts.iter().map(|h| h.addr).collect();
--- a/crates/host/tests/support/operator.rs
+++ b/crates/host/tests/support/operator.rs
@@ -2,13 +2,14 @@
 
 use ed25519_dalek::{Signer as _, SigningKey};
 use masticstair_core::prelude::*;
+use masticstair_host::control::ControlError;
 use masticstair_host::state::HostState;
 use masticstair_net::runtime::block_on;
 use masticstair_policy::bundle_history::{
     BundleAction, BundleCommand, BundleReply, CommandSignature, SignedHeader, signed_text,
 };
 use masticstair_store::state::{Command, Reply};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a command may take, the first election included.
 const LIMIT: Duration = Duration::from_secs(10);
@@ -38,9 +39,7 @@
     ];
     for (step, action) in actions.into_iter().enumerate() {
         let command = sign(state, &format!("c{expected}-{step}"), expected, action);
-        let control = state.control.get().unwrap().clone();
-        let reply = block_on(async { control.propose(&command, LIMIT).await }).unwrap();
-        match reply.unwrap() {
+        match propose(state, &command) {
             Reply::Bundle(BundleReply::Refused(refusal)) => panic!("refused: {refusal}"),
             Reply::Bundle(_) => {}
             other => panic!("unexpected reply {other:?}"),
@@ -48,6 +47,23 @@
     }
 }
 
+/// Proposes a command. When the outcome is unknown it is sent again, as operators do: a signed command that was
+/// committed gets its first reply again, and runs once.
+fn propose(state: &HostState, command: &Command) -> Reply {
+    let control = state.control.get().unwrap().clone();
+    let started = Instant::now();
+    loop {
+        let left = LIMIT.saturating_sub(started.elapsed());
+        match block_on(async { control.propose(command, left).await }).unwrap() {
+            Ok(reply) => return reply,
+            Err(ControlError::Unknown(reason)) if started.elapsed() < LIMIT => {
+                eprintln!("command sent again: {reason}");
+            }
+            Err(e) => panic!("{e}"),
+        }
+    }
+}
+
 fn sign(state: &HostState, id: &str, expected: u64, action: BundleAction) -> Command {
     let (id, signer) = (id.parse().unwrap(), "op".parse().unwrap());
     let expected = Revision::new(expected);
