--- a/crates/cli/src/explain/story.rs
+++ b/crates/cli/src/explain/story.rs
@@ -1,14 +1,16 @@
 use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::time::Duration;
+use time::OffsetDateTime;
+use time::format_description::well_known::Rfc3339;
 
 use super::LogLine;
 
 /// Lines of endpoints that are shown at the most: those of a busy service fill pages.
 const MAX_AROUND: usize = 40;
 
-/// Finds the lines of a request, and those of its endpoints and of the catalog that were written at most `around`
-/// before the first or after the last of them; in the order of time. None when no line has the request.
+/// Finds the lines of a request, and those of its endpoints that were written at most `around` before the first or
+/// after the last of them; in the order of time. None when no line has the request.
 pub fn find_story(lines: &[LogLine], request: &str, around: Duration) -> Option<Vec<LogLine>> {
     let own: Vec<_> = lines.iter().filter(|line| line.text("request") == Some(request)).collect();
     let first = own.iter().map(|line| &line.at).min()?;
@@ -50,16 +52,7 @@
 
 /// Returns how far a time is from a span; zero within it, none when a time cannot be read.
 fn distance(at: &str, first: &str, last: &str) -> Option<Duration> {
-    let (at, first, last) = (seconds(at)?, seconds(first)?, seconds(last)?);
-    Some(Duration::from_secs_f64((first - at).max(at - last).max(0.0)))
-}
-
-/// Returns the seconds of a time since the beginning of its month, which is enough for a span of minutes; the times
-/// of one request do not cross the end of a month but once, and then lines around it are left out.
-fn seconds(at: &str) -> Option<f64> {
-    let (date, time) = at.split_once('T')?;
-    let day: f64 = date.rsplit('-').next()?.parse().ok()?;
-    let mut parts = time.trim_end_matches('Z').split(':');
-    let mut part = || parts.next()?.parse::<f64>().ok();
-    Some(day * 86_400.0 + part()? * 3_600.0 + part()? * 60.0 + part()?)
+    let read = |text| OffsetDateTime::parse(text, &Rfc3339).ok();
+    let (at, first, last) = (read(at)?, read(first)?, read(last)?);
+    Some((first - at).max(at - last).max(time::Duration::ZERO).unsigned_abs())
 }
--- a/crates/cli/src/options/explain.rs
+++ b/crates/cli/src/options/explain.rs
@@ -17,7 +17,7 @@
 
 pub(super) fn explain() -> impl Parser<ExplainOptions> {
     let around = long("around-ms")
-        .help("Also shows the lines of its endpoints and services up to this many milliseconds before and after")
+        .help("Also shows the lines of its endpoints up to this many milliseconds before and after")
         .argument::<u64>("MS")
         .fallback(5_000)
         .display_fallback()
--- a/crates/gateway/src/entry/stage_times.rs
+++ b/crates/gateway/src/entry/stage_times.rs
@@ -1,4 +1,5 @@
 use masticstair_core::prelude::*;
+use masticstair_policy::smoothing::smoothed;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -24,7 +25,7 @@
     pub fn note(&self, service: &ServiceName, took: Duration) {
         let mut means = self.means.borrow_mut();
         match means.get_mut(service) {
-            Some(mean) => *mean = mean.mul_f64(1.0 - WEIGHT) + took.mul_f64(WEIGHT),
+            Some(mean) => *mean = smoothed(Some(*mean), took, WEIGHT),
             None => drop(means.insert(service.clone(), took)),
         }
     }
--- a/crates/gateway/src/listeners.rs
+++ b/crates/gateway/src/listeners.rs
@@ -46,13 +46,13 @@
         let entry = gw.clone();
         let handler: Handler =
             Rc::new(move |req| std::future::ready(answer_ready(&entry, &req)).boxed_local());
-        listen(addr, own_limits, handler, closed)?;
+        listen(addr, usual_limits, handler, closed)?;
     }
     if let (Some(addr), Some(control)) = (gw.cfg.control_listen, control) {
         let (gw, control) = (gw.clone(), control.clone());
         let handler: Handler =
             Rc::new(move |req| answer_control(gw.clone(), control.clone(), req).boxed_local());
-        listen(addr, own_limits, handler, closed)?;
+        listen(addr, control_limits, handler, closed)?;
     }
     Ok(())
 }
@@ -74,10 +74,14 @@
     server_limits(gw.catalog.get().map(|catalog| catalog.limits).unwrap_or_default())
 }
 
-/// Bounds on the load balancer, endpoints and operators. No catalog may keep the next one out.
-fn own_limits() -> ServerLimits {
-    let usual = server_limits(ClientLimits::default());
-    ServerLimits { head: CONTROL_HEAD.into(), body: CONTROL_BODY.into(), ..usual }
+/// Bounds that no catalog changes.
+fn usual_limits() -> ServerLimits {
+    server_limits(ClientLimits::default())
+}
+
+/// Bounds on endpoints and operators. No catalog may keep the next one out.
+fn control_limits() -> ServerLimits {
+    ServerLimits { head: CONTROL_HEAD.into(), body: CONTROL_BODY.into(), ..usual_limits() }
 }
 
 fn server_limits(limits: ClientLimits) -> ServerLimits {
--- a/crates/gateway/src/stages/call.rs
+++ b/crates/gateway/src/stages/call.rs
@@ -50,19 +50,19 @@
 pub(super) fn begin_call(stages: &ServiceStages, endpoint: &ServingEndpoint, items: &[StageItem]) {
     stages.with_work(&endpoint.id, |work| {
         work.calls += 1;
-        work.results = ByteCount::new(work.results.get() + result_size(items));
+        work.take_room(result_size(items));
     });
 }
 
 fn end_call(stages: &ServiceStages, endpoint: &ServingEndpoint, items: &[StageItem]) {
     stages.with_work(&endpoint.id, |work| {
         work.calls -= 1;
-        work.results = ByteCount::new(work.results.get().saturating_sub(result_size(items)));
+        work.give_room(result_size(items));
     });
 }
 
-fn result_size(items: &[StageItem]) -> u64 {
-    items.iter().map(|item| item.result.get()).sum()
+fn result_size(items: &[StageItem]) -> ByteCount {
+    ByteCount::new(items.iter().map(|item| item.result.get()).sum())
 }
 
 /// Makes one call and hands out what became of its items.
@@ -210,10 +210,7 @@
                 let room = FreedRoom { endpoint: endpoint.id.clone(), size: item.result };
                 let until = now.plus(limits.result_ttl.duration());
                 stages.kept.borrow_mut().keep(handle.clone(), room, until);
-                let size = item.result.get();
-                stages.with_work(&endpoint.id, |work| {
-                    work.results = ByteCount::new(work.results.get() + size);
-                });
+                stages.with_work(&endpoint.id, |work| work.take_room(item.result));
                 let mut jobs = stages.jobs.borrow_mut();
                 let Some(job) = jobs.get_mut(&item.job) else {
                     unwanted.push(handle);
--- a/crates/gateway/src/stages/service_stages.rs
+++ b/crates/gateway/src/stages/service_stages.rs
@@ -1,4 +1,5 @@
 use masticstair_core::prelude::*;
+use masticstair_policy::smoothing::smoothed;
 use masticstair_policy::stage_queue::{FreedRoom, JobNumber, KeptResults, StageQueue, StageWork};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -58,11 +59,8 @@
     /// Notes how long a call took.
     pub(super) fn note_call_time(&self, now: Timestamp, took: Duration) {
         let (_, mean) = self.call_time.get();
-        let mean = match mean.is_zero() {
-            true => took,
-            false => mean.mul_f64(1.0 - CALL_WEIGHT) + took.mul_f64(CALL_WEIGHT),
-        };
-        self.call_time.set((now, mean));
+        let mean = Some(mean).filter(|mean| !mean.is_zero());
+        self.call_time.set((now, smoothed(mean, took, CALL_WEIGHT)));
     }
 
     /// Ends a job without its results and returns those that were made.
@@ -100,8 +98,6 @@
     }
 
     fn give_back(&self, freed: &FreedRoom) {
-        self.with_work(&freed.endpoint, |work| {
-            work.results = ByteCount::new(work.results.get().saturating_sub(freed.size.get()));
-        });
+        self.with_work(&freed.endpoint, |work| work.give_room(freed.size));
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod routing;
 pub mod run_once;
 pub mod service_choice;
+pub mod smoothing;
 pub mod stage_queue;
--- a/crates/policy/src/service_choice/endpoint_health.rs
+++ b/crates/policy/src/service_choice/endpoint_health.rs
@@ -1,6 +1,8 @@
 use masticstair_core::prelude::*;
 use std::time::Duration;
 
+use crate::smoothing::smoothed;
+
 /// The weight of a new latency in the mean.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -35,10 +37,7 @@
         let seen = if failed { 1.0 } else { 0.0 };
         self.failing += FAILURE_WEIGHT * (seen - self.failing);
         if !failed {
-            self.latency = Some(match self.latency {
-                Some(mean) => mean.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT),
-                None => latency,
-            });
+            self.latency = Some(smoothed(self.latency, latency, LATENCY_WEIGHT));
         }
     }
 
--- a/crates/policy/src/stage_queue/stage_work.rs
+++ b/crates/policy/src/stage_queue/stage_work.rs
@@ -66,6 +66,16 @@
         ByteCount::new(usable.saturating_sub(taken))
     }
 
+    /// Notes results that the endpoint keeps, or will.
+    pub fn take_room(&mut self, size: ByteCount) {
+        self.results = ByteCount::new(self.results.get() + size.get());
+    }
+
+    /// Notes results that the endpoint no longer keeps.
+    pub fn give_room(&mut self, size: ByteCount) {
+        self.results = ByteCount::new(self.results.get().saturating_sub(size.get()));
+    }
+
     /// Notes that the endpoint had no room for a result.
     pub fn note_no_room(&mut self, now: Timestamp, limits: &BatchLimits) {
         let known = self.results.get();
