Log the prompt parts of requests during which an engine ended

When an engine broke off, the logs told neither whether the process had ended or only a connection to it, nor what the prompts had in common, so the hypotheses of the incident could not be told apart.

A request that an engine breaks off before its first event now checks whether the engine refuses connections. If it does, the host logs the end with the shared parts of the prompt and counts it. An accepted connection goes to the pool.

--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -11,6 +11,8 @@
 use super::attempt::attempt;
 use super::attempt_failure::AttemptFailure;
 use super::attempt_options::AttemptOptions;
+use super::call_progress::CallProgress;
+use super::check_endpoint_end::check_endpoint_end;
 use super::client_request::ClientRequest;
 use super::held_results::HeldResults;
 use super::in_flight::InFlight;
@@ -159,7 +161,14 @@
         match answer {
             Ok((head, body)) => {
                 *runs += 1;
-                return Ok(OpenedStream { endpoint, head, body, in_flight_call, sent_at });
+                return Ok(OpenedStream {
+                    endpoint,
+                    head,
+                    body,
+                    in_flight_call,
+                    sent_at,
+                    has_events: false,
+                });
             }
             Err(AttemptFailure::NotRun(meta, _)) if meta.inputs_gone => {
                 let detail = "results of the stages are gone";
@@ -170,6 +179,9 @@
                 if matches!(failure, AttemptFailure::Unknown(_) | AttemptFailure::TimedOut(_)) {
                     *runs += 1;
                 }
+                if matches!(failure, AttemptFailure::Unknown(_)) {
+                    check_endpoint_end(gw, req, &endpoint, CallProgress::Queued).await;
+                }
                 last = Some(failure);
             }
         }
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -7,6 +7,8 @@
 mod attempt;
 mod attempt_failure;
 mod attempt_options;
+mod call_progress;
+mod check_endpoint_end;
 mod client_request;
 mod engine_output;
 mod event_splitter;
--- a/crates/gateway/src/entry/opened_stream.rs
+++ b/crates/gateway/src/entry/opened_stream.rs
@@ -12,4 +12,6 @@
     pub(super) body: RelayBody,
     pub(super) in_flight_call: InFlightCall,
     pub(super) sent_at: Timestamp,
+    /// Whether a complete event of this engine has arrived.
+    pub(super) has_events: bool,
 }
--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use super::answer_stream::{normalized_first_event, open_stream};
+use super::call_progress::CallProgress;
+use super::check_endpoint_end::check_endpoint_end;
 use super::client_request::ClientRequest;
 use super::engine_output::EngineOutput;
 use super::event_splitter::EventSplitter;
@@ -156,8 +158,13 @@
         state.events += 1;
         out.extend_from_slice(&event.bytes);
     }
-    if !out.is_empty() && state.timeline.first_answer_at.is_none() {
-        record_first_event(state);
+    if !out.is_empty() {
+        if let Some(opened) = &mut state.opened {
+            opened.has_events = true;
+        }
+        if state.timeline.first_answer_at.is_none() {
+            record_first_event(state);
+        }
     }
     out.into()
 }
@@ -183,6 +190,11 @@
         state.gw.with_health(&opened.endpoint.id, |health| health.record_unanswered(now));
         let took = now.since(opened.sent_at);
         state.timeline.record_attempt(&opened.endpoint.id, "broke-off", took);
+        if !opened.has_events {
+            let endpoint = opened.endpoint.clone();
+            drop(opened);
+            check_endpoint_end(&state.gw, &state.req, &endpoint, CallProgress::Answering).await;
+        }
     }
     state.splitter = EventSplitter::default();
     if !can_resume(state) {
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -9,6 +9,7 @@
 use super::call_labels::CallLabels;
 use super::latency_labels::LatencyLabels;
 use super::route_labels::RouteLabels;
+use super::service_labels::ServiceLabels;
 
 /// Upper bounds of the latency buckets.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -21,6 +22,7 @@
     first_answer: Family<LatencyLabels, Histogram, fn() -> Histogram>,
     calls: Family<CallLabels, Counter>,
     call_time: Family<CallLabels, Histogram, fn() -> Histogram>,
+    endpoint_ends: Family<ServiceLabels, Counter>,
     /// Endpoints that take new work.
     pub endpoints: Gauge,
     /// The version of the catalog in force.
@@ -37,6 +39,7 @@
             first_answer: Family::new_with_constructor(new_histogram),
             calls: Family::default(),
             call_time: Family::new_with_constructor(new_histogram),
+            endpoint_ends: Family::default(),
             endpoints: Gauge::default(),
             catalog: Gauge::default(),
             connections: Gauge::default(),
@@ -54,6 +57,8 @@
         registry.register("calls", "Calls to endpoints", self.calls.clone());
         let help = "Time of calls to endpoints";
         registry.register_with_unit("call", help, Unit::Seconds, self.call_time.clone());
+        let help = "Requests during which their endpoint ended before it sent an event";
+        registry.register("endpoint_ends", help, self.endpoint_ends.clone());
         registry.register("endpoints", "Endpoints that take work", self.endpoints.clone());
         registry.register("catalog", "Version of the catalog in force", self.catalog.clone());
         let help = "Connections opened to endpoints";
@@ -74,6 +79,11 @@
         self.requests.get_or_create(&RouteLabels { route, outcome }).inc();
     }
 
+    pub(crate) fn count_endpoint_end(&self, service: &ServiceName) {
+        let labels = ServiceLabels { service: service.to_string() };
+        self.endpoint_ends.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_call(&self, service: &ServiceName, result: &'static str, took: Duration) {
         let labels = CallLabels { service: service.to_string(), result };
         self.call_time.get_or_create(&labels).observe(took.as_secs_f64());
--- a/crates/gateway/src/telemetry/mod.rs
+++ b/crates/gateway/src/telemetry/mod.rs
@@ -5,6 +5,7 @@
 mod latency_labels;
 mod request_timeline;
 mod route_labels;
+mod service_labels;
 
 pub use gateway_metrics::GatewayMetrics;
 pub(crate) use request_timeline::RequestTimeline;
--- a/crates/net/src/http/relay/relay_pool.rs
+++ b/crates/net/src/http/relay/relay_pool.rs
@@ -71,6 +71,22 @@
         }
     }
 
+    /// Returns whether an endpoint refuses connections, as one whose process has ended does. A connection that it
+    /// accepts is kept for the next request; an endpoint that does not respond within `timeout` refuses nothing.
+    pub async fn is_refused(&self, addr: SocketAddr, timeout: Duration) -> bool {
+        self.0.connections_opened.set(self.0.connections_opened.get() + 1);
+        match RelayConnection::open(addr, timeout).await {
+            Ok(connection) => {
+                self.put_back(connection);
+                false
+            }
+            Err(RelayError::Connect { source, .. }) => {
+                source.kind() == std::io::ErrorKind::ConnectionRefused
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Closes the idle connections to an endpoint; those in use are not affected.
     pub fn evict(&self, addr: SocketAddr) {
         self.0.idle.borrow_mut().remove(&addr);
