Reject prompts with a part that crashes engines, on all hosts

Cause: a host judged endpoints by its own calls only, and judged nothing by the request. Each host saw one or two of the crashes and told no other; a stream that can be resumed was sent to the next engine, which it crashed as well. The class: a fault that follows the request looks to each host like a fault of the endpoint.

Hosts now exchange what they saw: which engine ended, and the shared parts of the requests that it had sent no event for; which of these parts were answered since. Verdicts are computed from all evidence, so hosts that have the same reach the same. Parts that were only seen together are rejected together, so that requests that share one of them are served and clear it. A known prompt is refused at arrival and before each send, and a request that may have ended an engine is not sent again. A host that starts learns the evidence before it takes clients.

--- a/crates/gateway/src/entry/answer_request.rs
+++ b/crates/gateway/src/entry/answer_request.rs
@@ -9,6 +9,7 @@
 use super::answer_plain::answer_plain;
 use super::answer_ready::answer_ready;
 use super::answer_stream::answer_stream;
+use super::check_prompt::check_prompt;
 use super::client_request::ClientRequest;
 use super::in_flight::InFlight;
 use crate::Gateway;
@@ -44,7 +45,9 @@
     };
     let mut timeline = RequestTimeline::new(now, &meta);
     wait_for_startup(&gw, now, &meta).await;
-    let response = match admit(&gw, now, meta, req, &mut timeline) {
+    let admitted = admit(&gw, now, meta, req, &mut timeline)
+        .and_then(|req| check_prompt(&gw, &req).map(|()| req));
+    let response = match admitted {
         Ok(req) if req.route.kind.is_stream() => {
             answer_stream(gw.clone(), req, timeline, in_flight).await
         }
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -3,6 +3,7 @@
 use masticstair_net::http::server::{Response, ResponseContent};
 use masticstair_policy::directory::ServingEndpoint;
 use masticstair_policy::engine_choice::{EngineCandidate, pick_engine, rendezvous_weight};
+use masticstair_policy::poison::{CallProgress, Standing};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,8 +12,8 @@
 use super::attempt::attempt;
 use super::attempt_failure::AttemptFailure;
 use super::attempt_options::AttemptOptions;
-use super::call_progress::CallProgress;
 use super::check_endpoint_end::check_endpoint_end;
+use super::check_prompt::{poison_refusal, prompt_standing};
 use super::client_request::ClientRequest;
 use super::held_results::HeldResults;
 use super::in_flight::InFlight;
@@ -136,9 +137,18 @@
     loop {
         let left = req.first_event_by().since(gw.now());
         let choice = planned_engine.take().or_else(|| choose_engine(gw, req, &tried, None));
+        let standing = prompt_standing(gw, req);
+        if let (Standing::Rejected { verdict, left }, 0) = (&standing, *runs) {
+            return Err(poison_refusal(verdict, *left));
+        }
         let is_first = tried.is_empty() && *runs == 0;
+        // A run that may have crashed an engine is not followed by another one.
+        let may_run_again = *runs == 0 || standing == Standing::Clear;
         let may_try = is_first
-            || (*runs < max_runs && tried.len() < MAX_ENGINES_TRIED && gw.take_retry(&req.service));
+            || (may_run_again
+                && *runs < max_runs
+                && tried.len() < MAX_ENGINES_TRIED
+                && gw.take_retry(&req.service));
         let (Some(endpoint), true) = (choice.filter(|_| left > MIN_TIME_LEFT), may_try) else {
             return Err(final_refusal(gw, req, *runs, last));
         };
--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -3,12 +3,13 @@
 use futures_util::stream::{LocalBoxStream, unfold};
 use masticstair_core::prelude::*;
 use masticstair_net::http::server::BodyAborted;
+use masticstair_policy::poison::CallProgress;
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::answer_stream::{normalized_first_event, open_stream};
-use super::call_progress::CallProgress;
 use super::check_endpoint_end::check_endpoint_end;
+use super::check_prompt::record_prompt_answer;
 use super::client_request::ClientRequest;
 use super::engine_output::EngineOutput;
 use super::event_splitter::EventSplitter;
@@ -159,8 +160,10 @@
         out.extend_from_slice(&event.bytes);
     }
     if !out.is_empty() {
-        if let Some(opened) = &mut state.opened {
-            opened.has_events = true;
+        if let Some(opened) = &mut state.opened
+            && !std::mem::replace(&mut opened.has_events, true)
+        {
+            record_prompt_answer(&state.gw, &state.req);
         }
         if state.timeline.first_answer_at.is_none() {
             record_first_event(state);
--- a/crates/gateway/src/front_end/prompt.rs
+++ b/crates/gateway/src/front_end/prompt.rs
@@ -31,12 +31,16 @@
 
     /// Returns the ids of the shared parts in hexadecimal, separated by commas.
     pub fn shared_text(&self) -> String {
-        let ids = self.shared_parts().iter().map(|part| format!("{:x}", part.id.get()));
+        let ids = self.shared_ids().map(|id| format!("{:x}", id.get()));
         ids.collect::<Vec<_>>().join(",")
     }
 
-    /// Returns all parts but the last one.
-    pub fn shared_parts(&self) -> &[PromptPart] {
+    /// Returns the ids of the shared parts in order.
+    pub fn shared_ids(&self) -> impl Iterator<Item = PromptPartId> {
+        self.shared_parts().iter().map(|part| part.id)
+    }
+
+    fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 }
--- a/crates/gateway/src/front_end/refusal_reason.rs
+++ b/crates/gateway/src/front_end/refusal_reason.rs
@@ -17,6 +17,8 @@
     Full,
     /// The stages of the request failed or cannot complete in time.
     Stages,
+    /// Requests with the same parts in their prompts crash engines.
+    PoisonPrompt,
     /// The deadline of the request passed.
     Deadline,
     /// The connection to the endpoint broke.
@@ -34,6 +36,7 @@
             Self::NoEndpoint => "no-endpoint",
             Self::Full => "full",
             Self::Stages => "stages",
+            Self::PoisonPrompt => "poison-prompt",
             Self::Deadline => "deadline",
             Self::Broken => "broken",
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,9 +5,10 @@
 use masticstair_core::prelude::*;
 use masticstair_net::http::relay::{RelayCall, RelayError, RelayPool};
 use masticstair_policy::directory::{Directory, ServingEndpoint};
+use masticstair_policy::poison::PoisonTable;
 use masticstair_policy::service_choice::{DataCentreReachability, EndpointHealth};
 use masticstair_policy::service_retry_budget::{ServiceRetryBudget, ServiceRetryLimits};
-use slog::Logger;
+use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -21,7 +22,7 @@
 use crate::gateway_event::GatewayEvent;
 use crate::stages::{StageOwners, StageRegistry};
 use crate::telemetry::GatewayMetrics;
-use crate::{CatalogInForce, GatewayConfig, GatewayParts, PeerHost, PeerView, Peers};
+use crate::{CatalogInForce, GatewayConfig, GatewayParts, Notify, PeerHost, PeerView, Peers};
 
 /// A running gateway; its tasks share one thread.
 pub struct Gateway {
@@ -39,6 +40,14 @@
     pub(crate) stages: StageRegistry,
     pub(crate) owners: StageOwners,
     pub(crate) stage_times: StageTimes,
+    /// Which parts of prompts crash engines, as far as all hosts together know.
+    pub(crate) poison: RefCell<PoisonTable>,
+    /// Notified when `poison` changes.
+    pub(crate) poison_changed: Notify,
+    /// Whether a control host has been asked for its evidence on prompts since the start.
+    pub(crate) has_evidence: Cell<bool>,
+    /// Distinguishes this process from its restarts.
+    pub(crate) incarnation: Incarnation,
     /// Whether enough control hosts have confirmed that the catalog in force is the newest.
     pub(crate) is_current: Cell<bool>,
     /// Client requests in progress.
@@ -69,6 +78,10 @@
             stages: StageRegistry::default(),
             owners: StageOwners::default(),
             stage_times: StageTimes::default(),
+            poison: RefCell::default(),
+            poison_changed: Notify::default(),
+            has_evidence: Cell::new(false),
+            incarnation: parts.incarnation,
             is_current: Cell::new(false),
             in_flight: Rc::default(),
             retry_budget: RefCell::default(),
@@ -193,6 +206,27 @@
         f(self.health.borrow_mut().entry(id.clone()).or_default())
     }
 
+    /// Changes the evidence on prompts with `f`, which returns whether it did. Tells the other hosts, and logs verdicts
+    /// that are new or have gone.
+    pub(crate) fn change_evidence(&self, f: impl FnOnce(&mut PoisonTable, Timestamp) -> bool) {
+        let before = self.poison.borrow().verdicts().to_vec();
+        if !f(&mut self.poison.borrow_mut(), self.now()) {
+            return;
+        }
+        let table = self.poison.borrow();
+        let verdicts = table.verdicts();
+        for verdict in verdicts.iter().filter(|v| !before.iter().any(|b| b.parts == v.parts)) {
+            warn!(self.log, "prompts with these parts crash engines; rejecting them";
+                "service" => %verdict.service, "evidence" => %verdict);
+        }
+        for verdict in before.iter().filter(|b| !verdicts.iter().any(|v| b.parts == v.parts)) {
+            info!(self.log, "prompts with these parts are no longer rejected";
+                "service" => %verdict.service, "evidence" => %verdict);
+        }
+        self.metrics.poison_verdicts.set(verdicts.len() as i64);
+        self.poison_changed.notify();
+    }
+
     /// Addresses a call that the gateway originates.
     pub(crate) fn relay_call(
         &self,
--- a/crates/gateway/src/handle_events.rs
+++ b/crates/gateway/src/handle_events.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use crate::Gateway;
-use crate::control::{ControlHost, answer_subscribe};
+use crate::control::{ControlHost, answer_evidence, answer_subscribe};
 use crate::gateway_event::GatewayEvent;
 use crate::install_catalog::install_catalog;
 use crate::messages::{Message, Reply, decode, encode};
@@ -66,5 +66,9 @@
             Reply::Done
         }
         (Message::Ping, _) => Reply::Done,
+        (Message::Evidence(request), Some(_)) => {
+            Reply::Evidence(answer_evidence(gw, request).await)
+        }
+        (Message::Evidence(_), None) => Reply::Refused("this host is no control host".into()),
     })
 }
--- a/crates/gateway/src/messages/message.rs
+++ b/crates/gateway/src/messages/message.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use super::{CancelRequest, ReleaseRequest, StageRequest, SubscribeRequest};
+use super::{CancelRequest, EvidenceRequest, ReleaseRequest, StageRequest, SubscribeRequest};
 
 /// A message from one gateway to another.
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
@@ -16,4 +16,6 @@
     Release(ReleaseRequest),
     /// Checks that the host and the connection to it are alive.
     Ping,
+    /// A host exchanges evidence on prompts with a control host.
+    Evidence(EvidenceRequest),
 }
--- a/crates/gateway/src/messages/mod.rs
+++ b/crates/gateway/src/messages/mod.rs
@@ -2,6 +2,7 @@
 
 mod cancel_request;
 mod codec;
+mod evidence_request;
 mod message;
 mod release_request;
 mod reply;
@@ -15,6 +16,7 @@
 
 pub(crate) use cancel_request::CancelRequest;
 pub(crate) use codec::{decode, encode};
+pub(crate) use evidence_request::EvidenceRequest;
 pub(crate) use message::Message;
 pub(crate) use release_request::ReleaseRequest;
 pub(crate) use reply::Reply;
--- a/crates/gateway/src/messages/reply.rs
+++ b/crates/gateway/src/messages/reply.rs
@@ -1,3 +1,4 @@
+use masticstair_policy::poison::EvidenceUpdate;
 use serde::{Deserialize, Serialize};
 
 use super::{StageReply, SubscribeReply};
@@ -14,4 +15,6 @@
     Done,
     /// This host does not serve the message; carries the reason.
     Refused(Box<str>),
+    /// To `Evidence`.
+    Evidence(EvidenceUpdate),
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod limits;
 pub mod membership;
 pub mod operator_read;
+pub mod poison;
 pub mod retry;
 pub mod routing;
 pub mod run_once;
--- a/crates/gateway/src/entry/call_progress.rs
+++ b/crates/policy/src/poison/call_progress.rs
@@ -1,8 +1,9 @@
+use serde::{Deserialize, Serialize};
 use std::fmt::{Display, Formatter};
 
 /// How far an engine had come with a request when it ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum CallProgress {
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum CallProgress {
     /// It had not begun to answer.
     Queued,
     /// It had sent the head of its answer, but no complete event.
