Treat a stream without length, chunks and events as broken off

Callers could get a stream without any event that looks complete: an engine that sends neither a length nor chunks and ends between the head and the first event closes its connection, as it does after a whole stream.

A body that ends with its connection is now whole only if it has an event. Otherwise the stream is resumed where the route allows it, and breaks off where it doesn't. A stream that ends inside an event was already treated so, and the test has that case as well. The test failed before: /gen/head-only looked complete.

--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -114,6 +114,9 @@
                     return Err(abort(state, "event exceeds the size limit"));
                 }
             }
+            EngineOutput::End if state.opened.as_ref().is_some_and(OpenedStream::may_be_cut) => {
+                resume(state, "stream ended without an event").await?;
+            }
             EngineOutput::End if state.splitter.remainder().is_empty() => {
                 state.finished = true;
                 state.opened = None;
