End a stream at its deadline also if the engine never pauses

An engine that sends events without end and without a pause held its caller past the deadline: the timeout of a read takes effect only when the read has to wait, and with data at hand it never does. The stream ran until the caller left.

The deadline is now checked before each read.

--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -133,6 +133,10 @@
 async fn next_chunk(state: &mut StreamState) -> EngineOutput {
     let gap = state.req.route.max_event_gap.map_or(DEFAULT_GAP, Millis::duration);
     let left = state.req.deadline.since(state.gw.now());
+    if left.is_zero() {
+        // An engine that never pauses would not let the timeout below pass.
+        return EngineOutput::Broken("the time passed".into());
+    }
     let can_resume = can_resume(state);
     let limit =
         if can_resume && state.events > 0 { left.min(gap * STALL_GAP_FACTOR) } else { left };
