Scan the pending event of a stream only once

An engine that sends bytes without the end of an event kept the gateway busy: with each chunk the whole pending event, up to 1 MiB, was scanned for its end again. In a debug build such a stream was cut after 4.2 to 4.7 s, past its deadline of 2 s, and all other requests of the host waited meanwhile.

The splitter now remembers how far it has scanned.

--- a/crates/gateway/src/entry/event_splitter.rs
+++ b/crates/gateway/src/entry/event_splitter.rs
@@ -4,31 +4,44 @@
 
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// The length of CRLF CRLF, the longest blank line with the end of the line before it.
+const MAX_BLANK_LINE_BYTES: usize = 4;
+
 /// Splits a stream into events, so that only complete events are forwarded.
 #[derive(Debug, Default)]
-pub(super) struct EventSplitter(BytesMut);
+pub(super) struct EventSplitter {
+    buf: BytesMut,
+    /// No event ends within so many bytes.
+    scanned: usize,
+}
 
 impl EventSplitter {
     pub(super) fn push(&mut self, chunk: &[u8]) {
-        self.0.extend_from_slice(chunk);
+        self.buf.extend_from_slice(chunk);
     }
 
     /// Takes the next complete event.
     pub(super) fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = find_blank_line(&self.0)?;
-        let bytes = self.0.split_to(end).freeze();
+        // The blank line may have begun in the bytes that were scanned before.
+        let from = self.scanned.saturating_sub(MAX_BLANK_LINE_BYTES - 1);
+        let Some(end) = find_blank_line(&self.buf[from..]) else {
+            self.scanned = self.buf.len();
+            return None;
+        };
+        self.scanned = 0;
+        let bytes = self.buf.split_to(from + end).freeze();
         let id = event_id(&bytes);
         Some(StreamEvent { bytes, id })
     }
 
     /// Returns the bytes after the last complete event.
     pub(super) fn remainder(&self) -> &[u8] {
-        &self.0
+        &self.buf
     }
 
     /// Returns whether the pending event exceeds the size limit.
     pub(super) fn is_too_long(&self) -> bool {
-        self.0.len() > MAX_EVENT_BYTES
+        self.buf.len() > MAX_EVENT_BYTES
     }
 }
 
