Log the limits that endpoints name for the requests of all hosts

An endpoint in need names in its answers how many requests a second it takes from all hosts together. No host read it, and it went on to the client; the logs could not tell what a host knew.

Hosts now read the limit, keep the newest statement of each endpoint and log its changes. An answer to an earlier request changes nothing, because answers may overtake each other, and a new process of an endpoint starts without a limit.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -55,7 +55,7 @@
     }
     let now = gw.now();
     let failure = match sent {
-        Ok(Ok((head, body))) => return check_answer(gw, req, endpoint, head, body),
+        Ok(Ok((head, body))) => return check_answer(gw, req, endpoint, started, head, body),
         Ok(Err(e)) if e.may_have_sent() => AttemptFailure::Unknown(e.to_string().into()),
         Ok(Err(e)) => AttemptFailure::NotSent(e.to_string().into()),
         Err(_) => {
@@ -77,6 +77,7 @@
     gw: &Gateway,
     req: &ClientRequest,
     endpoint: &ServingEndpoint,
+    sent_at: Timestamp,
     head: RelayHead,
     body: RelayBody,
 ) -> Result<(RelayHead, RelayBody), AttemptFailure> {
@@ -85,6 +86,9 @@
         // Dropping the body closes its connection and discards whatever else it holds.
         return Err(AttemptFailure::Unknown("the answer belongs to another request".into()));
     }
+    if !meta.is_other_endpoint {
+        gw.record_limit(endpoint, meta.limit, sent_at);
+    }
     let now = gw.now();
     if meta.not_run || meta.is_other_endpoint {
         gw.with_health(&endpoint.id, |health| match meta.is_other_endpoint {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use masticstair_core::prelude::*;
 use masticstair_net::http::relay::{RelayCall, RelayError, RelayPool};
 use masticstair_policy::directory::{Directory, ServingEndpoint};
+use masticstair_policy::endpoint_limits::EndpointLimits;
 use masticstair_policy::poison::PoisonTable;
 use masticstair_policy::service_choice::{DataCentreReachability, EndpointHealth};
 use masticstair_policy::service_retry_budget::{ServiceRetryBudget, ServiceRetryLimits};
@@ -40,6 +41,8 @@
     pub(crate) stages: StageRegistry,
     pub(crate) owners: StageOwners,
     pub(crate) stage_times: StageTimes,
+    /// The limits that endpoints name for the requests of all hosts together.
+    pub(crate) limits: RefCell<EndpointLimits>,
     /// Which parts of prompts crash engines, as far as all hosts together know.
     pub(crate) poison: RefCell<PoisonTable>,
     /// Notified when `poison` changes.
@@ -78,6 +81,7 @@
             stages: StageRegistry::default(),
             owners: StageOwners::default(),
             stage_times: StageTimes::default(),
+            limits: RefCell::default(),
             poison: RefCell::default(),
             poison_changed: Notify::default(),
             has_evidence: Cell::new(false),
@@ -206,6 +210,23 @@
         f(self.health.borrow_mut().entry(id.clone()).or_default())
     }
 
+    /// Records the limit that an answer of an endpoint names, or that it names none; the request was sent at `sent_at`.
+    pub(crate) fn record_limit(
+        &self,
+        endpoint: &ServingEndpoint,
+        limit: Option<RatePerSecond>,
+        sent_at: Timestamp,
+    ) {
+        let mut limits = self.limits.borrow_mut();
+        if !limits.record(&endpoint.id, endpoint.incarnation, limit, sent_at) {
+            return;
+        }
+        self.metrics.limited_endpoints.set(limits.limited_count() as i64);
+        info!(self.log, "endpoint changed its limit"; "endpoint" => %endpoint.id,
+            "incarnation" => %endpoint.incarnation, "service" => %endpoint.service,
+            "limit_per_s" => limit.map(RatePerSecond::get));
+    }
+
     /// Changes the evidence on prompts with `f`, which returns whether it did. Tells the other hosts, and logs verdicts
     /// that are new or have gone.
     pub(crate) fn change_evidence(&self, f: impl FnOnce(&mut PoisonTable, Timestamp) -> bool) {
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -27,6 +27,8 @@
     pub endpoints: Gauge,
     /// The version of the catalog in force.
     pub catalog: Gauge,
+    /// Endpoints that name a limit for the requests of all hosts.
+    pub limited_endpoints: Gauge,
     /// Verdicts on parts of prompts that crash engines.
     pub poison_verdicts: Gauge,
     /// Connections opened to endpoints since the start.
@@ -44,6 +46,7 @@
             endpoint_ends: Family::default(),
             endpoints: Gauge::default(),
             catalog: Gauge::default(),
+            limited_endpoints: Gauge::default(),
             poison_verdicts: Gauge::default(),
             connections: Gauge::default(),
         }
@@ -64,6 +67,8 @@
         registry.register("endpoint_ends", help, self.endpoint_ends.clone());
         registry.register("endpoints", "Endpoints that take work", self.endpoints.clone());
         registry.register("catalog", "Version of the catalog in force", self.catalog.clone());
+        let help = "Endpoints that name a limit for the requests of all hosts";
+        registry.register("limited_endpoints", help, self.limited_endpoints.clone());
         let help = "Verdicts on parts of prompts that crash engines";
         registry.register("poison_verdicts", help, self.poison_verdicts.clone());
         let help = "Connections opened to endpoints";
--- /dev/null
+++ b/crates/policy/src/endpoint_limits/mod.rs
@@ -0,0 +1,180 @@
+//! Limits that endpoints name for the requests of all hosts together, and permits that keep to them.
+
+mod limit_notice;
+mod permit;
+mod permit_bucket;
+mod statement;
+
+pub use limit_notice::LimitNotice;
+pub use permit::Permit;
+
+use masticstair_core::prelude::*;
+use permit_bucket::PermitBucket;
+use statement::Statement;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// The limit on endpoints in the table; statements of further ones are ignored.
+const MAX_ENDPOINTS: usize = 4_096;
+
+/// How long a statement is kept after its last repetition. An endpoint that is in use repeats it with each answer.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// The newest statements of endpoints on their limits, and the permits that this host gives.
+#[derive(Debug, Default)]
+pub struct EndpointLimits {
+    statements: HashMap<EndpointId, Statement>,
+    /// Permits of the endpoints that this host gives permits for.
+    buckets: HashMap<EndpointId, PermitBucket>,
+    /// When the endpoints that denied a permit may be asked for again.
+    denied_until: HashMap<EndpointId, Timestamp>,
+    /// The position of the last change.
+    position: u64,
+}
+
+impl EndpointLimits {
+    /// Records what an answer to this host says; the request was sent at `asked_at`. Returns whether the limit changed.
+    pub fn record(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        limit: Option<RatePerSecond>,
+        asked_at: Timestamp,
+    ) -> bool {
+        self.apply(endpoint, incarnation, limit, table_time(asked_at), true)
+    }
+
+    /// Merges what other hosts know. Returns whether a limit changed.
+    pub fn merge(&mut self, now: Timestamp, notices: Vec<LimitNotice>) -> bool {
+        let now = table_time(now).get();
+        let mut changed = false;
+        for LimitNotice { endpoint, incarnation, limit, age } in notices {
+            let asked_at = now.saturating_sub(age.duration().as_micros() as u64);
+            changed |= self.apply(&endpoint, incarnation, limit, Timestamp::new(asked_at), false);
+        }
+        changed
+    }
+
+    /// Returns the position of the last change.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Returns the limits that changed after a position; with `own_only`, only those that this host was told by the
+    /// endpoints.
+    pub fn changes_after(&self, now: Timestamp, position: u64, own_only: bool) -> Vec<LimitNotice> {
+        let is_new = |s: &Statement| s.position > position && (s.is_own || !own_only);
+        let changed = self.statements.iter().filter(|(_, s)| is_new(s));
+        changed.map(|(endpoint, s)| notice(table_time(now), endpoint, s)).collect()
+    }
+
+    /// Returns the limit of a process of an endpoint, as other hosts are told it; none if it has no limit.
+    pub fn limit(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+    ) -> Option<LimitNotice> {
+        let statement = self.statements.get(endpoint)?;
+        let is_limited = statement.incarnation == incarnation && statement.limit.is_some();
+        is_limited.then(|| notice(table_time(now), endpoint, statement))
+    }
+
+    /// Returns the number of endpoints with a limit.
+    pub fn limited_count(&self) -> usize {
+        self.statements.values().filter(|s| s.limit.is_some()).count()
+    }
+
+    /// Gives a permit, as the host that all hosts ask for this endpoint.
+    pub fn take_permit(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+    ) -> Permit {
+        let statement = self.statements.get(endpoint);
+        let limit = statement.filter(|s| s.incarnation == incarnation).and_then(|s| s.limit);
+        let Some(limit) = limit else { return Permit::Granted };
+        let new = PermitBucket::new(now, incarnation);
+        let bucket = self.buckets.entry(endpoint.clone()).or_insert(new);
+        if bucket.incarnation != incarnation {
+            *bucket = new;
+        }
+        match bucket.take(now, limit) {
+            Ok(()) => Permit::Granted,
+            Err(wait) => Permit::Denied(Millis::new(wait.as_millis() as u64 + 1)),
+        }
+    }
+
+    /// Records that there is no permit for an endpoint until `until`.
+    pub fn record_denial(&mut self, endpoint: &EndpointId, until: Timestamp) {
+        self.denied_until.insert(endpoint.clone(), until);
+    }
+
+    /// Returns the time until an endpoint may be asked for a permit; zero if it may be now, or has no limit.
+    pub fn wait(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+    ) -> Duration {
+        let Some(until) = self.denied_until.get(endpoint) else { return Duration::ZERO };
+        let limited = self.limit(now, endpoint, incarnation);
+        limited.map(|_| until.since(now)).unwrap_or_default()
+    }
+
+    /// Removes what is old.
+    pub fn expire(&mut self, now: Timestamp) {
+        let (at, statements) = (table_time(now), &mut self.statements);
+        statements.retain(|_, s| at.since(s.asked_at) <= RETENTION);
+        self.buckets.retain(|endpoint, _| statements.contains_key(endpoint));
+        self.denied_until.retain(|_, until| *until > now);
+    }
+
+    fn apply(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        limit: Option<RatePerSecond>,
+        asked_at: Timestamp,
+        is_own: bool,
+    ) -> bool {
+        let position = self.position + 1;
+        let is_full = self.statements.len() >= MAX_ENDPOINTS;
+        match self.statements.get_mut(endpoint) {
+            None if limit.is_none() || is_full => return false,
+            None => {
+                let statement = Statement { incarnation, limit, asked_at, position, is_own };
+                self.statements.insert(endpoint.clone(), statement);
+            }
+            Some(known) => {
+                if (known.incarnation, known.asked_at) >= (incarnation, asked_at) {
+                    return false;
+                }
+                let changed = known.limit != limit || known.incarnation != incarnation;
+                (known.incarnation, known.asked_at) = (incarnation, asked_at);
+                if !changed {
+                    return false;
+                }
+                (known.limit, known.position, known.is_own) = (limit, position, is_own);
+            }
+        }
+        self.position = position;
+        true
+    }
+}
+
+/// Returns a time of the clock of this process on the time line of the table, which begins before the process, so that
+/// the order of statements from before the start is kept.
+fn table_time(at: Timestamp) -> Timestamp {
+    at.plus(RETENTION)
+}
+
+fn notice(now: Timestamp, endpoint: &EndpointId, s: &Statement) -> LimitNotice {
+    LimitNotice {
+        endpoint: endpoint.clone(),
+        incarnation: s.incarnation,
+        limit: s.limit,
+        age: Millis::new(now.since(s.asked_at).as_millis() as u64),
+    }
+}
