Keep to the limit of an endpoint with all hosts together

Cause: no host read the limit, and no host could have kept to it alone. One engine with a limit of 1.1 got its requests from 8 hosts, 2 to 13 from each in 16 s. The class: a bound on the sum of all hosts that each host would have to know its part of.

The owner of an endpoint, one control host by rendezvous hashing, now gives a permit for each request to an endpoint with a limit, from a token bucket. Hosts tell each other limits and their ends as they tell evidence on prompts, so a host knows a limit before its own first answer. Without a permit a request goes to another endpoint; if limits are all that prevents it, it is refused at once, with the time until there is a permit. The permit is taken before the stages, so that no work is done for a request that is refused. A new owner begins without permits, and no answer of the owner means no permit.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,7 +1,7 @@
 //! Control hosts: announcements of endpoints, catalogs from operators, and updates to subscribed entry hosts.
 
 mod answer_control;
-mod answer_evidence;
+mod answer_findings;
 mod answer_subscribe;
 mod catalog_store;
 mod control_host;
@@ -12,5 +12,5 @@
 pub use store_error::StoreError;
 
 pub(crate) use answer_control::answer_control;
-pub(crate) use answer_evidence::answer_evidence;
+pub(crate) use answer_findings::answer_findings;
 pub(crate) use answer_subscribe::answer_subscribe;
--- a/crates/gateway/src/entry/answer_plain.rs
+++ b/crates/gateway/src/entry/answer_plain.rs
@@ -14,6 +14,7 @@
 use super::attempt_options::AttemptOptions;
 use super::client_request::ClientRequest;
 use super::in_flight_call::InFlightCall;
+use super::permitted_endpoint::{choose_permitted, limit_refusal};
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason};
 use crate::telemetry::RequestTimeline;
@@ -69,15 +70,23 @@
     let mut last: Option<AttemptFailure> = None;
     let mut failed: Option<(RelayHead, Bytes)> = None;
     loop {
+        let permitted =
+            choose_permitted(gw, req, &tried, |excluded| pick_endpoint_for(gw, req, excluded));
+        let choice = match permitted.await {
+            Ok(choice) => choice,
+            Err(wait) if runs == 0 => return Err(limit_refusal(req, wait)),
+            Err(_) => None,
+        };
         let left = req.deadline.since(gw.now());
-        let choice = pick_untried(gw, req, &tried).filter(|_| left > MIN_TIME_LEFT);
+        let choice = choice.filter(|_| left > MIN_TIME_LEFT);
         let may_try = tried.is_empty()
             || (runs < max_runs
                 && tried.len() < MAX_ENDPOINTS_TRIED
                 && gw.take_retry(&req.service));
-        let (Some(endpoint), true) = (choice, may_try) else {
+        let (Some(permitted), true) = (choice, may_try) else {
             return failed.map_or_else(|| Err(final_refusal(gw, req, runs, last)), Ok);
         };
+        let endpoint = permitted.endpoint;
         tried.push(endpoint.id.clone());
         let is_last_run = runs + 1 >= max_runs;
         let timeout = if is_last_run { left } else { attempt_timeout(gw, req, &endpoint) };
@@ -129,15 +138,15 @@
     Err(failure)
 }
 
-fn pick_untried(
+fn pick_endpoint_for(
     gw: &Gateway,
     req: &ClientRequest,
-    tried: &[EndpointId],
+    excluded: &[EndpointId],
 ) -> Option<Arc<ServingEndpoint>> {
     let ready = gw.endpoints(&req.service);
     let now = gw.now();
-    let untried: Vec<_> = ready.iter().filter(|e| !tried.contains(&e.id)).collect();
-    let candidates: Vec<_> = untried
+    let eligible: Vec<_> = ready.iter().filter(|e| !excluded.contains(&e.id)).collect();
+    let candidates: Vec<_> = eligible
         .iter()
         .map(|e| {
             gw.with_health(&e.id, |health| Candidate {
@@ -151,7 +160,7 @@
         })
         .collect();
     let position = pick_endpoint(&candidates, || Draw::new(rand::random()))?;
-    untried.get(position).map(|e| (*e).clone())
+    eligible.get(position).map(|e| (*e).clone())
 }
 
 fn attempt_timeout(gw: &Gateway, req: &ClientRequest, endpoint: &ServingEndpoint) -> Duration {
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -19,6 +19,7 @@
 use super::in_flight::InFlight;
 use super::in_flight_call::InFlightCall;
 use super::opened_stream::OpenedStream;
+use super::permitted_endpoint::{PermittedEndpoint, choose_permitted, limit_refusal};
 use super::stage_plan::{admit_stages, run_stages};
 use super::stream_state::{StreamState, stream_events};
 use crate::Gateway;
@@ -61,10 +62,13 @@
         return refuse(&gw, &timeline, &refusal);
     }
     let mut held = HeldResults::new(&gw);
-    let mut planned_engine = choose_engine(&gw, &req, &[], None);
+    let mut planned_engine = match permit_engine(&gw, &req, &[], None).await {
+        Ok(engine) => engine,
+        Err(wait) => return refuse(&gw, &timeline, &limit_refusal(&req, wait)),
+    };
     let results = match &planned_engine {
         Some(engine) if !req.route.stages.is_empty() => {
-            let near = engine.data_centre.clone();
+            let near = engine.endpoint.data_centre.clone();
             match run_stages(&gw, &req, Some(&near), &mut held).await {
                 Ok(results) => Some(results),
                 Err(refusal) => return refuse(&gw, &timeline, &refusal),
@@ -74,7 +78,12 @@
     };
     if let Some(results) = &results {
         timeline.staged_at = Some(gw.now());
-        planned_engine = choose_engine(&gw, &req, &[], results.near.as_ref());
+        if !planned_engine.as_ref().is_some_and(|engine| engine.holds_permit(gw.now())) {
+            planned_engine = match permit_engine(&gw, &req, &[], results.near.as_ref()).await {
+                Ok(engine) => engine,
+                Err(wait) => return refuse(&gw, &timeline, &limit_refusal(&req, wait)),
+            };
+        }
     }
     let inputs = results.map(|results| results.handles);
     gw.record_requests(&req.service, 1);
@@ -126,7 +135,7 @@
     gw: &Rc<Gateway>,
     req: &ClientRequest,
     timeline: &mut RequestTimeline,
-    mut planned_engine: Option<Arc<ServingEndpoint>>,
+    mut planned_engine: Option<PermittedEndpoint>,
     inputs: Option<&[ResultHandle]>,
     resume_after: Option<u64>,
     runs: &mut u32,
@@ -135,12 +144,19 @@
     let mut tried: Vec<EndpointId> = Vec::new();
     let mut last: Option<AttemptFailure> = None;
     loop {
-        let left = req.first_event_by().since(gw.now());
-        let choice = planned_engine.take().or_else(|| choose_engine(gw, req, &tried, None));
         let standing = prompt_standing(gw, req);
         if let (Standing::Rejected { verdict, left }, 0) = (&standing, *runs) {
             return Err(poison_refusal(verdict, *left));
         }
+        let choice = match planned_engine.take().filter(|engine| engine.may_send(gw.now())) {
+            Some(engine) => Some(engine),
+            None => match permit_engine(gw, req, &tried, None).await {
+                Ok(engine) => engine,
+                Err(wait) if *runs == 0 => return Err(limit_refusal(req, wait)),
+                Err(_) => None,
+            },
+        };
+        let left = req.first_event_by().since(gw.now());
         let is_first = tried.is_empty() && *runs == 0;
         // A run that may have crashed an engine is not followed by another one.
         let may_run_again = *runs == 0 || standing == Standing::Clear;
@@ -149,9 +165,10 @@
                 && *runs < max_runs
                 && tried.len() < MAX_ENGINES_TRIED
                 && gw.take_retry(&req.service));
-        let (Some(endpoint), true) = (choice.filter(|_| left > MIN_TIME_LEFT), may_try) else {
+        let (Some(engine), true) = (choice.filter(|_| left > MIN_TIME_LEFT), may_try) else {
             return Err(final_refusal(gw, req, *runs, last));
         };
+        let endpoint = engine.endpoint;
         tried.push(endpoint.id.clone());
         let timeout = match *runs + 1 < max_runs {
             true => {
@@ -202,20 +219,30 @@
     req.meta.prompt.as_ref().map_or(0, |prompt| prompt.input.get())
 }
 
+/// Chooses the engine for a request, among those that take one now. See `choose_permitted` for the error.
+async fn permit_engine(
+    gw: &Gateway,
+    req: &ClientRequest,
+    tried: &[EndpointId],
+    near: Option<&DataCentreId>,
+) -> Result<Option<PermittedEndpoint>, Duration> {
+    choose_permitted(gw, req, tried, |excluded| choose_engine(gw, req, excluded, near)).await
+}
+
 /// Chooses the engine for a request. `near` is the data centre of its inputs.
 fn choose_engine(
     gw: &Gateway,
     req: &ClientRequest,
-    tried: &[EndpointId],
+    excluded: &[EndpointId],
     near: Option<&DataCentreId>,
 ) -> Option<Arc<ServingEndpoint>> {
     let ready = gw.endpoints(&req.service);
-    let untried: Vec<_> = ready.iter().filter(|e| !tried.contains(&e.id)).collect();
+    let eligible: Vec<_> = ready.iter().filter(|e| !excluded.contains(&e.id)).collect();
     let prompt = req.meta.prompt.as_ref();
     let session = prompt.and_then(|prompt| prompt.session());
     let key = session.map(|part| part.get().to_le_bytes()).unwrap_or_default();
     let now = gw.now();
-    let candidates: Vec<_> = untried
+    let candidates: Vec<_> = eligible
         .iter()
         .map(|e| {
             gw.with_health(&e.id, |health| EngineCandidate {
@@ -237,7 +264,7 @@
     let wait_limit = req.route.objective.duration().mul_f64(CACHE_HOLDER_OBJECTIVE_FRACTION);
     let draw = || Draw::new(rand::random());
     let position = pick_engine(&candidates, shared, unshared, hosts, wait_limit, draw)?;
-    untried.get(position).map(|e| (*e).clone())
+    eligible.get(position).map(|e| (*e).clone())
 }
 
 /// Returns the latency of an engine relative to a typical idle engine. Latencies of engines are recorded as
--- /dev/null
+++ b/crates/gateway/src/entry/exchange_findings.rs
@@ -0,0 +1,125 @@
+use futures_util::future::{Either, select};
+use masticstair_core::prelude::*;
+use masticstair_net::peer::GatewayMessage;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::messages::{FindingsReply, FindingsRequest, Message, Reply, decode, encode};
+use crate::{Gateway, PeerHost};
+
+/// How long a control host may wait for news. A connection that is dead without an error is detected after this time
+/// plus `ANSWER_MARGIN`; until then the other control hosts pass the findings on.
+const NEWS_WAIT: Duration = Duration::from_secs(2);
+
+/// Time allowed for the reply beyond the wait.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+
+/// Delay after a control host did not answer.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// The positions that a host has reached in the findings of another one.
+#[derive(Clone, Copy, Default)]
+struct Positions {
+    evidence: u64,
+    limits: u64,
+}
+
+/// What this host and a control host know of each other's findings.
+#[derive(Default)]
+struct Exchange {
+    /// The process of the control host that `received` belongs to.
+    incarnation: Incarnation,
+    received: Positions,
+    /// What the control host has reached; none if it needs all findings.
+    sent: Option<Positions>,
+}
+
+/// Exchanges findings on prompts and endpoints with one control host for as long as the host counts as live.
+pub(super) async fn exchange_findings(gw: &Rc<Gateway>, host: &HostId) {
+    let mut exchange = Exchange::default();
+    loop {
+        let (hosts, _) = gw.control_hosts();
+        let Some(peer) = hosts.into_iter().find(|h| h.host == *host) else { return };
+        let (request, positions) = next_request(gw, &exchange);
+        let sends = has_findings(&request);
+        let reply = pin!(send_findings(&peer, request));
+        let reply = match select(reply, pin!(own_news(gw, positions, sends))).await {
+            Either::Left((reply, _)) => reply,
+            // What is new is sent at once, in place of waiting for the reply.
+            Either::Right(_) => continue,
+        };
+        gw.has_findings.set(true);
+        match reply {
+            Ok(reply) => {
+                let is_known = reply.incarnation == exchange.incarnation;
+                exchange = Exchange {
+                    incarnation: reply.incarnation,
+                    received: Positions {
+                        evidence: reply.evidence_position,
+                        limits: reply.limits_position,
+                    },
+                    sent: is_known.then_some(positions),
+                };
+                gw.change_evidence(|table, now| table.merge(now, reply.evidence));
+                gw.merge_limits(reply.limits);
+            }
+            Err(_) => monoio::time::sleep(RETRY_DELAY).await,
+        }
+    }
+}
+
+fn has_findings(request: &FindingsRequest) -> bool {
+    !request.evidence.is_empty() || !request.limits.is_empty()
+}
+
+/// Returns the next request, and the positions of this host that the control host reaches with it.
+fn next_request(gw: &Gateway, exchange: &Exchange) -> (FindingsRequest, Positions) {
+    let (poison, limits) = (gw.poison.borrow(), gw.limits.borrow());
+    let now = gw.now();
+    // A control host that has restarted may need what other hosts found out, too.
+    let (after, own_only) = (exchange.sent.unwrap_or_default(), exchange.sent.is_some());
+    let mut request = FindingsRequest {
+        incarnation: exchange.incarnation,
+        evidence_position: exchange.received.evidence,
+        limits_position: exchange.received.limits,
+        evidence: poison.changes_after(now, after.evidence, own_only),
+        limits: limits.changes_after(now, after.limits, own_only),
+        wait: Millis::new(NEWS_WAIT.as_millis() as u64),
+    };
+    if has_findings(&request) {
+        request.wait = Millis::default();
+    }
+    (request, Positions { evidence: poison.position(), limits: limits.position() })
+}
+
+/// Completes when this host has found out something itself after `positions`; never while findings are being sent.
+async fn own_news(gw: &Gateway, positions: Positions, sends: bool) {
+    if sends {
+        return std::future::pending().await;
+    }
+    let has_news = || {
+        let now = gw.now();
+        !gw.poison.borrow().changes_after(now, positions.evidence, true).is_empty()
+            || !gw.limits.borrow().changes_after(now, positions.limits, true).is_empty()
+    };
+    while !has_news() {
+        gw.findings_changed.notified(NEWS_WAIT).await;
+    }
+}
+
+async fn send_findings(
+    peer: &PeerHost,
+    request: FindingsRequest,
+) -> Result<FindingsReply, Box<str>> {
+    let client = peer.client.as_ref().ok_or("the local host has no peer connection")?;
+    let budget = request.wait.duration() + ANSWER_MARGIN;
+    let content = encode(&Message::Findings(request))?;
+    let reply =
+        client.gateway(GatewayMessage { content, budget }).await.map_err(|e| e.to_string())?;
+    match decode(&reply)? {
+        Reply::Findings(reply) => Ok(reply),
+        Reply::Refused(reason) => Err(reason),
+        _ => Err("reply does not match the message".into()),
+    }
+}
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::exchange_evidence::exchange_evidence;
+use super::exchange_findings::exchange_findings;
 use crate::control::ControlHost;
 use crate::install_catalog::install_catalog;
 use crate::maintenance::on_endpoints_changed;
@@ -47,7 +47,7 @@
                 let (gw, name, confirmed) = (gw.clone(), host.host.clone(), confirmed.clone());
                 let subscribed = subscribed.clone();
                 monoio::spawn(async move {
-                    join(subscribe(&gw, &name, &confirmed), exchange_evidence(&gw, &name)).await;
+                    join(subscribe(&gw, &name, &confirmed), exchange_findings(&gw, &name)).await;
                     subscribed.borrow_mut().remove(&name);
                 });
             }
@@ -91,8 +91,8 @@
     }
     let confirmed = confirmed.borrow();
     let confirmed_hosts = hosts.iter().filter(|h| confirmed.contains_key(&h.host)).count();
-    // A host that has just started must know the prompts that crash engines before it sends any.
-    let has_majority = joined && confirmed_hosts * 2 > hosts.len() && gw.has_evidence.get();
+    // A host that has just started must know the prompts that crash engines, and the limits of endpoints.
+    let has_majority = joined && confirmed_hosts * 2 > hosts.len() && gw.has_findings.get();
     if has_majority || gw.now().since(started) > CONFIRMATION_TIMEOUT {
         gw.is_current.set(true);
         info!(gw.log, "catalog is current; accepting clients"; "catalog" => %version,
--- a/crates/gateway/src/front_end/refusal_reason.rs
+++ b/crates/gateway/src/front_end/refusal_reason.rs
@@ -15,6 +15,8 @@
     NoEndpoint,
     /// Every endpoint that was tried is full.
     Full,
+    /// Every endpoint is at the limit that it named.
+    Limit,
     /// The stages of the request failed or cannot complete in time.
     Stages,
     /// Requests with the same parts in their prompts crash engines.
@@ -35,6 +37,7 @@
             Self::Malformed => "malformed",
             Self::NoEndpoint => "no-endpoint",
             Self::Full => "full",
+            Self::Limit => "limit",
             Self::Stages => "stages",
             Self::PoisonPrompt => "poison-prompt",
             Self::Deadline => "deadline",
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use masticstair_core::prelude::*;
 use masticstair_net::http::relay::{RelayCall, RelayError, RelayPool};
 use masticstair_policy::directory::{Directory, ServingEndpoint};
-use masticstair_policy::endpoint_limits::EndpointLimits;
+use masticstair_policy::endpoint_limits::{EndpointLimits, LimitNotice};
 use masticstair_policy::poison::PoisonTable;
 use masticstair_policy::service_choice::{DataCentreReachability, EndpointHealth};
 use masticstair_policy::service_retry_budget::{ServiceRetryBudget, ServiceRetryLimits};
@@ -45,10 +45,10 @@
     pub(crate) limits: RefCell<EndpointLimits>,
     /// Which parts of prompts crash engines, as far as all hosts together know.
     pub(crate) poison: RefCell<PoisonTable>,
-    /// Notified when `poison` changes.
-    pub(crate) poison_changed: Notify,
-    /// Whether a control host has been asked for its evidence on prompts since the start.
-    pub(crate) has_evidence: Cell<bool>,
+    /// Notified when `poison` or `limits` change.
+    pub(crate) findings_changed: Notify,
+    /// Whether a control host has been asked for its findings on prompts and endpoints since the start.
+    pub(crate) has_findings: Cell<bool>,
     /// Distinguishes this process from its restarts.
     pub(crate) incarnation: Incarnation,
     /// Whether enough control hosts have confirmed that the catalog in force is the newest.
@@ -83,8 +83,8 @@
             stage_times: StageTimes::default(),
             limits: RefCell::default(),
             poison: RefCell::default(),
-            poison_changed: Notify::default(),
-            has_evidence: Cell::new(false),
+            findings_changed: Notify::default(),
+            has_findings: Cell::new(false),
             incarnation: parts.incarnation,
             is_current: Cell::new(false),
             in_flight: Rc::default(),
@@ -217,16 +217,36 @@
         limit: Option<RatePerSecond>,
         sent_at: Timestamp,
     ) {
-        let mut limits = self.limits.borrow_mut();
-        if !limits.record(&endpoint.id, endpoint.incarnation, limit, sent_at) {
+        let changed =
+            self.limits.borrow_mut().record(&endpoint.id, endpoint.incarnation, limit, sent_at);
+        if !changed {
             return;
         }
-        self.metrics.limited_endpoints.set(limits.limited_count() as i64);
+        self.on_limits_changed();
         info!(self.log, "endpoint changed its limit"; "endpoint" => %endpoint.id,
             "incarnation" => %endpoint.incarnation, "service" => %endpoint.service,
             "limit_per_s" => limit.map(RatePerSecond::get));
     }
 
+    /// Returns whether an endpoint names a limit for the requests of all hosts.
+    pub(crate) fn is_limited(&self, endpoint: &ServingEndpoint) -> bool {
+        let limits = self.limits.borrow();
+        limits.limit(self.now(), &endpoint.id, endpoint.incarnation).is_some()
+    }
+
+    /// Merges what other hosts know of the limits of endpoints.
+    pub(crate) fn merge_limits(&self, notices: Vec<LimitNotice>) {
+        if !notices.is_empty() && self.limits.borrow_mut().merge(self.now(), notices) {
+            self.on_limits_changed();
+        }
+    }
+
+    fn on_limits_changed(&self) {
+        let limited = self.limits.borrow().limited_count();
+        self.metrics.limited_endpoints.set(limited as i64);
+        self.findings_changed.notify();
+    }
+
     /// Changes the evidence on prompts with `f`, which returns whether it did. Tells the other hosts, and logs verdicts
     /// that are new or have gone.
     pub(crate) fn change_evidence(&self, f: impl FnOnce(&mut PoisonTable, Timestamp) -> bool) {
@@ -245,7 +265,7 @@
                 "service" => %verdict.service, "evidence" => %verdict);
         }
         self.metrics.poison_verdicts.set(verdicts.len() as i64);
-        self.poison_changed.notify();
+        self.findings_changed.notify();
     }
 
     /// Addresses a call that the gateway originates.
--- a/crates/gateway/src/handle_events.rs
+++ b/crates/gateway/src/handle_events.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 
 use crate::Gateway;
-use crate::control::{ControlHost, answer_evidence, answer_subscribe};
+use crate::control::{ControlHost, answer_findings, answer_subscribe};
 use crate::gateway_event::GatewayEvent;
 use crate::install_catalog::install_catalog;
 use crate::messages::{Message, Reply, decode, encode};
+use crate::request_permit::take_permit;
 use crate::stages::{cancel_stage, release_results, run_stage};
 
 /// Handles messages and catalogs from other threads; each message runs in its own task.
@@ -66,9 +67,10 @@
             Reply::Done
         }
         (Message::Ping, _) => Reply::Done,
-        (Message::Evidence(request), Some(_)) => {
-            Reply::Evidence(answer_evidence(gw, request).await)
+        (Message::Findings(request), Some(_)) => {
+            Reply::Findings(answer_findings(gw, request).await)
         }
-        (Message::Evidence(_), None) => Reply::Refused("this host is no control host".into()),
+        (Message::Permit(notice), _) => Reply::Permit(take_permit(gw, notice)),
+        (Message::Findings(_), None) => Reply::Refused("this host is no control host".into()),
     })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,8 @@
 mod notify;
 mod peer_host;
 mod peer_view;
+mod permission;
+mod request_permit;
 mod run_gateway;
 mod stop_gateway;
 
--- /dev/null
+++ b/crates/gateway/src/messages/findings_reply.rs
@@ -0,0 +1,19 @@
+use masticstair_core::prelude::*;
+use masticstair_policy::endpoint_limits::LimitNotice;
+use masticstair_policy::poison::Evidence;
+use serde::{Deserialize, Serialize};
+
+/// What a control host knows of prompts and endpoints beyond what the other host has.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct FindingsReply {
+    /// The process that sends the reply; its positions mean nothing to another one.
+    pub incarnation: Incarnation,
+    /// The position that the receiver has reached with `evidence`.
+    pub evidence_position: u64,
+    /// The position that the receiver has reached with `limits`.
+    pub limits_position: u64,
+    /// New evidence on prompts.
+    pub evidence: Vec<Evidence>,
+    /// New limits of endpoints.
+    pub limits: Vec<LimitNotice>,
+}
--- a/crates/gateway/src/messages/message.rs
+++ b/crates/gateway/src/messages/message.rs
@@ -1,6 +1,7 @@
+use masticstair_policy::endpoint_limits::LimitNotice;
 use serde::{Deserialize, Serialize};
 
-use super::{CancelRequest, EvidenceRequest, ReleaseRequest, StageRequest, SubscribeRequest};
+use super::{CancelRequest, FindingsRequest, ReleaseRequest, StageRequest, SubscribeRequest};
 
 /// A message from one gateway to another.
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
@@ -16,6 +17,8 @@
     Release(ReleaseRequest),
     /// Checks that the host and the connection to it are alive.
     Ping,
-    /// A host exchanges evidence on prompts with a control host.
-    Evidence(EvidenceRequest),
+    /// A host exchanges findings with a control host.
+    Findings(FindingsRequest),
+    /// A host asks for a permit to send a request to an endpoint that has a limit.
+    Permit(LimitNotice),
 }
--- a/crates/gateway/src/messages/mod.rs
+++ b/crates/gateway/src/messages/mod.rs
@@ -2,7 +2,8 @@
 
 mod cancel_request;
 mod codec;
-mod evidence_request;
+mod findings_reply;
+mod findings_request;
 mod message;
 mod release_request;
 mod reply;
@@ -16,7 +17,8 @@
 
 pub(crate) use cancel_request::CancelRequest;
 pub(crate) use codec::{decode, encode};
-pub(crate) use evidence_request::EvidenceRequest;
+pub(crate) use findings_reply::FindingsReply;
+pub(crate) use findings_request::FindingsRequest;
 pub(crate) use message::Message;
 pub(crate) use release_request::ReleaseRequest;
 pub(crate) use reply::Reply;
--- a/crates/gateway/src/messages/reply.rs
+++ b/crates/gateway/src/messages/reply.rs
@@ -1,7 +1,7 @@
-use masticstair_policy::poison::EvidenceUpdate;
+use masticstair_policy::endpoint_limits::Permit;
 use serde::{Deserialize, Serialize};
 
-use super::{StageReply, SubscribeReply};
+use super::{FindingsReply, StageReply, SubscribeReply};
 
 /// The reply to a message.
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
@@ -15,6 +15,8 @@
     Done,
     /// This host does not serve the message; carries the reason.
     Refused(Box<str>),
-    /// To `Evidence`.
-    Evidence(EvidenceUpdate),
+    /// To `Findings`.
+    Findings(FindingsReply),
+    /// To `Permit`.
+    Permit(Permit),
 }
--- /dev/null
+++ b/crates/gateway/src/permission.rs
@@ -0,0 +1,12 @@
+use std::time::Duration;
+
+/// Whether a request may be sent to an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Permission {
+    /// The endpoint has no limit.
+    Unlimited,
+    /// A permit was given for this request.
+    Granted,
+    /// There is no permit for this time.
+    Denied(Duration),
+}
--- a/crates/gateway/src/stages/mod.rs
+++ b/crates/gateway/src/stages/mod.rs
@@ -19,6 +19,6 @@
 pub(crate) use release_results::release_results;
 pub(crate) use run_stage::{cancel_stage, hand_over_stages, run_stage};
 pub(crate) use stage_loads::stage_loads;
-pub(crate) use stage_owners::StageOwners;
+pub(crate) use stage_owners::{StageOwners, send_message};
 pub(crate) use stage_registry::StageRegistry;
 pub(crate) use submit_stage::{submit_release, submit_stage};
--- a/crates/gateway/src/stages/stage_owners.rs
+++ b/crates/gateway/src/stages/stage_owners.rs
@@ -35,6 +35,11 @@
     /// hosts. So a call has items of all hosts, and the capacity of an endpoint is known in one place. Entry
     /// hosts take over while no control host answers.
     pub(super) fn owner(&self, gw: &Gateway, service: &ServiceName) -> Option<PeerHost> {
+        self.owner_of(gw, service.as_str().as_bytes())
+    }
+
+    /// Returns the host that all hosts choose for a key; none if it is the local host.
+    pub(crate) fn owner_of(&self, gw: &Gateway, key: &[u8]) -> Option<PeerHost> {
         let now = gw.now();
         let view = gw.peers();
         let is_usable =
@@ -43,12 +48,12 @@
             view.hosts.iter().filter(is_usable).partition(|h| h.is_control);
         let hosts = if control.is_empty() { entry } else { control };
         let names = hosts.iter().map(|h| h.host.as_str().as_bytes());
-        let first = *rendezvous_order(service.as_str().as_bytes(), names).first()?;
+        let first = *rendezvous_order(key, names).first()?;
         hosts.get(first).filter(|h| h.client.is_some()).map(|h| (*h).clone())
     }
 
     /// Excludes a host from the choice for a while.
-    pub(super) fn start_backoff(&self, now: Timestamp, host: &HostId) {
+    pub(crate) fn start_backoff(&self, now: Timestamp, host: &HostId) {
         self.backoffs.borrow_mut().insert(host.clone(), now.plus(OWNER_BACKOFF));
     }
 
@@ -89,7 +94,7 @@
 }
 
 /// Sends a message to a host and decodes its reply.
-pub(super) async fn send_message(
+pub(crate) async fn send_message(
     host: &PeerHost,
     message: &Message,
     timeout: Duration,
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -8,6 +8,7 @@
 
 use super::call_labels::CallLabels;
 use super::latency_labels::LatencyLabels;
+use super::permit_labels::PermitLabels;
 use super::route_labels::RouteLabels;
 use super::service_labels::ServiceLabels;
 
@@ -23,6 +24,7 @@
     calls: Family<CallLabels, Counter>,
     call_time: Family<CallLabels, Histogram, fn() -> Histogram>,
     endpoint_ends: Family<ServiceLabels, Counter>,
+    permits: Family<PermitLabels, Counter>,
     /// Endpoints that take new work.
     pub endpoints: Gauge,
     /// The version of the catalog in force.
@@ -44,6 +46,7 @@
             calls: Family::default(),
             call_time: Family::new_with_constructor(new_histogram),
             endpoint_ends: Family::default(),
+            permits: Family::default(),
             endpoints: Gauge::default(),
             catalog: Gauge::default(),
             limited_endpoints: Gauge::default(),
@@ -67,6 +70,8 @@
         registry.register("endpoint_ends", help, self.endpoint_ends.clone());
         registry.register("endpoints", "Endpoints that take work", self.endpoints.clone());
         registry.register("catalog", "Version of the catalog in force", self.catalog.clone());
+        let help = "Requests for a permit to send to an endpoint with a limit";
+        registry.register("permits", help, self.permits.clone());
         let help = "Endpoints that name a limit for the requests of all hosts";
         registry.register("limited_endpoints", help, self.limited_endpoints.clone());
         let help = "Verdicts on parts of prompts that crash engines";
@@ -94,6 +99,11 @@
         self.endpoint_ends.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_permit(&self, granted: bool) {
+        let result = if granted { "granted" } else { "denied" };
+        self.permits.get_or_create(&PermitLabels { result }).inc();
+    }
+
     pub(crate) fn count_call(&self, service: &ServiceName, result: &'static str, took: Duration) {
         let labels = CallLabels { service: service.to_string(), result };
         self.call_time.get_or_create(&labels).observe(took.as_secs_f64());
--- a/crates/gateway/src/telemetry/mod.rs
+++ b/crates/gateway/src/telemetry/mod.rs
@@ -3,6 +3,7 @@
 mod call_labels;
 mod gateway_metrics;
 mod latency_labels;
+mod permit_labels;
 mod request_timeline;
 mod route_labels;
 mod service_labels;
--- /dev/null
+++ b/crates/gateway/src/telemetry/permit_labels.rs
@@ -0,0 +1,7 @@
+use prometheus_client::encoding::EncodeLabelSet;
+
+/// Labels of requests for permits.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(super) struct PermitLabels {
+    pub(super) result: &'static str,
+}
--- a/crates/policy/src/endpoint_limits/mod.rs
+++ b/crates/policy/src/endpoint_limits/mod.rs
@@ -139,28 +139,23 @@
         asked_at: Timestamp,
         is_own: bool,
     ) -> bool {
-        let position = self.position + 1;
-        let is_full = self.statements.len() >= MAX_ENDPOINTS;
-        match self.statements.get_mut(endpoint) {
-            None if limit.is_none() || is_full => return false,
-            None => {
-                let statement = Statement { incarnation, limit, asked_at, position, is_own };
-                self.statements.insert(endpoint.clone(), statement);
-            }
-            Some(known) => {
-                if (known.incarnation, known.asked_at) >= (incarnation, asked_at) {
-                    return false;
-                }
-                let changed = known.limit != limit || known.incarnation != incarnation;
-                (known.incarnation, known.asked_at) = (incarnation, asked_at);
-                if !changed {
-                    return false;
-                }
-                (known.limit, known.position, known.is_own) = (limit, position, is_own);
-            }
+        let known = self.statements.get(endpoint);
+        let is_old = known.is_some_and(|s| (s.incarnation, s.asked_at) >= (incarnation, asked_at));
+        if is_old || (known.is_none() && self.statements.len() >= MAX_ENDPOINTS) {
+            return false;
         }
-        self.position = position;
-        true
+        let known_limit = known.and_then(|s| s.limit);
+        let is_new_process = known.is_some_and(|s| s.incarnation != incarnation);
+        let changed = limit != known_limit || (is_new_process && limit.is_some());
+        let (position, is_own) = match known {
+            _ if changed => (self.position + 1, is_own),
+            Some(known) => (known.position, known.is_own),
+            None => (0, is_own),
+        };
+        self.position = self.position.max(position);
+        let statement = Statement { incarnation, limit, asked_at, position, is_own };
+        self.statements.insert(endpoint.clone(), statement);
+        changed
     }
 }
 
