Leave out all endpoints with a limit after four denied permits

The choice was repeated for each further endpoint with a limit, with a hash of every endpoint each time. Now they are left out at once. No test showed a difference; found by reading.

--- a/crates/gateway/src/entry/permitted_endpoint.rs
+++ b/crates/gateway/src/entry/permitted_endpoint.rs
@@ -17,9 +17,6 @@
 /// Endpoints with a limit that are asked for in turn for one attempt. Afterwards only those without one are left.
 const MAX_ASKED: usize = 4;
 
-/// The wait that is told for an endpoint with a limit that was not asked for.
-const UNASKED_WAIT: Duration = Duration::from_millis(500);
-
 /// An endpoint that may be sent a request now.
 pub(super) struct PermittedEndpoint {
     pub(super) endpoint: Arc<ServingEndpoint>,
@@ -60,17 +57,12 @@
             excluded.push(endpoint.id.clone());
         }
     }
-    let mut asked = 0;
-    while let Some(endpoint) = choose(&excluded) {
-        let permission = match asked < MAX_ASKED || !gw.is_limited(&endpoint) {
-            true => request_permit(gw, &endpoint).await,
-            false => Permission::Denied(UNASKED_WAIT),
-        };
-        let permit_until = match permission {
+    for _ in 0..MAX_ASKED {
+        let Some(endpoint) = choose(&excluded) else { break };
+        let permit_until = match request_permit(gw, &endpoint).await {
             Permission::Unlimited => None,
             Permission::Granted => Some(gw.now().plus(PERMIT_VALIDITY)),
             Permission::Denied(wait) => {
-                asked += 1;
                 waits.push(wait);
                 excluded.push(endpoint.id.clone());
                 continue;
@@ -78,7 +70,12 @@
         };
         return Ok(Some(PermittedEndpoint { endpoint, permit_until }));
     }
-    waits.into_iter().min().map_or(Ok(None), Err)
+    let all = gw.endpoints(&req.service);
+    excluded.extend(all.iter().filter(|e| gw.is_limited(e)).map(|e| e.id.clone()));
+    match choose(&excluded) {
+        Some(endpoint) => Ok(Some(PermittedEndpoint { endpoint, permit_until: None })),
+        None => waits.into_iter().min().map_or(Ok(None), Err),
+    }
 }
 
 /// Builds the refusal of a request that was not run because all endpoints are at their limits. The clients that are
