Keep the backoff of owners of permits apart from that of stages

A control host that gave a permit later than 150 ms was not asked for 2 s, and lost its stage services to another host for that time as well. Found by reading; no run showed it.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 use crate::entry::StageTimes;
 use crate::front_end::{EndpointCall, FrontEnd};
 use crate::gateway_event::GatewayEvent;
-use crate::stages::{StageOwners, StageRegistry};
+use crate::stages::{Owners, StageRegistry};
 use crate::telemetry::GatewayMetrics;
 use crate::{CatalogInForce, GatewayConfig, GatewayParts, Notify, PeerHost, PeerView, Peers};
 
@@ -39,7 +39,9 @@
     reachability: RefCell<HashMap<DataCentreId, DataCentreReachability>>,
     pub(crate) pool: RelayPool,
     pub(crate) stages: StageRegistry,
-    pub(crate) owners: StageOwners,
+    pub(crate) owners: Owners,
+    /// Apart from `owners`, because a host that gives a permit late may still form the calls of its stages.
+    pub(crate) permit_owners: Owners,
     pub(crate) stage_times: StageTimes,
     /// The limits that endpoints name for the requests of all hosts together.
     pub(crate) limits: RefCell<EndpointLimits>,
@@ -79,7 +81,8 @@
             reachability: RefCell::default(),
             pool: RelayPool::default(),
             stages: StageRegistry::default(),
-            owners: StageOwners::default(),
+            owners: Owners::default(),
+            permit_owners: Owners::default(),
             stage_times: StageTimes::default(),
             limits: RefCell::default(),
             poison: RefCell::default(),
--- a/crates/gateway/src/request_permit.rs
+++ b/crates/gateway/src/request_permit.rs
@@ -48,7 +48,7 @@
 
 async fn ask_owners(gw: &Gateway, notice: LimitNotice) -> Permit {
     for _ in 0..MAX_OWNERS {
-        let Some(owner) = gw.owners.owner_of(gw, notice.endpoint.as_str().as_bytes()) else {
+        let Some(owner) = gw.permit_owners.owner_of(gw, notice.endpoint.as_str().as_bytes()) else {
             return take_permit(gw, notice);
         };
         match ask(&owner, notice.clone()).await {
@@ -56,7 +56,7 @@
             Err(reason) => {
                 info!(gw.log, "no answer to request for a permit"; "endpoint" => %notice.endpoint,
                     "owner" => %owner.host, "reason" => reason.as_ref());
-                gw.owners.start_backoff(gw.now(), &owner.host);
+                gw.permit_owners.start_backoff(gw.now(), &owner.host);
             }
         }
     }
--- a/crates/gateway/src/stages/cancel_guard.rs
+++ b/crates/gateway/src/stages/cancel_guard.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 
+use super::owners::send_message;
 use super::run_stage::cancel_stage;
-use super::stage_owners::send_message;
 use super::submit_stage::NOTICE_TIMEOUT;
 use crate::messages::{CancelRequest, Message};
 use crate::{Gateway, PeerHost};
--- a/crates/gateway/src/stages/owners.rs
+++ b/crates/gateway/src/stages/owners.rs
@@ -20,15 +20,16 @@
 /// The interval between two pings of a host that runs stages of this one.
 const PING_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Chooses the owner of each stage service: the host that forms its calls.
+/// Chooses the owner of each key: of a stage service, the host that forms its calls; of an endpoint with a limit, the
+/// host that gives the permits.
 #[derive(Default)]
-pub(crate) struct StageOwners {
+pub(crate) struct Owners {
     /// When hosts may be chosen again.
     backoffs: RefCell<HashMap<HostId, Timestamp>>,
     watched: RefCell<HashMap<HostId, Rc<WatchedHost>>>,
 }
 
-impl StageOwners {
+impl Owners {
     /// Returns the host that forms the calls of a service; none if it is the local host.
     ///
     /// Control hosts form the calls: they are few, well connected and not restarted together with the entry
--- a/crates/gateway/src/stages/submit_stage.rs
+++ b/crates/gateway/src/stages/submit_stage.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use super::cancel_guard::CancelGuard;
+use super::owners::send_message;
 use super::release_results::release_results;
 use super::run_stage::run_stage;
-use super::stage_owners::send_message;
 use crate::messages::{
     CancelRequest, Message, ReleaseRequest, Reply, StageFailure, StageOutcome, StageRequest,
 };
