Remember that a part was answered before its crash is known

Evidence was said to merge in any order, but the news that a part was answered was dropped by a host that did not know the crash yet. The part then stayed under suspicion there until the next answer. Found by reading; the new test failed before. What clears nothing is remembered and not passed on.

--- a/crates/policy/src/poison/mod.rs
+++ b/crates/policy/src/poison/mod.rs
@@ -54,7 +54,7 @@
 #[derive(Debug, Default)]
 pub struct PoisonTable {
     reports: Vec<Entry<CrashReport>>,
-    /// When an event of an answer to a part was last seen; only for parts that were in a crash report.
+    /// When an event of an answer to a part was last seen; only for parts that were in a crash report of some host.
     answered: HashMap<ServiceName, HashMap<PromptPartId, Entry<Timestamp>>>,
     verdicts: Vec<Verdict>,
     /// The position of the last change.
@@ -204,10 +204,13 @@
         let clears = self.reports.iter().any(|Entry { value: r, .. }| {
             r.service == *service && known < r.at && r.at <= at && r.parts.contains(&part)
         });
+        let answered = self.answered.entry(service.clone()).or_default();
         if clears {
             self.position += 1;
-            let entry = Entry { value: at, position: self.position, is_own };
-            self.answered.entry(service.clone()).or_default().insert(part, entry);
+            answered.insert(part, Entry { value: at, position: self.position, is_own });
+        } else if !is_own && answered.len() < MAX_ANSWERED {
+            // The report of the crash may still be on its way from another host.
+            answered.entry(part).or_insert(Entry { value: at, position: 0, is_own });
         }
         clears
     }
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -245,6 +245,26 @@
     }
 }
 
+/// Guards against an innocent part that stays under suspicion because the news that it was answered came first.
+#[test]
+fn an_answer_counts_before_its_crash_is_known() {
+    let mut told = PoisonTable::default();
+    record(&mut told, Seen::Crash(0, 1, Answering, &[HOT, BAD]));
+    let crash = told.changes_after(at(0), 0, false);
+    record(&mut told, Seen::Answer(100, &[HOT]));
+    let answer: Vec<_> = told
+        .changes_after(at(200), 0, false)
+        .into_iter()
+        .filter(|evidence| matches!(evidence, Evidence::Answered { .. }))
+        .collect();
+    let mut table = PoisonTable::default();
+    table.merge(at(200), answer);
+    assert!(table.changes_after(at(200), 0, false).is_empty(), "it is not passed on");
+    table.merge(at(0), crash);
+    assert_eq!(standing(&table, 300, &[BAD]), "suspected");
+    assert_eq!(standing(&table, 300, &[HOT]), "clear");
+}
+
 /// Guards against a host that lets a known part through after its restart: its clock begins after the crashes.
 #[test]
 fn evidence_from_before_the_start_counts() {
