Let statements on limits settle between hosts

Two hosts with different statements of about the same time could replace each other's for ever: the age of a statement lacks the time that it was on the way, so each copy looked newer than the one before.

A different statement of another host now has to be newer by more than such a message takes.

--- a/crates/policy/src/endpoint_limits/mod.rs
+++ b/crates/policy/src/endpoint_limits/mod.rs
@@ -20,6 +20,10 @@
 /// How long a statement is kept after its last repetition. An endpoint that is in use repeats it with each answer.
 const RETENTION: Duration = Duration::from_secs(600);
 
+/// How much newer a statement of another host must be to replace a different one. Its age lacks the time that it was on
+/// the way, so without a margin two statements of about the same time could replace each other again and again.
+const TRANSIT_MARGIN: Duration = Duration::from_millis(100);
+
 /// The newest statements of endpoints on their limits, and the permits that this host gives.
 #[derive(Debug, Default)]
 pub struct EndpointLimits {
@@ -145,6 +149,12 @@
             return false;
         }
         let known_limit = known.and_then(|s| s.limit);
+        let is_close = known.is_some_and(|s| {
+            s.incarnation == incarnation && asked_at.since(s.asked_at) < TRANSIT_MARGIN
+        });
+        if !is_own && is_close && limit != known_limit {
+            return false;
+        }
         let is_new_process = known.is_some_and(|s| s.incarnation != incarnation);
         let changed = limit != known_limit || (is_new_process && limit.is_some());
         let (position, is_own) = match known {
