Search an event's end in one pass

A stream of many short events in one chunk kept the gateway busy: for each event the search for CRLF CRLF went on to the end of the buffer, although LF LF ended the event at once. An engine that sends only line ends without end could hold its caller past the deadline.

--- a/crates/gateway/src/entry/event_splitter.rs
+++ b/crates/gateway/src/entry/event_splitter.rs
@@ -47,11 +47,16 @@
 
 /// Returns the end of the first blank line; lines may end with LF or CRLF.
 fn find_blank_line(bytes: &[u8]) -> Option<usize> {
-    let ends: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
-    let found = ends.iter().filter_map(|end| {
-        bytes.windows(end.len()).position(|window| window == *end).map(|at| at + end.len())
-    });
-    found.min()
+    let line_ends = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+    // Both kinds are sought in one pass: a search for one of them would go on to the end of the buffer for each event.
+    line_ends.map(|(at, _)| at).find_map(|at| {
+        let is_crlf = at > 0 && bytes[at - 1] == b'\r';
+        match &bytes[at + 1..] {
+            [b'\n', ..] => Some(at + 2),
+            [b'\r', b'\n', ..] if is_crlf => Some(at + 3),
+            _ => None,
+        }
+    })
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
