Log and count the subscriptions to control hosts

When a host stopped asking a control host for updates, no line said so: its log ended with 'control host unreachable', as it does while the host goes on trying. So a host in backoff and a host that has given up looked alike.

Two lines tell the begin and the end of a subscription, and the gauge gateway_control_contacts the control hosts that answer.

--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -103,11 +103,18 @@
 /// Keeps a subscription to one control host for as long as the host counts as live.
 async fn subscribe(gw: &Rc<Gateway>, host: &HostId, confirmed: &Confirmed) {
     let mut disconnected = false;
+    info!(gw.log, "subscribing to control host"; "peer" => %host);
     loop {
         let (hosts, _) = gw.control_hosts();
-        let Some(peer) = hosts.into_iter().find(|h| h.host == *host) else { return };
+        let Some(peer) = hosts.into_iter().find(|h| h.host == *host) else {
+            gw.control_contacts.borrow_mut().remove(host);
+            warn!(gw.log, "subscription to control host ended; the host counts as failed or has left";
+                "peer" => %host, "catalog" => %gw.catalog.version());
+            return;
+        };
         match fetch_updates(gw, &peer).await {
             Ok(reply) => {
+                gw.control_contacts.borrow_mut().insert(host.clone(), gw.now());
                 if std::mem::take(&mut disconnected) {
                     info!(gw.log, "control host reachable again"; "peer" => %host);
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,9 @@
 use crate::telemetry::GatewayMetrics;
 use crate::{CatalogInForce, GatewayConfig, GatewayParts, Notify, PeerHost, PeerView, Peers};
 
+/// A control host that is reachable answers a subscription more often than this.
+const CONTACT_TIME: Duration = Duration::from_secs(1);
+
 /// A running gateway; its tasks share one thread.
 pub struct Gateway {
     pub(crate) cfg: GatewayConfig,
@@ -47,6 +50,8 @@
     pub(crate) limits: RefCell<EndpointLimits>,
     /// Which parts of prompts crash engines, as far as all hosts together know.
     pub(crate) poison: RefCell<PoisonTable>,
+    /// When each control host last answered a subscription of this host; only those that it subscribes to.
+    pub(crate) control_contacts: RefCell<HashMap<HostId, Timestamp>>,
     /// Notified when `poison` or `limits` change.
     pub(crate) findings_changed: Notify,
     /// Whether a control host has been asked for its findings on prompts and endpoints since the start.
@@ -86,6 +91,7 @@
             stage_times: StageTimes::default(),
             limits: RefCell::default(),
             poison: RefCell::default(),
+            control_contacts: RefCell::default(),
             findings_changed: Notify::default(),
             has_findings: Cell::new(false),
             incarnation: parts.incarnation,
@@ -132,6 +138,13 @@
         (others.cloned().collect(), view.joined)
     }
 
+    /// Returns the number of control hosts that have answered a subscription in the last `CONTACT_TIME`.
+    pub(crate) fn contact_count(&self) -> usize {
+        let now = self.now();
+        let contacts = self.control_contacts.borrow();
+        contacts.values().filter(|at| now.since(**at) < CONTACT_TIME).count()
+    }
+
     /// Returns the batch limits of a stage service; none if the service runs no stages or is not in the
     /// catalog.
     pub(crate) fn batch_limits(&self, service: &ServiceName) -> Option<BatchLimits> {
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -33,6 +33,8 @@
     pub limited_endpoints: Gauge,
     /// Verdicts on parts of prompts that crash engines.
     pub poison_verdicts: Gauge,
+    /// Other control hosts that answer the subscriptions of this host.
+    pub control_contacts: Gauge,
     /// Connections opened to endpoints since the start.
     pub connections: Gauge,
 }
@@ -51,6 +53,7 @@
             catalog: Gauge::default(),
             limited_endpoints: Gauge::default(),
             poison_verdicts: Gauge::default(),
+            control_contacts: Gauge::default(),
             connections: Gauge::default(),
         }
     }
@@ -76,6 +79,8 @@
         registry.register("limited_endpoints", help, self.limited_endpoints.clone());
         let help = "Verdicts on parts of prompts that crash engines";
         registry.register("poison_verdicts", help, self.poison_verdicts.clone());
+        let help = "Other control hosts that answer the subscriptions of this host";
+        registry.register("control_contacts", help, self.control_contacts.clone());
         let help = "Connections opened to endpoints";
         registry.register("connections", help, self.connections.clone());
     }
