Subscribe to control hosts that count as failed

Callers saw requests handled by a catalog that had been replaced more than 2 s before, and endpoints got requests after their departure was acknowledged (CONFIG, DRAIN), from hosts that had been cut off.

Cause: a host subscribed to the control hosts that its failure detection counted as live. A host that is cut off for some ten seconds counts all others as failed, so it asked nobody any more, and went on only when the search for failed hosts, every 5 s on all hosts at the same moments, met one of them. Besides, its records of failed hosts spread when it was found, and ended the subscriptions of all other hosts for a moment.

A subscription now lasts until the control host leaves or is forgotten. Proposals and reads follow a hint to a leader that counts as failed, since the replica that gave the hint hears from it. Whether a started host knows the newest catalog is still decided among the live control hosts.

--- a/crates/gateway/src/entry/exchange_findings.rs
+++ b/crates/gateway/src/entry/exchange_findings.rs
@@ -35,7 +35,7 @@
     sent: Option<Positions>,
 }
 
-/// Exchanges findings on prompts and endpoints with one control host for as long as the host counts as live.
+/// Exchanges findings on prompts and endpoints with one control host until the host leaves or is forgotten.
 pub(super) async fn exchange_findings(gw: &Rc<Gateway>, host: &HostId) {
     let mut exchange = Exchange::default();
     loop {
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -90,17 +90,18 @@
         return;
     }
     let confirmed = confirmed.borrow();
-    let confirmed_hosts = hosts.iter().filter(|h| confirmed.contains_key(&h.host)).count();
+    let live: Vec<_> = hosts.iter().filter(|h| !h.is_failed).collect();
+    let confirmed_hosts = live.iter().filter(|h| confirmed.contains_key(&h.host)).count();
     // A host that has just started must know the prompts that crash engines, and the limits of endpoints.
-    let has_majority = joined && confirmed_hosts * 2 > hosts.len() && gw.has_findings.get();
+    let has_majority = joined && confirmed_hosts * 2 > live.len() && gw.has_findings.get();
     if has_majority || gw.now().since(started) > CONFIRMATION_TIMEOUT {
         gw.is_current.set(true);
         info!(gw.log, "catalog is current; accepting clients"; "catalog" => %version,
-            "control_hosts" => hosts.len(), "confirmed" => confirmed_hosts);
+            "control_hosts" => live.len(), "confirmed" => confirmed_hosts);
     }
 }
 
-/// Keeps a subscription to one control host for as long as the host counts as live.
+/// Keeps a subscription to one control host until the host leaves or is forgotten.
 async fn subscribe(gw: &Rc<Gateway>, host: &HostId, confirmed: &Confirmed) {
     let mut disconnected = false;
     info!(gw.log, "subscribing to control host"; "peer" => %host);
@@ -108,7 +109,7 @@
         let (hosts, _) = gw.control_hosts();
         let Some(peer) = hosts.into_iter().find(|h| h.host == *host) else {
             gw.control_contacts.borrow_mut().remove(host);
-            warn!(gw.log, "subscription to control host ended; the host counts as failed or has left";
+            warn!(gw.log, "subscription to control host ended; the host has left";
                 "peer" => %host, "catalog" => %gw.catalog.version());
             return;
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -131,7 +131,9 @@
         self.peers().hosts.iter().filter(|h| !h.is_control).count()
     }
 
-    /// Returns the other control hosts, and whether this host has joined the deployment.
+    /// Returns the other control hosts, and whether this host has joined the deployment. Those that count as failed are
+    /// among them, because updates must not depend on failure detection: after this host was cut off it counts all
+    /// others as failed.
     pub(crate) fn control_hosts(&self) -> (Vec<PeerHost>, bool) {
         let view = self.peers();
         let others = view.hosts.iter().filter(|h| h.is_control && h.client.is_some());
--- a/crates/gateway/src/peer_host.rs
+++ b/crates/gateway/src/peer_host.rs
@@ -1,7 +1,7 @@
 use masticstair_core::prelude::*;
 use masticstair_net::peer::PeerClient;
 
-/// A live host of the deployment.
+/// A host of the deployment that may run.
 #[derive(Clone)]
 pub struct PeerHost {
     /// The name of the host.
@@ -10,6 +10,8 @@
     pub is_control: bool,
     /// Whether it answered recently.
     pub is_alive: bool,
+    /// Whether it counts as failed. It may still answer.
+    pub is_failed: bool,
     /// The connection to the host; none for the local host.
     pub client: Option<PeerClient>,
 }
--- a/crates/gateway/src/peer_view.rs
+++ b/crates/gateway/src/peer_view.rs
@@ -5,7 +5,7 @@
 /// A snapshot of the deployment's hosts.
 #[derive(Default)]
 pub struct PeerView {
-    /// The live hosts as far as this host knows them, including itself.
+    /// The live hosts as far as this host knows them, including itself, and the control hosts that count as failed.
     pub hosts: Box<[PeerHost]>,
     /// Whether this host has joined the deployment.
     pub joined: bool,
--- a/crates/host/src/daemon/gateway_thread.rs
+++ b/crates/host/src/daemon/gateway_thread.rs
@@ -95,7 +95,7 @@
     })
 }
 
-/// Returns a function that lists the live hosts, cached until the membership changes. Hosts with a data
+/// Returns a function that lists the hosts that may run, cached until the membership changes. Hosts with a data
 /// folder are control hosts.
 fn peers(state: &Arc<HostState>) -> Peers {
     let state = state.clone();
@@ -105,7 +105,7 @@
         let snapshot = membership.snapshot();
         let mut cached = cached.borrow_mut();
         if !Arc::ptr_eq(&cached.0, &snapshot) {
-            let hosts = snapshot.hosts.iter().map(peer_host).collect();
+            let hosts = snapshot.hosts.iter().chain(&snapshot.failed).map(peer_host).collect();
             let view = PeerView { hosts, joined: snapshot.synced };
             *cached = (snapshot, Rc::new(view));
         }
@@ -118,6 +118,7 @@
         host: view.record.host.clone(),
         is_control: view.record.durable,
         is_alive: view.record.state == MemberState::Alive,
+        is_failed: view.record.state == MemberState::Failed,
         client: view.peer.clone(),
     }
 }
--- a/crates/host/src/membership/membership.rs
+++ b/crates/host/src/membership/membership.rs
@@ -159,29 +159,34 @@
 
     /// Replaces the snapshot; `peer` returns the client of a remote host.
     pub(crate) fn refresh(&self, mut peer: impl FnMut(&HostRecord) -> PeerClient) {
-        let (records, mut snapshot) = self.with_tables(|tables, now| {
+        let (live, failed, mut snapshot) = self.with_tables(|tables, now| {
             tables.snapshot_stale = false;
             let live = tables.members.iter().filter(|m| m.is_live());
-            let records: Vec<_> = live.map(|m| m.record.clone()).collect();
+            let live: Vec<_> = live.map(|m| m.record.clone()).collect();
+            let failed = tables.members.iter().map(|m| &m.record);
+            let failed = failed.filter(|r| r.durable && r.state == HostState::Failed);
+            let failed: Vec<_> = failed.cloned().collect();
             let members = &tables.members;
             let mut endpoints = tables.endpoints.views(now, |host| observer_state(members, host));
             endpoints.sort_by(|a, b| a.record.pool.cmp(&b.record.pool));
             let snapshot = MembershipSnapshot {
                 hosts: Box::default(),
+                failed: Box::default(),
                 endpoints: endpoints.into(),
                 revision: tables.revision,
                 newest_revision: tables.newest_revision,
                 synced: tables.synced,
                 superseded: tables.superseded,
             };
-            (records, snapshot)
+            (live, failed, snapshot)
         });
-        let view = |record: Arc<HostRecord>| {
+        let mut view = |record: Arc<HostRecord>| {
             let is_remote = record.host != self.identity.host;
             let peer = is_remote.then(|| peer(&record));
             HostView { record, peer }
         };
-        snapshot.hosts = records.into_iter().map(view).collect();
+        snapshot.hosts = live.into_iter().map(&mut view).collect();
+        snapshot.failed = failed.into_iter().map(&mut view).collect();
         *self.snapshot.write() = Arc::new(snapshot);
     }
 
--- a/crates/host/src/membership/membership_snapshot.rs
+++ b/crates/host/src/membership/membership_snapshot.rs
@@ -8,6 +8,9 @@
 pub struct MembershipSnapshot {
     /// The live hosts, including this one.
     pub hosts: Box<[HostView]>,
+    /// The hosts with a data folder that count as failed. They may run: after this host was cut off it counts all
+    /// others as failed until it reaches one of them.
+    pub failed: Box<[HostView]>,
     /// The endpoints that may get new work, ordered by pool.
     pub endpoints: Box<[EndpointView]>,
     /// The bundle revision that this host holds; zero before the first.
@@ -30,9 +33,10 @@
         &rest[..rest.partition_point(|e| e.record.pool == *pool)]
     }
 
-    /// Returns the client of a live host; `None` also for this host itself.
+    /// Returns the client of a live host, or of a failed one with a data folder; `None` also for this host itself.
     pub fn peer(&self, host: &HostId) -> Option<&PeerClient> {
-        self.hosts.iter().find(|h| h.record.host == *host).and_then(|h| h.peer.as_ref())
+        let mut all = self.hosts.iter().chain(&self.failed);
+        all.find(|h| h.record.host == *host).and_then(|h| h.peer.as_ref())
     }
 
     /// Returns whether this incarnation of the host is live, so that its process may still run.
