Send nothing to an endpoint that states in an answer that it is leaving

Endpoints that leave say so in all their answers (Server-Leaving: 1). Callers' requests reached them nevertheless, as long as the control hosts listed them as ready (DRAIN): nothing read the header.

Each host keeps the departures that it was told, by the process of the endpoint, beside the listings and before them. A listing cannot undo one, and a later process at the same address starts afresh. Errors, rejections, answers that break off, streams and stage calls count as well. Requests look again at their endpoint after they waited for stages or for a permit.

Other hosts learn it by the exchange of findings.

--- a/crates/gateway/src/control/answer_findings.rs
+++ b/crates/gateway/src/control/answer_findings.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use crate::Gateway;
+use crate::finding_positions::FindingPositions as Positions;
 use crate::messages::{FindingsReply, FindingsRequest};
 
 /// The longest time that a host waits for news, whatever it asks for.
@@ -11,24 +12,29 @@
     let until = gw.now().plus(request.wait.duration().min(MAX_WAIT));
     gw.change_evidence(|table, now| table.merge(now, request.evidence));
     gw.merge_limits(request.limits);
+    gw.merge_departures(request.departures);
     let is_known = request.incarnation == gw.incarnation;
-    let (evidence_after, limits_after) = match is_known {
-        true => (request.evidence_position, request.limits_position),
-        false => (0, 0),
+    let after = match is_known {
+        true => Positions {
+            evidence: request.evidence_position,
+            limits: request.limits_position,
+            departures: request.departures_position,
+        },
+        false => Positions::default(),
     };
     loop {
         let left = until.since(gw.now());
-        let evidence_position = gw.poison.borrow().position();
-        let limits_position = gw.limits.borrow().position();
-        let has_news = evidence_position > evidence_after || limits_position > limits_after;
-        if !is_known || has_news || left.is_zero() {
+        let position = Positions::of(gw);
+        if !is_known || position.is_after(&after) || left.is_zero() {
             let now = gw.now();
             return FindingsReply {
                 incarnation: gw.incarnation,
-                evidence_position,
-                limits_position,
-                evidence: gw.poison.borrow().changes_after(now, evidence_after, false),
-                limits: gw.limits.borrow().changes_after(now, limits_after, false),
+                evidence_position: position.evidence,
+                limits_position: position.limits,
+                evidence: gw.poison.borrow().changes_after(now, after.evidence, false),
+                limits: gw.limits.borrow().changes_after(now, after.limits, false),
+                departures_position: position.departures,
+                departures: gw.directory.borrow().departures_after(after.departures, false),
             };
         }
         gw.findings_changed.notified(left).await;
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -148,7 +148,8 @@
         if let (Standing::Rejected { verdict, left }, 0) = (&standing, *runs) {
             return Err(poison_refusal(verdict, *left));
         }
-        let choice = match planned_engine.take().filter(|engine| engine.may_send(gw.now())) {
+        let may_send = |e: &PermittedEndpoint| e.may_send(gw.now()) && gw.is_ready(&e.endpoint);
+        let choice = match planned_engine.take().filter(may_send) {
             Some(engine) => Some(engine),
             None => match permit_engine(gw, req, &tried, None).await {
                 Ok(engine) => engine,
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -82,6 +82,9 @@
     body: RelayBody,
 ) -> Result<(RelayHead, RelayBody), AttemptFailure> {
     let meta = (gw.front_end.read_answer)(head.status, &head.headers);
+    if meta.leaving {
+        gw.record_departure(endpoint);
+    }
     if meta.call.as_ref().is_some_and(|call| *call != req.meta.call) {
         // Dropping the body closes its connection and discards whatever else it holds.
         return Err(AttemptFailure::Unknown("the answer belongs to another request".into()));
--- a/crates/gateway/src/entry/exchange_findings.rs
+++ b/crates/gateway/src/entry/exchange_findings.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::finding_positions::FindingPositions as Positions;
 use crate::messages::{FindingsReply, FindingsRequest, Message, Reply, decode, encode};
 use crate::{Gateway, PeerHost};
 
@@ -18,13 +19,6 @@
 /// Delay after a control host did not answer.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// The positions that a host has reached in the findings of another one.
-#[derive(Clone, Copy, Default)]
-struct Positions {
-    evidence: u64,
-    limits: u64,
-}
-
 /// What this host and a control host know of each other's findings.
 #[derive(Default)]
 struct Exchange {
@@ -58,11 +52,13 @@
                     received: Positions {
                         evidence: reply.evidence_position,
                         limits: reply.limits_position,
+                        departures: reply.departures_position,
                     },
                     sent: is_known.then_some(positions),
                 };
                 gw.change_evidence(|table, now| table.merge(now, reply.evidence));
                 gw.merge_limits(reply.limits);
+                gw.merge_departures(reply.departures);
             }
             Err(_) => monoio::time::sleep(RETRY_DELAY).await,
         }
@@ -70,7 +66,7 @@
 }
 
 fn has_findings(request: &FindingsRequest) -> bool {
-    !request.evidence.is_empty() || !request.limits.is_empty()
+    !request.evidence.is_empty() || !request.limits.is_empty() || !request.departures.is_empty()
 }
 
 /// Returns the next request, and the positions of this host that the control host reaches with it.
@@ -86,11 +82,13 @@
         evidence: poison.changes_after(now, after.evidence, own_only),
         limits: limits.changes_after(now, after.limits, own_only),
         wait: Millis::new(NEWS_WAIT.as_millis() as u64),
+        departures_position: exchange.received.departures,
+        departures: gw.directory.borrow().departures_after(after.departures, own_only),
     };
     if has_findings(&request) {
         request.wait = Millis::default();
     }
-    (request, Positions { evidence: poison.position(), limits: limits.position() })
+    (request, Positions::of(gw))
 }
 
 /// Completes when this host has found out something itself after `positions`; never while findings are being sent.
@@ -102,6 +100,7 @@
         let now = gw.now();
         !gw.poison.borrow().changes_after(now, positions.evidence, true).is_empty()
             || !gw.limits.borrow().changes_after(now, positions.limits, true).is_empty()
+            || !gw.directory.borrow().departures_after(positions.departures, true).is_empty()
     };
     while !has_news() {
         gw.findings_changed.notified(NEWS_WAIT).await;
--- a/crates/gateway/src/entry/permitted_endpoint.rs
+++ b/crates/gateway/src/entry/permitted_endpoint.rs
@@ -68,6 +68,10 @@
                 continue;
             }
         };
+        if !gw.is_ready(&endpoint) {
+            excluded.push(endpoint.id.clone());
+            continue;
+        }
         return Ok(Some(PermittedEndpoint { endpoint, permit_until }));
     }
     let all = gw.endpoints(&req.service);
--- a/crates/gateway/src/front_end/answer_meta.rs
+++ b/crates/gateway/src/front_end/answer_meta.rs
@@ -13,6 +13,8 @@
     pub inputs_gone: bool,
     /// Whether the endpoint signed the answer; an answer without a signature is not complete.
     pub signed: bool,
+    /// Whether the endpoint states that it is leaving.
+    pub leaving: bool,
     /// The requests a second that the endpoint takes from all hosts together; none if it names no limit.
     pub limit: Option<RatePerSecond>,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 use masticstair_core::catalog::BatchLimits;
 use masticstair_core::prelude::*;
 use masticstair_net::http::relay::{RelayCall, RelayError, RelayPool};
-use masticstair_policy::directory::{Directory, ServingEndpoint};
+use masticstair_policy::directory::{DepartureNotice, Directory, ServingEndpoint};
 use masticstair_policy::endpoint_limits::{EndpointLimits, LimitNotice};
 use masticstair_policy::poison::PoisonTable;
 use masticstair_policy::service_choice::{DataCentreReachability, EndpointHealth};
@@ -52,7 +52,7 @@
     pub(crate) poison: RefCell<PoisonTable>,
     /// When each control host last answered a subscription of this host; only those that it subscribes to.
     pub(crate) control_contacts: RefCell<HashMap<HostId, Timestamp>>,
-    /// Notified when `poison` or `limits` change.
+    /// Notified when `poison`, `limits` or the departures in `directory` change.
     pub(crate) findings_changed: Notify,
     /// Whether a control host has been asked for its findings on prompts and endpoints since the start.
     pub(crate) has_findings: Cell<bool>,
@@ -228,6 +228,32 @@
         f(self.health.borrow_mut().entry(id.clone()).or_default())
     }
 
+    /// Records that an endpoint stated in an answer that it is leaving, so that it gets no more work from this host.
+    /// Its announcements may reach the control hosts later, or not at all.
+    pub(crate) fn record_departure(&self, endpoint: &ServingEndpoint) {
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        if self.directory.borrow_mut().record_departure(self.now(), id, incarnation) {
+            self.findings_changed.notify();
+            info!(self.log, "endpoint states that it is leaving"; "endpoint" => %id,
+                "incarnation" => %incarnation, "service" => %endpoint.service);
+            self.metrics.endpoints.set(self.directory.borrow().ready_count() as i64);
+        }
+    }
+
+    /// Merges what other hosts know of leaving endpoints.
+    pub(crate) fn merge_departures(&self, notices: Vec<DepartureNotice>) {
+        if !notices.is_empty() && self.directory.borrow_mut().merge_departures(self.now(), notices)
+        {
+            self.findings_changed.notify();
+            self.metrics.endpoints.set(self.directory.borrow().ready_count() as i64);
+        }
+    }
+
+    /// Returns whether an endpoint still takes new work. It may have left while a request waited.
+    pub(crate) fn is_ready(&self, endpoint: &ServingEndpoint) -> bool {
+        self.directory.borrow().is_ready(endpoint)
+    }
+
     /// Records the limit that an answer of an endpoint names, or that it names none; the request was sent at `sent_at`.
     pub(crate) fn record_limit(
         &self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod telemetry;
 
 mod catalog_in_force;
+mod finding_positions;
 mod gateway;
 mod gateway_config;
 mod gateway_event;
--- a/crates/gateway/src/messages/findings_reply.rs
+++ b/crates/gateway/src/messages/findings_reply.rs
@@ -1,4 +1,5 @@
 use masticstair_core::prelude::*;
+use masticstair_policy::directory::DepartureNotice;
 use masticstair_policy::endpoint_limits::LimitNotice;
 use masticstair_policy::poison::Evidence;
 use serde::{Deserialize, Serialize};
@@ -16,4 +17,8 @@
     pub evidence: Vec<Evidence>,
     /// New limits of endpoints.
     pub limits: Vec<LimitNotice>,
+    /// The position that the receiver has reached with `departures`.
+    pub departures_position: u64,
+    /// Endpoints that have stated that they leave.
+    pub departures: Vec<DepartureNotice>,
 }
--- a/crates/gateway/src/messages/findings_request.rs
+++ b/crates/gateway/src/messages/findings_request.rs
@@ -1,4 +1,5 @@
 use masticstair_core::prelude::*;
+use masticstair_policy::directory::DepartureNotice;
 use masticstair_policy::endpoint_limits::LimitNotice;
 use masticstair_policy::poison::Evidence;
 use serde::{Deserialize, Serialize};
@@ -18,4 +19,8 @@
     pub limits: Vec<LimitNotice>,
     /// How long the control host may wait for news.
     pub wait: Millis,
+    /// The position of the control host's departures that this host has reached.
+    pub departures_position: u64,
+    /// Endpoints that told this host that they leave, which the control host does not have from this host yet.
+    pub departures: Vec<DepartureNotice>,
 }
--- a/crates/gateway/src/messages/mod.rs
+++ b/crates/gateway/src/messages/mod.rs
@@ -29,3 +29,7 @@
 pub(crate) use stage_request::StageRequest;
 pub(crate) use subscribe_reply::SubscribeReply;
 pub(crate) use subscribe_request::SubscribeRequest;
+
+#[cfg(test)]
+#[allow(clippy::unwrap_used)]
+mod tests;
--- a/crates/gateway/src/stages/batch_call.rs
+++ b/crates/gateway/src/stages/batch_call.rs
@@ -132,6 +132,9 @@
             Err(e) => return CallOutcome::NotRun(LOST_CALL_BACKOFF, e.to_string().into()),
         };
         let meta = (gw.front_end.read_answer)(head.status, &head.headers);
+        if meta.leaving {
+            gw.record_departure(endpoint);
+        }
         if meta.not_run || meta.is_other_endpoint {
             let backoff =
                 if meta.is_other_endpoint { WRONG_ENDPOINT_BACKOFF } else { FULL_ENDPOINT_BACKOFF };
--- /dev/null
+++ b/crates/policy/src/directory/departure.rs
@@ -0,0 +1,13 @@
+use masticstair_core::prelude::*;
+
+/// The statement of an endpoint that it is leaving.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Departure {
+    /// The process that leaves; a later one of the same endpoint starts afresh.
+    pub(super) incarnation: Incarnation,
+    pub(super) at: Timestamp,
+    /// The position of the statement among those that this host knows.
+    pub(super) position: u64,
+    /// Whether the endpoint told this host.
+    pub(super) is_own: bool,
+}
--- a/crates/policy/src/directory/directory.rs
+++ b/crates/policy/src/directory/directory.rs
@@ -4,19 +4,30 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::departure::Departure;
 use super::subscription::Subscription;
-use super::{ListingUpdate, ServingEndpoint, ServingState};
+use super::{DepartureNotice, ListingUpdate, ServingEndpoint, ServingState};
 
 /// How long the listing of a control host is used after its last update. An endpoint whose control host is lost
 /// announces itself to another one within a few heartbeats.
 const SUBSCRIPTION_RETENTION: Duration = Duration::from_secs(6);
 
+/// How long the departure of an unlisted endpoint is remembered. A late announcement may list it once more.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
+
+/// The limit on endpoints whose departure is remembered; beyond it the oldest departure is removed.
+const MAX_DEPARTURES: usize = 4_096;
+
 /// The endpoints that an entry host knows, merged from the listings of all control hosts.
 ///
 /// While no control host answers, the last listings stay in use, so that traffic continues without control.
 #[derive(Debug, Default)]
 pub struct Directory {
     subscriptions: HashMap<HostId, Subscription>,
+    /// Endpoints that stated that they leave. Their incarnation takes no new work, whatever is listed.
+    departures: HashMap<EndpointId, Departure>,
+    /// The position of the last departure.
+    departures_position: u64,
     ready: HashMap<ServiceName, Arc<[Arc<ServingEndpoint>]>>,
 }
 
@@ -43,6 +54,71 @@
         changed && self.refresh(now)
     }
 
+    /// Records that an incarnation of an endpoint told this host that it leaves. Returns whether that was new.
+    pub fn record_departure(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+    ) -> bool {
+        let notice = DepartureNotice { endpoint: endpoint.clone(), incarnation };
+        self.add_departure(now, notice, true) && self.refresh_departed(now)
+    }
+
+    /// Merges the departures that other hosts know. Returns whether one was new.
+    pub fn merge_departures(&mut self, now: Timestamp, notices: Vec<DepartureNotice>) -> bool {
+        let mut changed = false;
+        for notice in notices {
+            changed |= self.add_departure(now, notice, false);
+        }
+        changed && self.refresh_departed(now)
+    }
+
+    /// Returns the position of the last departure; 0 before the first one.
+    pub fn departures_position(&self) -> u64 {
+        self.departures_position
+    }
+
+    /// Returns the departures after a position; with `own_only`, only those that endpoints told this host.
+    pub fn departures_after(&self, position: u64, own_only: bool) -> Vec<DepartureNotice> {
+        let is_new = |d: &Departure| d.position > position && (d.is_own || !own_only);
+        let new = self.departures.iter().filter(|(_, d)| is_new(d));
+        let notice = |(id, d): (&EndpointId, &Departure)| DepartureNotice {
+            endpoint: id.clone(),
+            incarnation: d.incarnation,
+        };
+        new.map(notice).collect()
+    }
+
+    fn add_departure(&mut self, now: Timestamp, notice: DepartureNotice, is_own: bool) -> bool {
+        let DepartureNotice { endpoint, incarnation } = notice;
+        if self.departures.get(&endpoint).is_some_and(|known| known.incarnation >= incarnation) {
+            return false;
+        }
+        self.departures_position += 1;
+        let position = self.departures_position;
+        self.departures.insert(endpoint, Departure { incarnation, at: now, position, is_own });
+        if self.departures.len() > MAX_DEPARTURES {
+            let oldest = self.departures.iter().min_by_key(|(_, departure)| departure.position);
+            let oldest = oldest.map(|(id, _)| id.clone());
+            oldest.and_then(|id| self.departures.remove(&id));
+        }
+        true
+    }
+
+    fn refresh_departed(&mut self, now: Timestamp) -> bool {
+        self.refresh(now);
+        true
+    }
+
+    /// Returns whether an endpoint takes new work.
+    pub fn is_ready(&self, endpoint: &ServingEndpoint) -> bool {
+        self.ready.get(&endpoint.service).is_some_and(|ready| {
+            let position = ready.binary_search_by(|e| e.id.cmp(&endpoint.id));
+            position.is_ok_and(|n| ready[n].incarnation == endpoint.incarnation)
+        })
+    }
+
     /// Merges the listings again, without those that expired, and returns whether the set of ready endpoints
     /// changed.
     pub fn refresh(&mut self, now: Timestamp) -> bool {
@@ -66,9 +142,17 @@
             }
         }
         newest.retain(|id, _| fresh.contains(id));
+        self.departures.retain(|id, departure| {
+            newest.contains_key(id) || now.since(departure.at) < DEPARTURE_RETENTION
+        });
+        let departures = &self.departures;
+        let has_left = |e: &ServingEndpoint| {
+            departures.get(&e.id).is_some_and(|departure| departure.incarnation >= e.incarnation)
+        };
         let serving = newest_at_address(newest.into_values());
         let mut ready: HashMap<ServiceName, Vec<Arc<ServingEndpoint>>> = HashMap::new();
-        for endpoint in serving.into_values().filter(|e| e.state == ServingState::Ready) {
+        let is_ready = |e: &&Arc<ServingEndpoint>| e.state == ServingState::Ready && !has_left(e);
+        for endpoint in serving.into_values().filter(is_ready) {
             ready.entry(endpoint.service.clone()).or_default().push(endpoint.clone());
         }
         let mut merged = HashMap::new();
--- a/crates/policy/src/directory/mod.rs
+++ b/crates/policy/src/directory/mod.rs
@@ -5,6 +5,8 @@
 
 mod announcement;
 mod announcement_table;
+mod departure;
+mod departure_notice;
 #[expect(clippy::module_inception, reason = "one type per file, named after it")]
 mod directory;
 mod listing_change;
@@ -15,6 +17,7 @@
 
 pub use announcement::Announcement;
 pub use announcement_table::AnnouncementTable;
+pub use departure_notice::DepartureNotice;
 pub use directory::Directory;
 pub use listing_change::ListingChange;
 pub use listing_update::ListingUpdate;
--- a/crates/policy/tests/directory.rs
+++ b/crates/policy/tests/directory.rs
@@ -230,3 +230,50 @@
         assert_eq!(recorded, case.recorded, "{}", case.name);
     }
 }
+
+/// Guards against a listing that brings an endpoint back after it said that it leaves, and against a departure that
+/// outlasts its process.
+#[test]
+fn a_stated_departure_is_not_undone_by_a_listing() {
+    struct Case {
+        name: &'static str,
+        /// The incarnation that said that it leaves; the listed one is 5.
+        departed: u64,
+        /// The incarnation that is listed afterwards.
+        listed: u64,
+        is_ready: bool,
+    }
+    let cases = [
+        Case { name: "listed again", departed: 5, listed: 5, is_ready: false },
+        Case { name: "a later process", departed: 5, listed: 6, is_ready: true },
+        Case { name: "a late word of the process before", departed: 4, listed: 5, is_ready: true },
+    ];
+    let control: HostId = "c1".parse().unwrap();
+    for case in cases {
+        let mut directory = Directory::default();
+        let a = endpoint("a", "10.0.0.1:80", 5, ServingState::Ready);
+        directory.apply_update(at(0), &control, update(true, std::slice::from_ref(&a)));
+        directory.record_departure(at(10), &a.id, Incarnation::new(case.departed));
+        for seconds in [1, 100, 200] {
+            let now = at(1_000 * seconds);
+            let a = endpoint("a", "10.0.0.1:80", case.listed, ServingState::Ready);
+            directory.apply_update(now, &control, update(true, std::slice::from_ref(&a)));
+            directory.refresh(now);
+            assert_eq!(directory.is_ready(&a), case.is_ready, "{}", case.name);
+            assert_eq!(!ready(&directory).is_empty(), case.is_ready, "{}", case.name);
+        }
+    }
+}
+
+/// Guards against departures that two hosts tell each other for ever.
+#[test]
+fn departures_do_not_travel_for_ever() {
+    let mut told = Directory::default();
+    assert!(told.record_departure(at(0), &"a".parse().unwrap(), Incarnation::new(5)));
+    let mut other = Directory::default();
+    assert!(other.merge_departures(at(10), told.departures_after(0, false)));
+    assert!(!told.merge_departures(at(20), other.departures_after(0, false)));
+    assert!(!other.merge_departures(at(30), told.departures_after(0, false)));
+    assert!(other.departures_after(0, true).is_empty(), "the endpoint did not tell this host");
+    assert!(told.departures_after(told.departures_position(), false).is_empty());
+}
