Keep to the pause that an endpoint asks for with 503 and Retry-After

An endpoint that turns a request away may add Retry-After: it wants nothing from that host for so long.

Each host keeps the pause of each process of an endpoint that asked it, for plain requests, streams and stage calls, and leaves the endpoint out until then. After the pause one request tries it; the others follow once that is answered, or after 1 s. If all endpoints of a service are in a pause, the request is refused at once as not run, with the time that is left and up to a second more, so that the clients do not return together. A stage whose endpoints want nothing from the host that forms the calls is not moved to the next host. Pauses are kept for 10 minutes at most.

--- a/crates/gateway/src/entry/answer_plain.rs
+++ b/crates/gateway/src/entry/answer_plain.rs
@@ -14,6 +14,7 @@
 use super::attempt_options::AttemptOptions;
 use super::client_request::ClientRequest;
 use super::in_flight_call::InFlightCall;
+use super::pause_refusal::pause_refusal;
 use super::permitted_endpoint::{choose_permitted, limit_refusal};
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason};
@@ -176,6 +177,9 @@
     last: Option<AttemptFailure>,
 ) -> Refusal {
     match last {
+        last if runs == 0 && gw.service_pause(&req.service).is_some() => {
+            pause_refusal(gw, req, last.as_ref())
+        }
         None => {
             let detail = format!("service {} has no endpoint that takes work", req.service);
             Refusal::not_run(RefusalReason::NoEndpoint, detail).with_retry_after(FULL_RETRY_AFTER)
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -19,6 +19,7 @@
 use super::in_flight::InFlight;
 use super::in_flight_call::InFlightCall;
 use super::opened_stream::OpenedStream;
+use super::pause_refusal::pause_refusal;
 use super::permitted_endpoint::{PermittedEndpoint, choose_permitted, limit_refusal};
 use super::stage_plan::{admit_stages, run_stages};
 use super::stream_state::{StreamState, stream_events};
@@ -148,7 +149,7 @@
         if let (Standing::Rejected { verdict, left }, 0) = (&standing, *runs) {
             return Err(poison_refusal(verdict, *left));
         }
-        let may_send = |e: &PermittedEndpoint| e.may_send(gw.now()) && gw.is_ready(&e.endpoint);
+        let may_send = |e: &PermittedEndpoint| e.may_send(gw.now()) && gw.takes_work(&e.endpoint);
         let choice = match planned_engine.take().filter(may_send) {
             Some(engine) => Some(engine),
             None => match permit_engine(gw, req, &tried, None).await {
@@ -291,6 +292,9 @@
     last: Option<AttemptFailure>,
 ) -> Refusal {
     match last {
+        last if runs == 0 && gw.service_pause(&req.service).is_some() => {
+            pause_refusal(gw, req, last.as_ref())
+        }
         None if runs == 0 => {
             let detail = format!("service {} has no engine that takes work", req.service);
             Refusal::not_run(RefusalReason::NoEndpoint, detail).with_retry_after(FULL_RETRY_AFTER)
--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -49,6 +49,7 @@
     };
     let timeout = options.timeout.min(left);
     let started = gw.now();
+    gw.record_request(endpoint);
     let sent = monoio::time::timeout(timeout, gw.pool.send(call)).await;
     if let Ok(answer) = &sent {
         gw.record_reachability(endpoint, answer.as_ref().err());
@@ -82,9 +83,7 @@
     body: RelayBody,
 ) -> Result<(RelayHead, RelayBody), AttemptFailure> {
     let meta = (gw.front_end.read_answer)(head.status, &head.headers);
-    if meta.leaving {
-        gw.record_departure(endpoint);
-    }
+    gw.record_answer(endpoint, &meta, sent_at);
     if meta.call.as_ref().is_some_and(|call| *call != req.meta.call) {
         // Dropping the body closes its connection and discards whatever else it holds.
         return Err(AttemptFailure::Unknown("the answer belongs to another request".into()));
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod in_flight;
 mod in_flight_call;
 mod opened_stream;
+mod pause_refusal;
 mod permitted_endpoint;
 mod stage_plan;
 mod stage_results;
--- a/crates/gateway/src/entry/permitted_endpoint.rs
+++ b/crates/gateway/src/entry/permitted_endpoint.rs
@@ -68,7 +68,7 @@
                 continue;
             }
         };
-        if !gw.is_ready(&endpoint) {
+        if !gw.takes_work(&endpoint) {
             excluded.push(endpoint.id.clone());
             continue;
         }
--- a/crates/gateway/src/entry/stage_plan.rs
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -8,6 +8,7 @@
 
 use super::client_request::ClientRequest;
 use super::held_results::HeldResults;
+use super::pause_refusal::return_delay;
 use super::stage_results::StageResults;
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason, StageSource};
@@ -101,8 +102,13 @@
             Err(failure) => {
                 held.release_all();
                 let detail = format!("the stages were not done: {failure}");
-                return Err(Refusal::not_run(RefusalReason::Stages, detail)
-                    .with_retry_after(STAGES_RETRY_AFTER));
+                let (reason, retry_after) = match failure {
+                    StageFailure::Paused(left) => {
+                        (RefusalReason::Paused, return_delay(left.duration()))
+                    }
+                    _ => (RefusalReason::Stages, STAGES_RETRY_AFTER),
+                };
+                return Err(Refusal::not_run(reason, detail).with_retry_after(retry_after));
             }
         }
     }
--- a/crates/gateway/src/front_end/answer_meta.rs
+++ b/crates/gateway/src/front_end/answer_meta.rs
@@ -15,6 +15,8 @@
     pub signed: bool,
     /// Whether the endpoint states that it is leaving.
     pub leaving: bool,
+    /// For how long the endpoint wants nothing from this host, if it turned the request away.
+    pub pause: Option<Millis>,
     /// The requests a second that the endpoint takes from all hosts together; none if it names no limit.
     pub limit: Option<RatePerSecond>,
 }
--- a/crates/gateway/src/front_end/refusal_reason.rs
+++ b/crates/gateway/src/front_end/refusal_reason.rs
@@ -17,6 +17,8 @@
     Full,
     /// Every endpoint is at the limit that it named.
     Limit,
+    /// Every endpoint has asked this host to send it nothing for a time.
+    Paused,
     /// The stages of the request failed or cannot complete in time.
     Stages,
     /// Requests with the same parts in their prompts crash engines.
@@ -38,6 +40,7 @@
             Self::NoEndpoint => "no-endpoint",
             Self::Full => "full",
             Self::Limit => "limit",
+            Self::Paused => "paused",
             Self::Stages => "stages",
             Self::PoisonPrompt => "poison-prompt",
             Self::Deadline => "deadline",
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use masticstair_net::http::relay::{RelayCall, RelayError, RelayPool};
 use masticstair_policy::directory::{DepartureNotice, Directory, ServingEndpoint};
 use masticstair_policy::endpoint_limits::{EndpointLimits, LimitNotice};
+use masticstair_policy::endpoint_pauses::EndpointPauses;
 use masticstair_policy::poison::PoisonTable;
 use masticstair_policy::service_choice::{DataCentreReachability, EndpointHealth};
 use masticstair_policy::service_retry_budget::{ServiceRetryBudget, ServiceRetryLimits};
@@ -19,7 +20,7 @@
 
 use crate::control::CatalogStore;
 use crate::entry::StageTimes;
-use crate::front_end::{EndpointCall, FrontEnd};
+use crate::front_end::{AnswerMeta, EndpointCall, FrontEnd};
 use crate::gateway_event::GatewayEvent;
 use crate::stages::{Owners, StageRegistry};
 use crate::telemetry::GatewayMetrics;
@@ -48,6 +49,8 @@
     pub(crate) stage_times: StageTimes,
     /// The limits that endpoints name for the requests of all hosts together.
     pub(crate) limits: RefCell<EndpointLimits>,
+    /// For how long endpoints want nothing from this host.
+    pub(crate) pauses: RefCell<EndpointPauses>,
     /// Which parts of prompts crash engines, as far as all hosts together know.
     pub(crate) poison: RefCell<PoisonTable>,
     /// When each control host last answered a subscription of this host; only those that it subscribes to.
@@ -90,6 +93,7 @@
             permit_owners: Owners::default(),
             stage_times: StageTimes::default(),
             limits: RefCell::default(),
+            pauses: RefCell::default(),
             poison: RefCell::default(),
             control_contacts: RefCell::default(),
             findings_changed: Notify::default(),
@@ -176,10 +180,10 @@
         }
     }
 
-    /// Returns the endpoints of a service that take new work. Data centres that this host cannot reach are
+    /// Returns the endpoints of a service that take new work from this host. Data centres that it cannot reach are
     /// left out while endpoints in others remain.
     pub(crate) fn endpoints(&self, service: &ServiceName) -> Arc<[Arc<ServingEndpoint>]> {
-        let ready = self.directory.borrow().ready(service);
+        let ready = self.without_paused(self.directory.borrow().ready(service));
         let now = self.now();
         let reachability = self.reachability.borrow();
         let is_reachable = |e: &&Arc<ServingEndpoint>| {
@@ -195,6 +199,59 @@
         }
     }
 
+    fn without_paused(&self, ready: Arc<[Arc<ServingEndpoint>]>) -> Arc<[Arc<ServingEndpoint>]> {
+        let is_paused = |e: &Arc<ServingEndpoint>| !self.pause_of(e).is_zero();
+        match ready.iter().any(is_paused) {
+            false => ready,
+            true => ready.iter().filter(|e| !is_paused(e)).cloned().collect(),
+        }
+    }
+
+    /// Returns for how long an endpoint must get nothing from this host.
+    pub(crate) fn pause_of(&self, endpoint: &ServingEndpoint) -> Duration {
+        self.pauses.borrow().left(self.now(), &endpoint.id, endpoint.incarnation)
+    }
+
+    /// Returns the time until the first endpoint of a service takes work from this host again, if all of them have asked
+    /// it for a pause.
+    pub(crate) fn service_pause(&self, service: &ServiceName) -> Option<Duration> {
+        let ready = self.directory.borrow().ready(service);
+        let first = ready.iter().map(|e| self.pause_of(e)).min()?;
+        Some(first).filter(|left| !left.is_zero())
+    }
+
+    /// Records that a request is about to be sent to an endpoint.
+    pub(crate) fn record_request(&self, endpoint: &ServingEndpoint) {
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        self.pauses.borrow_mut().record_request(self.now(), id, incarnation);
+    }
+
+    /// Records what an answer of an endpoint says about the work that it takes; the request was sent at `sent_at`.
+    pub(crate) fn record_answer(
+        &self,
+        endpoint: &ServingEndpoint,
+        meta: &AnswerMeta,
+        sent_at: Timestamp,
+    ) {
+        if meta.leaving {
+            self.record_departure(endpoint);
+        }
+        if meta.is_other_endpoint {
+            return;
+        }
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        let mut pauses = self.pauses.borrow_mut();
+        let Some(pause) = meta.pause else {
+            pauses.record_answer(id, incarnation, sent_at);
+            return;
+        };
+        if pauses.record(self.now(), id, incarnation, pause) {
+            info!(self.log, "endpoint asks this host for a pause"; "endpoint" => %id,
+                "incarnation" => %incarnation, "service" => %endpoint.service,
+                "pause_ms" => pause.get());
+        }
+    }
+
     /// Records whether the data centre of an endpoint was reachable for a call. Only connect errors count as
     /// failures.
     pub(crate) fn record_reachability(
@@ -230,7 +287,7 @@
 
     /// Records that an endpoint stated in an answer that it is leaving, so that it gets no more work from this host.
     /// Its announcements may reach the control hosts later, or not at all.
-    pub(crate) fn record_departure(&self, endpoint: &ServingEndpoint) {
+    fn record_departure(&self, endpoint: &ServingEndpoint) {
         let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
         if self.directory.borrow_mut().record_departure(self.now(), id, incarnation) {
             self.findings_changed.notify();
@@ -249,9 +306,9 @@
         }
     }
 
-    /// Returns whether an endpoint still takes new work. It may have left while a request waited.
-    pub(crate) fn is_ready(&self, endpoint: &ServingEndpoint) -> bool {
-        self.directory.borrow().is_ready(endpoint)
+    /// Returns whether an endpoint still takes new work from this host. That may have changed while a request waited.
+    pub(crate) fn takes_work(&self, endpoint: &ServingEndpoint) -> bool {
+        self.directory.borrow().is_ready(endpoint) && self.pause_of(endpoint).is_zero()
     }
 
     /// Records the limit that an answer of an endpoint names, or that it names none; the request was sent at `sent_at`.
--- a/crates/gateway/src/messages/stage_failure.rs
+++ b/crates/gateway/src/messages/stage_failure.rs
@@ -1,3 +1,4 @@
+use masticstair_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::fmt::{Display, Formatter};
 
@@ -16,17 +17,21 @@
     Cancelled,
     /// The host that formed the calls is stopping; another one has to take over.
     Moved,
+    /// All endpoints have asked the host that forms the calls to send nothing for this time.
+    Paused(Millis),
 }
 
 impl Display for StageFailure {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
+        let text = match self {
             Self::Late => "it cannot end in time",
             Self::InputGone => "an input is gone",
             Self::NoEndpoint => "no endpoint takes work",
             Self::Failed => "its pieces failed too often",
             Self::Cancelled => "its request has ended",
             Self::Moved => "the host that formed its calls stops",
-        })
+            Self::Paused(left) => return write!(f, "its endpoints want nothing for {left} ms"),
+        };
+        f.write_str(text)
     }
 }
--- a/crates/gateway/src/stages/batch_call.rs
+++ b/crates/gateway/src/stages/batch_call.rs
@@ -37,7 +37,13 @@
 
 /// Counts a call and reserves the capacity for its results before it is sent, so that the endpoint is not
 /// chosen twice.
-pub(super) fn begin_call(stages: &ServiceStages, endpoint: &ServingEndpoint, items: &[StageItem]) {
+pub(super) fn begin_call(
+    gw: &Gateway,
+    stages: &ServiceStages,
+    endpoint: &ServingEndpoint,
+    items: &[StageItem],
+) {
+    gw.record_request(endpoint);
     stages.with_endpoint_load(&endpoint.id, |load| {
         load.in_flight += 1;
         load.reserve_capacity(result_size(items));
@@ -123,6 +129,7 @@
     };
     let timeout =
         stages.with_endpoint_load(&endpoint.id, |load| load.call_timeout(limits, items.len()));
+    let sent_at = gw.now();
     let send = async {
         let sent = gw.pool.send(call).await;
         gw.record_reachability(endpoint, sent.as_ref().err());
@@ -132,9 +139,7 @@
             Err(e) => return CallOutcome::NotRun(LOST_CALL_BACKOFF, e.to_string().into()),
         };
         let meta = (gw.front_end.read_answer)(head.status, &head.headers);
-        if meta.leaving {
-            gw.record_departure(endpoint);
-        }
+        gw.record_answer(endpoint, &meta, sent_at);
         if meta.not_run || meta.is_other_endpoint {
             let backoff =
                 if meta.is_other_endpoint { WRONG_ENDPOINT_BACKOFF } else { FULL_ENDPOINT_BACKOFF };
--- a/crates/gateway/src/stages/dispatch.rs
+++ b/crates/gateway/src/stages/dispatch.rs
@@ -66,7 +66,7 @@
             without_capacity.insert(endpoint.id.clone());
             continue;
         }
-        begin_call(stages, &endpoint, &items);
+        begin_call(gw, stages, &endpoint, &items);
         monoio::spawn(run_call(gw.clone(), stages.clone(), endpoint, limits, items));
     }
     schedule_dispatch(gw, stages);
@@ -87,6 +87,7 @@
     }
     let free = endpoints.iter().filter(|e| {
         !without_capacity.contains(&e.id)
+            && gw.pause_of(e).is_zero()
             && stages.with_endpoint_load(&e.id, |load| load.is_free(now, limits))
     });
     let best = free.min_by_key(|e| {
@@ -191,7 +192,11 @@
 
 fn fail_all(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>) {
     let numbers: Vec<_> = stages.jobs.borrow().keys().copied().collect();
-    fail_jobs(gw, stages, numbers, StageFailure::NoEndpoint);
+    let failure = match gw.service_pause(&stages.service) {
+        Some(left) => StageFailure::Paused(Millis::new(left.as_millis() as u64 + 1)),
+        None => StageFailure::NoEndpoint,
+    };
+    fail_jobs(gw, stages, numbers, failure);
 }
 
 fn schedule_dispatch(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>) {
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -31,6 +31,8 @@
     pub catalog: Gauge,
     /// Endpoints that name a limit for the requests of all hosts.
     pub limited_endpoints: Gauge,
+    /// Endpoints that have asked this host to send them nothing for a time.
+    pub paused_endpoints: Gauge,
     /// Verdicts on parts of prompts that crash engines.
     pub poison_verdicts: Gauge,
     /// Other control hosts that answer the subscriptions of this host.
@@ -52,6 +54,7 @@
             endpoints: Gauge::default(),
             catalog: Gauge::default(),
             limited_endpoints: Gauge::default(),
+            paused_endpoints: Gauge::default(),
             poison_verdicts: Gauge::default(),
             control_contacts: Gauge::default(),
             connections: Gauge::default(),
@@ -77,6 +80,8 @@
         registry.register("permits", help, self.permits.clone());
         let help = "Endpoints that name a limit for the requests of all hosts";
         registry.register("limited_endpoints", help, self.limited_endpoints.clone());
+        let help = "Endpoints that have asked this host to send them nothing for a time";
+        registry.register("paused_endpoints", help, self.paused_endpoints.clone());
         let help = "Verdicts on parts of prompts that crash engines";
         registry.register("poison_verdicts", help, self.poison_verdicts.clone());
         let help = "Other control hosts that answer the subscriptions of this host";
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod catalog_register;
 pub mod directory;
 pub mod endpoint_limits;
+pub mod endpoint_pauses;
 pub mod endpoint_table;
 pub mod engine_choice;
 pub mod estimate;
