Log the content of each request during which its endpoint ended

The logs did not tell whether the same request crashed one endpoint after the other: the line on the end of an endpoint was written for prompts with shared parts before their first event only, and no line identified what a request asks for.

The line is now written for plain requests and for streams that had begun, too, and has a digest of method, path, client account and body.

--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -2,8 +2,8 @@
 
 pub use crate::id::{
     AccountId, AttemptId, CallId, CatalogVersion, DataCentreId, EndpointId, HostId, IdempotencyKey,
-    Incarnation, PipelineName, PoolName, PromptPartId, RequestId, ResultHandle, Revision,
-    RouteName, ServiceName, StageName,
+    Incarnation, PipelineName, PoolName, PromptPartId, RequestDigest, RequestId, ResultHandle,
+    Revision, RouteName, ServiceName, StageName,
 };
 pub use crate::outcome::{Problem, RefusalOutcome};
 pub use crate::unit::{
--- a/crates/gateway/src/entry/answer_plain.rs
+++ b/crates/gateway/src/entry/answer_plain.rs
@@ -3,6 +3,7 @@
 use masticstair_net::http::relay::RelayHead;
 use masticstair_net::http::server::{Response, ResponseContent};
 use masticstair_policy::directory::ServingEndpoint;
+use masticstair_policy::poison::CallProgress;
 use masticstair_policy::service_choice::{Candidate, pick_endpoint};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,6 +13,7 @@
 use super::attempt::attempt;
 use super::attempt_failure::AttemptFailure;
 use super::attempt_options::AttemptOptions;
+use super::check_endpoint_end::check_endpoint_end;
 use super::client_request::ClientRequest;
 use super::in_flight_call::InFlightCall;
 use super::pause_refusal::pause_refusal;
@@ -113,6 +115,9 @@
                 if matches!(failure, AttemptFailure::Unknown(_) | AttemptFailure::TimedOut(_)) {
                     runs += 1;
                 }
+                if matches!(failure, AttemptFailure::Unknown(_)) {
+                    check_endpoint_end(gw, req, &endpoint, CallProgress::Queued, false).await;
+                }
                 last = Some(failure);
             }
         }
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -209,7 +209,7 @@
                     *runs += 1;
                 }
                 if matches!(failure, AttemptFailure::Unknown(_)) {
-                    check_endpoint_end(gw, req, &endpoint, CallProgress::Queued).await;
+                    check_endpoint_end(gw, req, &endpoint, CallProgress::Queued, false).await;
                 }
                 last = Some(failure);
             }
--- a/crates/gateway/src/entry/check_endpoint_end.rs
+++ b/crates/gateway/src/entry/check_endpoint_end.rs
@@ -5,29 +5,33 @@
 
 use super::client_request::ClientRequest;
 use crate::Gateway;
+use crate::front_end::Prompt;
 
 /// Within a region a connection is accepted or refused within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Checks whether an engine has ended, as opposed to one connection to it, after it broke off a request for which it
-/// had sent no event. Records the end as evidence on the shared parts of the prompt.
+/// Checks whether an endpoint has ended, as opposed to one connection to it, after it broke off a request. Before the first
+/// event of an answer, the end is evidence on the shared parts of the prompt.
 pub(super) async fn check_endpoint_end(
     gw: &Gateway,
     req: &ClientRequest,
     endpoint: &ServingEndpoint,
     progress: CallProgress,
+    has_events: bool,
 ) {
-    let Some(prompt) = &req.meta.prompt else { return };
     let at = gw.now();
     if !gw.pool.is_refused(endpoint.address, CONNECT_TIMEOUT).await {
         return;
     }
     gw.metrics.count_endpoint_end(&req.service);
+    let prompt = req.meta.prompt.as_ref();
     warn!(gw.log, "endpoint ended during a request"; "request" => %req.meta.call,
-        "endpoint" => %endpoint.id, "incarnation" => %endpoint.incarnation,
-        "service" => %req.service, "progress" => %progress, "prompt" => %prompt.shared_text());
-    let parts: PromptParts = prompt.shared_ids().collect();
-    if parts.is_empty() {
+        "content" => %req.digest(), "endpoint" => %endpoint.id,
+        "incarnation" => %endpoint.incarnation, "service" => %req.service,
+        "progress" => %progress, "has_events" => has_events,
+        "prompt" => prompt.map(Prompt::shared_text));
+    let parts: PromptParts = prompt.map(|p| p.shared_ids().collect()).unwrap_or_default();
+    if parts.is_empty() || has_events {
         return;
     }
     let crash = CrashKey { endpoint: endpoint.id.clone(), incarnation: endpoint.incarnation };
--- a/crates/gateway/src/entry/client_request.rs
+++ b/crates/gateway/src/entry/client_request.rs
@@ -49,6 +49,12 @@
         self.deadline.min(self.arrived.plus(wait_limit))
     }
 
+    /// Returns the digest of what the request asks for.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        let account = self.account.as_ref();
+        RequestDigest::of(self.method.as_str(), &self.target, account, &self.body)
+    }
+
     /// Returns the time up to which an answer, or the first event of a stream, is on time.
     pub(crate) fn objective(&self) -> Timestamp {
         self.arrived.plus(self.route.objective.duration())
--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -200,11 +200,10 @@
         state.gw.with_health(&opened.endpoint.id, |health| health.record_unanswered(now));
         let took = now.since(opened.sent_at);
         state.timeline.record_attempt(&opened.endpoint.id, "broke-off", took);
-        if !opened.has_events {
-            let endpoint = opened.endpoint.clone();
-            drop(opened);
-            check_endpoint_end(&state.gw, &state.req, &endpoint, CallProgress::Answering).await;
-        }
+        let (endpoint, has_events) = (opened.endpoint.clone(), opened.has_events);
+        drop(opened);
+        let progress = CallProgress::Answering;
+        check_endpoint_end(&state.gw, &state.req, &endpoint, progress, has_events).await;
     }
     state.splitter = EventSplitter::default();
     if !can_resume(state) {
