Reject requests that crash endpoints, on all hosts

Here a request of a plain kind ended seven to fourteen endpoints; the next callers found none left.

Cause: what the hosts told each other on crashes was about shared parts of prompts, so a request without them left no evidence, and a request that may be repeated was sent to the next endpoint after it had ended one.

Each end of an endpoint is now evidence on the content of the request, for every kind, at any progress, and also when the endpoint falls silent while its data centre can be reached. The evidence goes to the control hosts, and from the second crash on to all hosts. A request with two crashes is sent to one endpoint only; with three it is refused at once as not run. Requests beside it are told apart: crashes count only if the request was sent after the one before was seen, an answer to a later attempt clears it, and crashes that a rejected request explains do not count for others or for the parts of its prompt.

The test deadly_request failed before: all twelve endpoints ended and sound requests got 503. It passes with plain, run-once, streaming and resumed requests that crash before the head, after it and after an event.

--- a/crates/gateway/src/control/answer_findings.rs
+++ b/crates/gateway/src/control/answer_findings.rs
@@ -10,6 +10,8 @@
 /// Merges the findings of another host, and replies as soon as there are some that it lacks, or when its wait ends.
 pub(crate) async fn answer_findings(gw: &Gateway, request: FindingsRequest) -> FindingsReply {
     let until = gw.now().plus(request.wait.duration().min(MAX_WAIT));
+    // Before the evidence, which they may explain.
+    gw.change_request_crashes(|table, now| table.merge(now, request.crashes));
     gw.change_evidence(|table, now| table.merge(now, request.evidence));
     gw.merge_limits(request.limits);
     gw.merge_departures(request.departures);
@@ -19,12 +21,13 @@
             evidence: request.evidence_position,
             limits: request.limits_position,
             departures: request.departures_position,
+            crashes: request.crashes_position,
         },
         false => Positions::default(),
     };
     loop {
         let left = until.since(gw.now());
-        let position = Positions::of(gw);
+        let position = Positions::shared(gw);
         if !is_known || position.is_after(&after) || left.is_zero() {
             let now = gw.now();
             return FindingsReply {
@@ -35,6 +38,8 @@
                 limits: gw.limits.borrow().changes_after(now, after.limits, false),
                 departures_position: position.departures,
                 departures: gw.directory.borrow().departures_after(after.departures, false),
+                crashes_position: position.crashes,
+                crashes: gw.request_crashes.borrow().changes_after(now, after.crashes, false),
             };
         }
         gw.findings_changed.notified(left).await;
--- a/crates/gateway/src/entry/answer_plain.rs
+++ b/crates/gateway/src/entry/answer_plain.rs
@@ -4,6 +4,7 @@
 use masticstair_net::http::server::{Response, ResponseContent};
 use masticstair_policy::directory::ServingEndpoint;
 use masticstair_policy::poison::CallProgress;
+use masticstair_policy::request_crashes::RequestStanding;
 use masticstair_policy::service_choice::{Candidate, pick_endpoint};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,7 +15,9 @@
 use super::attempt_failure::AttemptFailure;
 use super::attempt_options::AttemptOptions;
 use super::check_endpoint_end::check_endpoint_end;
+use super::check_request::{crash_refusal, record_request_answer, request_standing};
 use super::client_request::ClientRequest;
+use super::failed_call::FailedCall;
 use super::in_flight_call::InFlightCall;
 use super::pause_refusal::pause_refusal;
 use super::permitted_endpoint::{choose_permitted, limit_refusal};
@@ -73,6 +76,12 @@
     let mut last: Option<AttemptFailure> = None;
     let mut failed: Option<(RelayHead, Bytes)> = None;
     loop {
+        let standing = request_standing(gw, req);
+        if let (RequestStanding::Rejected { verdict, left }, 0) = (&standing, runs) {
+            return Err(crash_refusal(verdict, *left));
+        }
+        // A request that may crash endpoints is not sent to another one.
+        let may_run_again = runs == 0 || standing == RequestStanding::Clear;
         let permitted =
             choose_permitted(gw, req, &tried, |excluded| pick_endpoint_for(gw, req, excluded));
         let choice = match permitted.await {
@@ -83,7 +92,8 @@
         let left = req.deadline.since(gw.now());
         let choice = choice.filter(|_| left > MIN_TIME_LEFT);
         let may_try = tried.is_empty()
-            || (runs < max_runs
+            || (may_run_again
+                && runs < max_runs
                 && tried.len() < MAX_ENDPOINTS_TRIED
                 && gw.take_retry(&req.service));
         let (Some(permitted), true) = (choice, may_try) else {
@@ -100,6 +110,7 @@
         gw.metrics.count_call(&req.service, label, took);
         match result {
             Ok((head, body)) => {
+                record_request_answer(gw, req, started);
                 let is_failure = head.status.is_server_error();
                 gw.with_health(&endpoint.id, |health| health.record_answer(took, is_failure));
                 timeline.record_attempt(&endpoint.id, head.status.as_str(), took);
@@ -112,11 +123,18 @@
             }
             Err(failure) => {
                 timeline.record_attempt(&endpoint.id, failure.name(), took);
-                if matches!(failure, AttemptFailure::Unknown(_) | AttemptFailure::TimedOut(_)) {
+                if failure.may_have_run() {
                     runs += 1;
                 }
-                if matches!(failure, AttemptFailure::Unknown(_)) {
-                    check_endpoint_end(gw, req, &endpoint, CallProgress::Queued, false).await;
+                if failure.may_have_run() {
+                    let call = FailedCall {
+                        endpoint: &endpoint,
+                        sent_at: started,
+                        progress: CallProgress::Queued,
+                        has_events: false,
+                        silent_since: failure.is_silent().then_some(started),
+                    };
+                    check_endpoint_end(gw, req, &call).await;
                 }
                 last = Some(failure);
             }
--- a/crates/gateway/src/entry/answer_request.rs
+++ b/crates/gateway/src/entry/answer_request.rs
@@ -2,6 +2,7 @@
 use masticstair_core::catalog::Catalog;
 use masticstair_core::prelude::*;
 use masticstair_net::http::server::{Request, Response};
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use super::answer_ready::answer_ready;
 use super::answer_stream::answer_stream;
 use super::check_prompt::check_prompt;
+use super::check_request::check_request;
 use super::client_request::ClientRequest;
 use super::in_flight::InFlight;
 use crate::Gateway;
@@ -46,7 +48,8 @@
     let mut timeline = RequestTimeline::new(now, &meta);
     wait_for_startup(&gw, now, &meta).await;
     let admitted = admit(&gw, now, meta, req, &mut timeline)
-        .and_then(|req| check_prompt(&gw, &req).map(|()| req));
+        .and_then(|req| check_prompt(&gw, &req).map(|()| req))
+        .and_then(|req| check_request(&gw, &req).map(|()| req));
     let response = match admitted {
         Ok(req) if req.route.kind.is_stream() => {
             answer_stream(gw.clone(), req, timeline, in_flight).await
@@ -134,6 +137,7 @@
         service,
         arrived: now,
         deadline: now.plus(timeout.duration().max(Duration::from_millis(1))),
+        content: OnceCell::new(),
         meta,
         route,
     })
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -4,6 +4,7 @@
 use masticstair_policy::directory::ServingEndpoint;
 use masticstair_policy::engine_choice::{EngineCandidate, pick_engine, rendezvous_weight};
 use masticstair_policy::poison::{CallProgress, Standing};
+use masticstair_policy::request_crashes::RequestStanding;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +15,9 @@
 use super::attempt_options::AttemptOptions;
 use super::check_endpoint_end::check_endpoint_end;
 use super::check_prompt::{poison_refusal, prompt_standing};
+use super::check_request::{crash_refusal, record_request_answer, request_standing};
 use super::client_request::ClientRequest;
+use super::failed_call::FailedCall;
 use super::held_results::HeldResults;
 use super::in_flight::InFlight;
 use super::in_flight_call::InFlightCall;
@@ -110,7 +113,7 @@
     let headers: HeaderMap = (gw.front_end.answer_headers)(&opened.head.headers);
     let status = opened.head.status;
     if !status.is_success() {
-        let OpenedStream { body, endpoint, .. } = opened;
+        let OpenedStream { body, endpoint, sent_at, .. } = opened;
         let left = req.deadline.since(gw.now());
         let read = monoio::time::timeout(left, body.read_all(MAX_ANSWER_BYTES)).await;
         if status.is_server_error() {
@@ -118,6 +121,7 @@
         }
         return match read {
             Ok(Ok(body)) => {
+                record_request_answer(&gw, &req, sent_at);
                 timeline.finish(&gw, "answered", status.as_str());
                 Response { status, headers, body: ResponseContent::Full(body) }
             }
@@ -149,6 +153,10 @@
         if let (Standing::Rejected { verdict, left }, 0) = (&standing, *runs) {
             return Err(poison_refusal(verdict, *left));
         }
+        let known = request_standing(gw, req);
+        if let (RequestStanding::Rejected { verdict, left }, 0) = (&known, *runs) {
+            return Err(crash_refusal(verdict, *left));
+        }
         let may_send = |e: &PermittedEndpoint| e.may_send(gw.now()) && gw.takes_work(&e.endpoint);
         let choice = match planned_engine.take().filter(may_send) {
             Some(engine) => Some(engine),
@@ -161,7 +169,8 @@
         let left = req.first_event_by().since(gw.now());
         let is_first = tried.is_empty() && *runs == 0;
         // A run that may have crashed an engine is not followed by another one.
-        let may_run_again = *runs == 0 || standing == Standing::Clear;
+        let may_run_again =
+            *runs == 0 || (standing == Standing::Clear && known == RequestStanding::Clear);
         let may_try = is_first
             || (may_run_again
                 && *runs < max_runs
@@ -196,6 +205,7 @@
                     body,
                     in_flight_call,
                     sent_at,
+                    last_output: gw.now(),
                     has_events: false,
                 });
             }
@@ -205,11 +215,16 @@
                     .with_retry_after(Millis::new(100)));
             }
             Err(failure) => {
-                if matches!(failure, AttemptFailure::Unknown(_) | AttemptFailure::TimedOut(_)) {
+                if failure.may_have_run() {
                     *runs += 1;
-                }
-                if matches!(failure, AttemptFailure::Unknown(_)) {
-                    check_endpoint_end(gw, req, &endpoint, CallProgress::Queued, false).await;
+                    let call = FailedCall {
+                        endpoint: &endpoint,
+                        sent_at,
+                        progress: CallProgress::Queued,
+                        has_events: false,
+                        silent_since: failure.is_silent().then_some(sent_at),
+                    };
+                    check_endpoint_end(gw, req, &call).await;
                 }
                 last = Some(failure);
             }
--- a/crates/gateway/src/entry/attempt_failure.rs
+++ b/crates/gateway/src/entry/attempt_failure.rs
@@ -22,6 +22,16 @@
         }
     }
 
+    /// Returns whether the endpoint may have run the request.
+    pub(super) fn may_have_run(&self) -> bool {
+        matches!(self, Self::Unknown(_) | Self::TimedOut(_))
+    }
+
+    /// Returns whether nothing came, as opposed to a connection that broke.
+    pub(super) fn is_silent(&self) -> bool {
+        matches!(self, Self::TimedOut(_))
+    }
+
     pub(super) fn detail(&self) -> &str {
         match self {
             Self::NotSent(d) | Self::NotRun(_, d) | Self::Unknown(d) | Self::TimedOut(d) => d,
--- a/crates/gateway/src/entry/check_endpoint_end.rs
+++ b/crates/gateway/src/entry/check_endpoint_end.rs
@@ -1,40 +1,70 @@
+use masticstair_core::unit::Timestamp;
+use masticstair_net::http::relay::ProbeOutcome;
 use masticstair_policy::directory::ServingEndpoint;
-use masticstair_policy::poison::{CallProgress, CrashKey, CrashReport, PromptParts};
+use masticstair_policy::poison::{CrashKey, CrashReport, PromptParts};
+use masticstair_policy::request_crashes::RequestCrash;
 use slog::warn;
 use std::time::Duration;
 
 use super::client_request::ClientRequest;
+use super::failed_call::FailedCall;
 use crate::Gateway;
 use crate::front_end::Prompt;
 
 /// Within a region a connection is accepted or refused within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Checks whether an endpoint has ended, as opposed to one connection to it, after it broke off a request. Before the first
-/// event of an answer, the end is evidence on the shared parts of the prompt.
-pub(super) async fn check_endpoint_end(
-    gw: &Gateway,
-    req: &ClientRequest,
-    endpoint: &ServingEndpoint,
-    progress: CallProgress,
-    has_events: bool,
-) {
-    let at = gw.now();
-    if !gw.pool.is_refused(endpoint.address, CONNECT_TIMEOUT).await {
+/// An endpoint that has sent something in this time is not taken for one that has ended.
+const MIN_SILENCE: Duration = Duration::from_millis(200);
+
+/// Checks whether an endpoint has ended, as opposed to one connection to it, after a call of it failed. The end is evidence
+/// on the request, and before the first event of an answer on the shared parts of its prompt.
+pub(super) async fn check_endpoint_end(gw: &Gateway, req: &ClientRequest, call: &FailedCall<'_>) {
+    let endpoint = call.endpoint;
+    let ended_at = gw.now();
+    let is_alive = |since: Timestamp| {
+        ended_at.since(since) < MIN_SILENCE
+            || gw.liveness.borrow().has_answered(&endpoint.id, since)
+    };
+    if call.silent_since.is_some_and(is_alive) {
+        return;
+    }
+    if !has_ended(gw, endpoint).await {
         return;
     }
     gw.metrics.count_endpoint_end(&req.service);
     let prompt = req.meta.prompt.as_ref();
     warn!(gw.log, "endpoint ended during a request"; "request" => %req.meta.call,
-        "content" => %req.digest(), "endpoint" => %endpoint.id,
+        "content" => %req.content(), "endpoint" => %endpoint.id,
         "incarnation" => %endpoint.incarnation, "service" => %req.service,
-        "progress" => %progress, "has_events" => has_events,
-        "prompt" => prompt.map(Prompt::shared_text));
+        "progress" => %call.progress, "has_events" => call.has_events,
+        "silent" => call.silent_since.is_some(), "prompt" => prompt.map(Prompt::shared_text));
+    let crash = CrashKey { endpoint: endpoint.id.clone(), incarnation: endpoint.incarnation };
+    let (request, sent_at) = (req.content(), call.sent_at);
+    let request_crash = RequestCrash { request, crash: crash.clone(), sent_at, ended_at };
+    gw.change_request_crashes(|table, now| table.record_crash(now, request_crash));
     let parts: PromptParts = prompt.map(|p| p.shared_ids().collect()).unwrap_or_default();
-    if parts.is_empty() || has_events {
+    if parts.is_empty() || call.has_events || call.silent_since.is_some() {
         return;
     }
-    let crash = CrashKey { endpoint: endpoint.id.clone(), incarnation: endpoint.incarnation };
-    let report = CrashReport { service: req.service.clone(), crash, progress, parts, at };
+    let (service, progress) = (req.service.clone(), call.progress);
+    let report = CrashReport { service, crash, progress, parts, at: ended_at };
     gw.change_evidence(|table, now| table.record_crash(now, report));
 }
+
+async fn has_ended(gw: &Gateway, endpoint: &ServingEndpoint) -> bool {
+    let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+    if gw.liveness.borrow().has_ended(gw.now(), id, incarnation) {
+        return true;
+    }
+    let has_ended = match gw.pool.probe(endpoint.address, CONNECT_TIMEOUT).await {
+        ProbeOutcome::Accepted => false,
+        ProbeOutcome::Refused => true,
+        // Without a path to the data centre, silence says nothing about the endpoint.
+        ProbeOutcome::Silent => !gw.is_cut_off(&endpoint.data_centre),
+    };
+    if has_ended {
+        gw.liveness.borrow_mut().record_end(gw.now(), id, incarnation);
+    }
+    has_ended
+}
--- a/crates/gateway/src/entry/client_request.rs
+++ b/crates/gateway/src/entry/client_request.rs
@@ -2,6 +2,7 @@
 use http::{HeaderMap, Method};
 use masticstair_core::catalog::Route;
 use masticstair_core::prelude::*;
+use std::cell::OnceCell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +34,8 @@
     pub(crate) arrived: Timestamp,
     /// The hard limit for the answer: the earlier of the client's timeout and the route's.
     pub(crate) deadline: Timestamp,
+    /// Computed when it is needed first.
+    pub(crate) content: OnceCell<RequestDigest>,
 }
 
 impl ClientRequest {
@@ -50,9 +53,11 @@
     }
 
     /// Returns the digest of what the request asks for.
-    pub(crate) fn digest(&self) -> RequestDigest {
-        let account = self.account.as_ref();
-        RequestDigest::of(self.method.as_str(), &self.target, account, &self.body)
+    pub(crate) fn content(&self) -> RequestDigest {
+        *self.content.get_or_init(|| {
+            let account = self.account.as_ref();
+            RequestDigest::of(self.method.as_str(), &self.target, account, &self.body)
+        })
     }
 
     /// Returns the time up to which an answer, or the first event of a stream, is on time.
--- a/crates/gateway/src/entry/engine_output.rs
+++ b/crates/gateway/src/entry/engine_output.rs
@@ -4,5 +4,8 @@
 pub(super) enum EngineOutput {
     Chunk(Bytes),
     End,
+    /// The connection broke.
     Broken(Box<str>),
+    /// Nothing came in time.
+    Silent(Box<str>),
 }
--- a/crates/gateway/src/entry/exchange_findings.rs
+++ b/crates/gateway/src/entry/exchange_findings.rs
@@ -53,9 +53,12 @@
                         evidence: reply.evidence_position,
                         limits: reply.limits_position,
                         departures: reply.departures_position,
+                        crashes: reply.crashes_position,
                     },
                     sent: is_known.then_some(positions),
                 };
+                // Before the evidence, which they may explain.
+                gw.change_request_crashes(|table, now| table.merge(now, reply.crashes));
                 gw.change_evidence(|table, now| table.merge(now, reply.evidence));
                 gw.merge_limits(reply.limits);
                 gw.merge_departures(reply.departures);
@@ -66,7 +69,10 @@
 }
 
 fn has_findings(request: &FindingsRequest) -> bool {
-    !request.evidence.is_empty() || !request.limits.is_empty() || !request.departures.is_empty()
+    !request.evidence.is_empty()
+        || !request.limits.is_empty()
+        || !request.departures.is_empty()
+        || !request.crashes.is_empty()
 }
 
 /// Returns the next request, and the positions of this host that the control host reaches with it.
@@ -84,6 +90,8 @@
         wait: Millis::new(NEWS_WAIT.as_millis() as u64),
         departures_position: exchange.received.departures,
         departures: gw.directory.borrow().departures_after(after.departures, own_only),
+        crashes_position: exchange.received.crashes,
+        crashes: gw.request_crashes.borrow().changes_after(now, after.crashes, own_only),
     };
     if has_findings(&request) {
         request.wait = Millis::default();
@@ -101,6 +109,7 @@
         !gw.poison.borrow().changes_after(now, positions.evidence, true).is_empty()
             || !gw.limits.borrow().changes_after(now, positions.limits, true).is_empty()
             || !gw.directory.borrow().departures_after(positions.departures, true).is_empty()
+            || !gw.request_crashes.borrow().changes_after(now, positions.crashes, true).is_empty()
     };
     while !has_news() {
         gw.findings_changed.notified(NEWS_WAIT).await;
--- a/crates/gateway/src/entry/opened_stream.rs
+++ b/crates/gateway/src/entry/opened_stream.rs
@@ -13,6 +13,8 @@
     pub(super) body: RelayBody,
     pub(super) in_flight_call: InFlightCall,
     pub(super) sent_at: Timestamp,
+    /// When the head or the last chunk arrived.
+    pub(super) last_output: Timestamp,
     /// Whether a complete event of this engine has arrived.
     pub(super) has_events: bool,
 }
--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -10,9 +10,11 @@
 use super::answer_stream::{normalized_first_event, open_stream};
 use super::check_endpoint_end::check_endpoint_end;
 use super::check_prompt::record_prompt_answer;
+use super::check_request::record_request_answer;
 use super::client_request::ClientRequest;
 use super::engine_output::EngineOutput;
 use super::event_splitter::EventSplitter;
+use super::failed_call::FailedCall;
 use super::held_results::HeldResults;
 use super::in_flight::InFlight;
 use super::opened_stream::OpenedStream;
@@ -115,17 +117,22 @@
                 }
             }
             EngineOutput::End if state.opened.as_ref().is_some_and(OpenedStream::may_be_cut) => {
-                resume(state, "stream ended without an event").await?;
+                resume(state, "stream ended without an event", false).await?;
             }
             EngineOutput::End if state.splitter.remainder().is_empty() => {
                 state.finished = true;
-                state.opened = None;
+                if let Some(opened) = state.opened.take() {
+                    record_request_answer(&state.gw, &state.req, opened.sent_at);
+                }
                 let detail = format!("{} events", state.events);
                 state.timeline.finish(&state.gw, "answered", &detail);
                 return Ok(None);
             }
-            EngineOutput::End => resume(state, "stream ended in the middle of an event").await?,
-            EngineOutput::Broken(reason) => resume(state, &reason).await?,
+            EngineOutput::End => {
+                resume(state, "stream ended in the middle of an event", false).await?;
+            }
+            EngineOutput::Broken(reason) => resume(state, &reason, false).await?,
+            EngineOutput::Silent(reason) => resume(state, &reason, true).await?,
         }
     }
 }
@@ -135,17 +142,20 @@
     let left = state.req.deadline.since(state.gw.now());
     if left.is_zero() {
         // An engine that never pauses would not let the timeout below pass.
-        return EngineOutput::Broken("the time passed".into());
+        return EngineOutput::Silent("the time passed".into());
     }
     let can_resume = can_resume(state);
     let limit =
         if can_resume && state.events > 0 { left.min(gap * STALL_GAP_FACTOR) } else { left };
     let Some(opened) = &mut state.opened else { return EngineOutput::Broken("no engine".into()) };
     match monoio::time::timeout(limit, opened.body.next()).await {
-        Ok(Ok(Some(chunk))) => EngineOutput::Chunk(chunk),
+        Ok(Ok(Some(chunk))) => {
+            opened.last_output = state.gw.now();
+            EngineOutput::Chunk(chunk)
+        }
         Ok(Ok(None)) => EngineOutput::End,
         Ok(Err(e)) => EngineOutput::Broken(e.to_string().into()),
-        Err(_) => EngineOutput::Broken(format!("no event within {} ms", limit.as_millis()).into()),
+        Err(_) => EngineOutput::Silent(format!("no event within {} ms", limit.as_millis()).into()),
     }
 }
 
@@ -194,16 +204,22 @@
 }
 
 /// Resumes the stream at another engine after the last forwarded event, if the route allows it.
-async fn resume(state: &mut StreamState, reason: &str) -> Result<(), BodyAborted> {
+async fn resume(state: &mut StreamState, reason: &str, is_silent: bool) -> Result<(), BodyAborted> {
     let now = state.gw.now();
     if let Some(opened) = state.opened.take() {
         state.gw.with_health(&opened.endpoint.id, |health| health.record_unanswered(now));
         let took = now.since(opened.sent_at);
         state.timeline.record_attempt(&opened.endpoint.id, "broke-off", took);
-        let (endpoint, has_events) = (opened.endpoint.clone(), opened.has_events);
+        let endpoint = opened.endpoint.clone();
+        let call = FailedCall {
+            endpoint: &endpoint,
+            sent_at: opened.sent_at,
+            progress: CallProgress::Answering,
+            has_events: opened.has_events,
+            silent_since: is_silent.then_some(opened.last_output),
+        };
         drop(opened);
-        let progress = CallProgress::Answering;
-        check_endpoint_end(&state.gw, &state.req, &endpoint, progress, has_events).await;
+        check_endpoint_end(&state.gw, &state.req, &call).await;
     }
     state.splitter = EventSplitter::default();
     if !can_resume(state) {
--- a/crates/gateway/src/front_end/refusal_reason.rs
+++ b/crates/gateway/src/front_end/refusal_reason.rs
@@ -23,6 +23,8 @@
     Stages,
     /// Requests with the same parts in their prompts crash engines.
     PoisonPrompt,
+    /// The request has crashed the endpoints that ran it.
+    PoisonRequest,
     /// The deadline of the request passed.
     Deadline,
     /// The connection to the endpoint broke.
@@ -43,6 +45,7 @@
             Self::Paused => "paused",
             Self::Stages => "stages",
             Self::PoisonPrompt => "poison-prompt",
+            Self::PoisonRequest => "poison-request",
             Self::Deadline => "deadline",
             Self::Broken => "broken",
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,8 +6,10 @@
 use masticstair_net::http::relay::{RelayCall, RelayError, RelayPool};
 use masticstair_policy::directory::{DepartureNotice, Directory, ServingEndpoint};
 use masticstair_policy::endpoint_limits::{EndpointLimits, LimitNotice};
+use masticstair_policy::endpoint_liveness::EndpointLiveness;
 use masticstair_policy::endpoint_pauses::EndpointPauses;
 use masticstair_policy::poison::PoisonTable;
+use masticstair_policy::request_crashes::RequestCrashes;
 use masticstair_policy::service_choice::{DataCentreReachability, EndpointHealth};
 use masticstair_policy::service_retry_budget::{ServiceRetryBudget, ServiceRetryLimits};
 use slog::{Logger, info, warn};
@@ -55,7 +57,10 @@
     pub(crate) poison: RefCell<PoisonTable>,
     /// When each control host last answered a subscription of this host; only those that it subscribes to.
     pub(crate) control_contacts: RefCell<HashMap<HostId, Timestamp>>,
-    /// Notified when `poison`, `limits` or the departures in `directory` change.
+    /// Which requests crash endpoints, as far as all hosts together know.
+    pub(crate) request_crashes: RefCell<RequestCrashes>,
+    pub(crate) liveness: RefCell<EndpointLiveness>,
+    /// Notified when `poison`, `request_crashes`, `limits` or the departures in `directory` change.
     pub(crate) findings_changed: Notify,
     /// Whether a control host has been asked for its findings on prompts and endpoints since the start.
     pub(crate) has_findings: Cell<bool>,
@@ -95,6 +100,8 @@
             limits: RefCell::default(),
             pauses: RefCell::default(),
             poison: RefCell::default(),
+            request_crashes: RefCell::default(),
+            liveness: RefCell::default(),
             control_contacts: RefCell::default(),
             findings_changed: Notify::default(),
             has_findings: Cell::new(false),
@@ -233,6 +240,7 @@
         meta: &AnswerMeta,
         sent_at: Timestamp,
     ) {
+        self.liveness.borrow_mut().record_answer(self.now(), &endpoint.id);
         if meta.leaving {
             self.record_departure(endpoint);
         }
@@ -369,6 +377,38 @@
         self.findings_changed.notify();
     }
 
+    /// Returns whether the data centre of an endpoint counts as not reachable.
+    pub(crate) fn is_cut_off(&self, data_centre: &DataCentreId) -> bool {
+        let reachability = self.reachability.borrow();
+        reachability.get(data_centre).is_some_and(|r| r.is_in_backoff(self.now()))
+    }
+
+    /// Changes what is known of requests that crash endpoints with `f`, which returns whether it did. Tells the other
+    /// hosts, and logs verdicts that are new or have gone.
+    pub(crate) fn change_request_crashes(
+        &self,
+        f: impl FnOnce(&mut RequestCrashes, Timestamp) -> bool,
+    ) {
+        let before = self.request_crashes.borrow().verdicts().to_vec();
+        if !f(&mut self.request_crashes.borrow_mut(), self.now()) {
+            return;
+        }
+        let table = self.request_crashes.borrow();
+        let verdicts = table.verdicts();
+        for verdict in verdicts.iter().filter(|v| !before.iter().any(|b| b.request == v.request)) {
+            warn!(self.log, "request crashes endpoints; rejecting it";
+                "content" => %verdict.request, "evidence" => %verdict);
+        }
+        for verdict in before.iter().filter(|b| !verdicts.iter().any(|v| b.request == v.request)) {
+            info!(self.log, "request is no longer rejected";
+                "content" => %verdict.request, "evidence" => %verdict);
+        }
+        self.metrics.poison_requests.set(verdicts.len() as i64);
+        let explained = table.explained();
+        self.change_evidence(|table, now| table.set_explained(now, explained));
+        self.findings_changed.notify();
+    }
+
     /// Addresses a call that the gateway originates.
     pub(crate) fn relay_call(
         &self,
--- a/crates/gateway/src/maintenance.rs
+++ b/crates/gateway/src/maintenance.rs
@@ -19,6 +19,8 @@
         gw.pool.close_idle(CONNECTION_IDLE_TIMEOUT);
         gw.limits.borrow_mut().expire(gw.now());
         gw.pauses.borrow_mut().expire(gw.now());
+        gw.liveness.borrow_mut().expire(gw.now());
+        gw.change_request_crashes(|table, now| table.expire(now));
         gw.metrics.paused_endpoints.set(gw.pauses.borrow().paused_count(gw.now()) as i64);
         gw.metrics.control_contacts.set(gw.contact_count() as i64);
         gw.metrics.connections.set(gw.pool.connections_opened() as i64);
--- a/crates/gateway/src/messages/findings_reply.rs
+++ b/crates/gateway/src/messages/findings_reply.rs
@@ -2,6 +2,7 @@
 use masticstair_policy::directory::DepartureNotice;
 use masticstair_policy::endpoint_limits::LimitNotice;
 use masticstair_policy::poison::Evidence;
+use masticstair_policy::request_crashes::CrashNotice;
 use serde::{Deserialize, Serialize};
 
 /// What a control host knows of prompts and endpoints beyond what the other host has.
@@ -21,4 +22,8 @@
     pub departures_position: u64,
     /// Endpoints that have stated that they leave.
     pub departures: Vec<DepartureNotice>,
+    /// The position that the receiver has reached with `crashes`.
+    pub crashes_position: u64,
+    /// Requests during which endpoints ended.
+    pub crashes: Vec<CrashNotice>,
 }
--- a/crates/gateway/src/messages/findings_request.rs
+++ b/crates/gateway/src/messages/findings_request.rs
@@ -2,6 +2,7 @@
 use masticstair_policy::directory::DepartureNotice;
 use masticstair_policy::endpoint_limits::LimitNotice;
 use masticstair_policy::poison::Evidence;
+use masticstair_policy::request_crashes::CrashNotice;
 use serde::{Deserialize, Serialize};
 
 /// Tells a control host what this host has found out about prompts and endpoints, and asks for what it knows.
@@ -23,4 +24,8 @@
     pub departures_position: u64,
     /// Endpoints that told this host that they leave, which the control host does not have from this host yet.
     pub departures: Vec<DepartureNotice>,
+    /// The position of the control host's crashes that this host has reached.
+    pub crashes_position: u64,
+    /// Requests during which endpoints ended, which the control host does not have from this host yet.
+    pub crashes: Vec<CrashNotice>,
 }
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -33,6 +33,8 @@
     pub limited_endpoints: Gauge,
     /// Endpoints that have asked this host to send them nothing for a time.
     pub paused_endpoints: Gauge,
+    /// Requests that are rejected because they crash endpoints.
+    pub poison_requests: Gauge,
     /// Verdicts on parts of prompts that crash engines.
     pub poison_verdicts: Gauge,
     /// Other control hosts that answer the subscriptions of this host.
@@ -55,6 +57,7 @@
             catalog: Gauge::default(),
             limited_endpoints: Gauge::default(),
             paused_endpoints: Gauge::default(),
+            poison_requests: Gauge::default(),
             poison_verdicts: Gauge::default(),
             control_contacts: Gauge::default(),
             connections: Gauge::default(),
@@ -82,6 +85,8 @@
         registry.register("limited_endpoints", help, self.limited_endpoints.clone());
         let help = "Endpoints that have asked this host to send them nothing for a time";
         registry.register("paused_endpoints", help, self.paused_endpoints.clone());
+        let help = "Requests that are rejected because they crash endpoints";
+        registry.register("poison_requests", help, self.poison_requests.clone());
         let help = "Verdicts on parts of prompts that crash engines";
         registry.register("poison_verdicts", help, self.poison_verdicts.clone());
         let help = "Other control hosts that answer the subscriptions of this host";
--- a/crates/net/src/http/relay/mod.rs
+++ b/crates/net/src/http/relay/mod.rs
@@ -4,6 +4,7 @@
 //! cannot read the last kind, so this client uses `hyper`. `hyper` also distinguishes endpoints that respond
 //! before the request is complete, respond twice, or send more than the announced length.
 
+mod probe_outcome;
 mod relay_body;
 mod relay_call;
 mod relay_connection;
@@ -11,6 +12,7 @@
 mod relay_head;
 mod relay_pool;
 
+pub use probe_outcome::ProbeOutcome;
 pub use relay_body::RelayBody;
 pub use relay_call::RelayCall;
 pub use relay_error::RelayError;
--- a/crates/net/src/http/relay/relay_pool.rs
+++ b/crates/net/src/http/relay/relay_pool.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use super::relay_connection::RelayConnection;
-use super::{RelayBody, RelayCall, RelayError, RelayHead};
+use super::{ProbeOutcome, RelayBody, RelayCall, RelayError, RelayHead};
 
 /// Maximum number of idle connections per endpoint.
 const IDLE_PER_ENDPOINT: usize = 32;
@@ -71,19 +71,20 @@
         }
     }
 
-    /// Returns whether an endpoint refuses connections, as one whose process has ended does. A connection that it
-    /// accepts is kept for the next request; an endpoint that does not respond within `timeout` refuses nothing.
-    pub async fn is_refused(&self, addr: SocketAddr, timeout: Duration) -> bool {
+    /// Opens a connection to an endpoint. One that it accepts is kept for the next request.
+    pub async fn probe(&self, addr: SocketAddr, timeout: Duration) -> ProbeOutcome {
         self.0.connections_opened.set(self.0.connections_opened.get() + 1);
         match RelayConnection::open(addr, timeout).await {
             Ok(connection) => {
                 self.put_back(connection);
-                false
+                ProbeOutcome::Accepted
             }
-            Err(RelayError::Connect { source, .. }) => {
-                source.kind() == std::io::ErrorKind::ConnectionRefused
+            Err(RelayError::Connect { source, .. })
+                if source.kind() == std::io::ErrorKind::ConnectionRefused =>
+            {
+                ProbeOutcome::Refused
             }
-            Err(_) => false,
+            Err(_) => ProbeOutcome::Silent,
         }
     }
 
--- a/crates/policy/src/poison/find_verdicts.rs
+++ b/crates/policy/src/poison/find_verdicts.rs
@@ -24,22 +24,31 @@
 ///
 /// Each crash has one cause. Of the parts with enough weight, the one in the fewest requests explains every crash that
 /// it was present at, so that a part that many requests share is found only if nothing rarer explains the crashes. The
-/// next verdict is sought among the other crashes. `reports` have no parts that an engine has answered since.
-pub(super) fn find_verdicts(service: &ServiceName, reports: &[CrashReport]) -> Vec<Verdict> {
+/// next verdict is sought among the other crashes. `reports` have no parts that an engine has answered since. Crashes that
+/// are all in one set of `explained` are no reason for a verdict.
+pub(super) fn find_verdicts(
+    service: &ServiceName,
+    reports: &[CrashReport],
+    explained: &[BTreeSet<CrashKey>],
+) -> Vec<Verdict> {
     let mut verdicts = Vec::new();
     let mut unexplained: Vec<&CrashReport> =
         reports.iter().filter(|r| r.service == *service && !r.parts.is_empty()).collect();
-    while let Some(verdict) = find_verdict(service, &unexplained) {
-        let is_explained = |r: &&CrashReport| verdict.parts.iter().all(|p| r.parts.contains(p));
-        let explained: BTreeSet<CrashKey> =
-            unexplained.iter().filter(|r| is_explained(r)).map(|r| r.crash.clone()).collect();
-        unexplained.retain(|r| !explained.contains(&r.crash));
+    while let Some(verdict) = find_verdict(service, &unexplained, explained) {
+        let has_parts = |r: &&CrashReport| verdict.parts.iter().all(|p| r.parts.contains(p));
+        let crashes: BTreeSet<CrashKey> =
+            unexplained.iter().filter(|r| has_parts(r)).map(|r| r.crash.clone()).collect();
+        unexplained.retain(|r| !crashes.contains(&r.crash));
         verdicts.push(verdict);
     }
     verdicts
 }
 
-fn find_verdict(service: &ServiceName, reports: &[&CrashReport]) -> Option<Verdict> {
+fn find_verdict(
+    service: &ServiceName,
+    reports: &[&CrashReport],
+    explained: &[BTreeSet<CrashKey>],
+) -> Option<Verdict> {
     let mut by_part: BTreeMap<PromptPartId, Vec<&CrashReport>> = BTreeMap::new();
     for report in reports {
         for part in &report.parts {
@@ -52,6 +61,7 @@
             // Most parts are in too few reports, which is known without grouping them by crash.
             ANSWERING_WEIGHT as usize * with_part.len() >= VERDICT_WEIGHT as usize
                 && weight(with_part) >= VERDICT_WEIGHT
+                && !explained.iter().any(|set| with_part.iter().all(|r| set.contains(&r.crash)))
         })
         .min_by_key(|with_part| with_part.len())?;
     let crashes: BTreeSet<&CrashKey> = with_suspect.iter().map(|r| &r.crash).collect();
--- a/crates/policy/src/poison/mod.rs
+++ b/crates/policy/src/poison/mod.rs
@@ -57,6 +57,8 @@
     /// When an event of an answer to a part was last seen; only for parts that were in a crash report of some host.
     answered: HashMap<ServiceName, HashMap<PromptPartId, Entry<Timestamp>>>,
     verdicts: Vec<Verdict>,
+    /// Sets of crashes that one request can explain by itself. They say nothing of its parts, which others share.
+    explained: Vec<BTreeSet<CrashKey>>,
     /// The position of the last change.
     position: u64,
 }
@@ -88,6 +90,14 @@
         changed && self.update(now)
     }
 
+    /// Replaces the sets of crashes that one request can explain by itself. Returns whether the verdicts changed.
+    pub fn set_explained(&mut self, now: Timestamp, explained: Vec<BTreeSet<CrashKey>>) -> bool {
+        self.explained = explained;
+        let before = self.verdicts.clone();
+        self.update(evidence_time(now));
+        self.verdicts != before
+    }
+
     /// Merges evidence of another host. Returns whether the evidence changed.
     pub fn merge(&mut self, now: Timestamp, changes: Vec<Evidence>) -> bool {
         let now = evidence_time(now);
@@ -236,7 +246,8 @@
             .map(|e| CrashReport { parts: self.open_parts(&e.value), ..e.value.clone() })
             .collect();
         let services: BTreeSet<_> = open.iter().map(|r| r.service.clone()).collect();
-        self.verdicts = services.iter().flat_map(|s| find_verdicts(s, &open)).collect();
+        self.verdicts =
+            services.iter().flat_map(|s| find_verdicts(s, &open, &self.explained)).collect();
         true
     }
 
