Take an answer that names no request for that of another one

Bytes after the end of an answer already made the connection unusable, and an answer with the id of another attempt was not believed. But an answer without an id was: a repeated refusal sent a request that must not be repeated to a second endpoint, and a repeated success reached the wrong client. Endpoints name the attempt in all their answers, so an answer that names none says nothing of the request; its outcome is unknown. A pause counts only if the answer belongs to the request, too. A departure counts in any case.

The test extra_answers failed before: a request that must not be repeated ran twice after a refusal without id, and an earlier refusal with Retry-After kept all requests from the endpoint for a second. It plays ten kinds of extra answers, written byte by byte before or after the right one, on plain, run-once and streaming routes.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -83,11 +83,16 @@
     body: RelayBody,
 ) -> Result<(RelayHead, RelayBody), AttemptFailure> {
     let meta = (gw.front_end.read_answer)(head.status, &head.headers);
-    gw.record_answer(endpoint, &meta, sent_at);
-    if meta.call.as_ref().is_some_and(|call| *call != req.meta.call) {
-        // Dropping the body closes its connection and discards whatever else it holds.
-        return Err(AttemptFailure::Unknown("the answer belongs to another request".into()));
+    gw.record_answer(endpoint, &meta);
+    // Dropping the body closes its connection and discards whatever else it holds.
+    match &meta.call {
+        Some(call) if *call == req.meta.call => {}
+        Some(_) => {
+            return Err(AttemptFailure::Unknown("the answer belongs to another request".into()));
+        }
+        None => return Err(AttemptFailure::Unknown("the answer names no request".into())),
     }
+    gw.record_pause(endpoint, &meta, sent_at);
     if !meta.is_other_endpoint {
         gw.record_limit(endpoint, meta.limit, sent_at);
     }
--- a/crates/gateway/src/front_end/answer_meta.rs
+++ b/crates/gateway/src/front_end/answer_meta.rs
@@ -3,7 +3,7 @@
 /// What the gateway needs from the answer of an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AnswerMeta {
-    /// The attempt that the answer names; if it is a different one, the answer belongs to another request.
+    /// The attempt that the answer names. Unless it is the one that was sent, the answer may belong to another request.
     pub call: Option<CallId>,
     /// Whether the endpoint states that it has not run the request.
     pub not_run: bool,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -233,17 +233,21 @@
         self.pauses.borrow_mut().record_request(self.now(), id, incarnation);
     }
 
-    /// Records what an answer of an endpoint says about the work that it takes; the request was sent at `sent_at`.
-    pub(crate) fn record_answer(
+    /// Records what any answer of an endpoint says of the endpoint, whichever request it belongs to.
+    pub(crate) fn record_answer(&self, endpoint: &ServingEndpoint, meta: &AnswerMeta) {
+        self.liveness.borrow_mut().record_answer(self.now(), &endpoint.id);
+        if meta.leaving {
+            self.record_departure(endpoint);
+        }
+    }
+
+    /// Records whether the answer to a request that was sent at `sent_at` asks for a pause.
+    pub(crate) fn record_pause(
         &self,
         endpoint: &ServingEndpoint,
         meta: &AnswerMeta,
         sent_at: Timestamp,
     ) {
-        self.liveness.borrow_mut().record_answer(self.now(), &endpoint.id);
-        if meta.leaving {
-            self.record_departure(endpoint);
-        }
         if meta.is_other_endpoint {
             return;
         }
--- a/crates/gateway/src/stages/batch_call.rs
+++ b/crates/gateway/src/stages/batch_call.rs
@@ -139,7 +139,8 @@
             Err(e) => return CallOutcome::NotRun(LOST_CALL_BACKOFF, e.to_string().into()),
         };
         let meta = (gw.front_end.read_answer)(head.status, &head.headers);
-        gw.record_answer(endpoint, &meta, sent_at);
+        gw.record_answer(endpoint, &meta);
+        gw.record_pause(endpoint, &meta, sent_at);
         if meta.not_run || meta.is_other_endpoint {
             let backoff =
                 if meta.is_other_endpoint { WRONG_ENDPOINT_BACKOFF } else { FULL_ENDPOINT_BACKOFF };
