Close idle connections that have bytes after the end of a response

The client of the product's own HTTP interface kept a connection although bytes had followed the response, and read them as the response to the next request.

The client now looks at a connection before each use: one with bytes to read, or that the endpoint has closed, is dropped and another one is taken.

--- a/crates/net/src/http/client/connection.rs
+++ b/crates/net/src/http/client/connection.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::Request;
 use monoio::io::sink::SinkExt;
 use monoio::io::stream::Stream;
@@ -6,6 +7,7 @@
 use monoio::time::{Instant, timeout_at};
 use monoio_http::common::error::HttpError;
 use monoio_http::common::response::Response;
+use monoio_http::h1::BorrowFramedRead;
 use monoio_http::h1::codec::ClientCodec;
 use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, FixedBodyDecoder, PayloadDecoder};
 use monoio_http::h1::payload::{FixedPayload, Payload};
@@ -42,6 +44,11 @@
         }
     }
 
+    /// Returns whether nothing came after the last response and the endpoint has not closed the connection.
+    pub(super) fn is_idle(&mut self) -> bool {
+        self.codec.framed_mut().peek_data().now_or_never().is_none()
+    }
+
     /// Sends a request and reads the response head; fails with `Timeout` at `deadline`.
     pub(super) async fn exchange(
         &mut self,
--- a/crates/net/src/http/client/pool_inner.rs
+++ b/crates/net/src/http/client/pool_inner.rs
@@ -13,12 +13,14 @@
 }
 
 impl PoolInner {
+    /// Takes a connection that can be used again. Those with bytes after the end of a response are closed, because the
+    /// next request would get them as its response.
     pub(super) fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&addr)?;
         let limit = self.limits.idle_timeout.duration();
         connections.retain(|c| c.last_response.elapsed() < limit);
-        connections.pop()
+        std::iter::from_fn(|| connections.pop()).find_map(|mut c| c.is_idle().then_some(c))
     }
 
     pub(super) fn put_idle(&self, mut connection: Connection) {
