Reject a request that crashes several endpoints at once sooner

A request that reaches several endpoints at once counted as one crash for each group, because endpoints that end together may have another cause. Three groups were needed for a verdict, so that a caller that sends it three times at once could end six endpoints after the third (BUDGET allows three).

Five crashes in two groups suffice now. Endpoints that end together still convict nothing, however many they are.

The new case of request_crashes ("sent to three endpoints at once, twice") was written with the change.

--- a/crates/policy/src/request_crashes/mod.rs
+++ b/crates/policy/src/request_crashes/mod.rs
@@ -1,9 +1,11 @@
 //! Finds requests that crash each endpoint that runs them, from what all hosts saw.
 //!
-//! A request is identified by its content. It is rejected after three crashes, unless an endpoint has answered it since.
+//! A request is identified by its content. It is rejected after three crashes that follow each other, or five if it is sent
+//! to several endpoints at once, unless an endpoint has answered it since.
 //! Requests that were in progress beside it are told apart in two ways: an endpoint answers them later, and the crashes
 //! that a rejected request explains do not count for others.
 
+mod crash_count;
 mod crash_notice;
 mod request_crash;
 mod request_standing;
@@ -16,14 +18,12 @@
 pub use request_verdict::RequestVerdict;
 
 use crate::poison::CrashKey;
+use crash_count::VERDICT_CRASHES;
 use masticstair_core::prelude::*;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 use suspect::Suspect;
 
-/// The crashes after which a request is rejected.
-const VERDICT_CRASHES: usize = 3;
-
 /// The crashes from which other hosts have to know of a request, and from which it is sent to one endpoint only. With
 /// fewer, nearly all requests are those that were in progress when an endpoint ended for another reason.
 const SUSPICION_CRASHES: usize = 2;
@@ -134,8 +134,9 @@
             let left = Millis::new(verdict.until.since(now).as_millis() as u64);
             return RequestStanding::Rejected { verdict: *verdict, left };
         }
-        let open = self.suspects.get(&request).map_or(0, |s| s.independent_crashes(&|_| true));
-        match open >= SUSPICION_CRASHES {
+        let suspect = self.suspects.get(&request);
+        let count = suspect.map(|s| s.count_crashes(|_| true)).unwrap_or_default();
+        match count.successive >= SUSPICION_CRASHES {
             true => RequestStanding::Suspected,
             false => RequestStanding::Clear,
         }
@@ -222,15 +223,15 @@
             let is_unexplained = |key: &CrashKey| !explained.contains(key);
             let counts = candidates
                 .iter()
-                .map(|(request, s)| (s.independent_crashes(&is_unexplained), **request, s));
+                .map(|(request, s)| (s.count_crashes(is_unexplained), **request, s));
             // Hosts with the same notices have to choose the same one.
-            let most = counts.max_by_key(|(crashes, request, _)| (*crashes, *request));
-            let Some((crashes, request, suspect)) = most else { return verdicts };
-            if crashes < VERDICT_CRASHES {
+            let most = counts.max_by_key(|(count, request, _)| (*count, *request));
+            let Some((count, request, suspect)) = most else { return verdicts };
+            if !count.is_verdict() {
                 return verdicts;
             }
             let until = suspect.last_crash().plus(VERDICT_DURATION);
-            verdicts.push(RequestVerdict { request, crashes, until });
+            verdicts.push(RequestVerdict { request, crashes: count.all, until });
             explained.extend(suspect.open_keys());
         }
     }
--- a/crates/policy/src/request_crashes/suspect.rs
+++ b/crates/policy/src/request_crashes/suspect.rs
@@ -1,3 +1,4 @@
+use super::crash_count::CrashCount;
 use super::{CrashNotice, RequestCrash, SUSPICION_CRASHES};
 use crate::poison::CrashKey;
 use masticstair_core::prelude::*;
@@ -54,9 +55,8 @@
         self.crashes.len() >= SUSPICION_CRASHES
     }
 
-    /// Returns the number of crashes that count and are independent of each other: an attempt that was sent before an
-    /// earlier end was seen may be one that several endpoints had when they ended together for another reason.
-    pub(super) fn independent_crashes(&self, counts: &dyn Fn(&CrashKey) -> bool) -> usize {
+    /// Counts the crashes for which `counts` returns true.
+    pub(super) fn count_crashes(&self, counts: impl Fn(&CrashKey) -> bool) -> CrashCount {
         let mut spans: SmallVec<[(Timestamp, Timestamp); MAX_CRASHES]> = self
             .open()
             .filter(|crash| counts(&crash.crash))
@@ -64,14 +64,14 @@
             .collect();
         spans.sort_unstable();
         let mut last_end = None;
-        let is_independent = |(ended_at, sent_at): &&(Timestamp, Timestamp)| {
+        let is_successive = |(ended_at, sent_at): &&(Timestamp, Timestamp)| {
             let is_later = last_end.is_none_or(|end| *sent_at >= end);
             if is_later {
                 last_end = Some(*ended_at);
             }
             is_later
         };
-        spans.iter().filter(is_independent).count()
+        CrashCount { successive: spans.iter().filter(is_successive).count(), all: spans.len() }
     }
 
     /// Returns the ends of endpoints that count.
--- a/crates/policy/tests/request_crashes.rs
+++ b/crates/policy/tests/request_crashes.rs
@@ -105,6 +105,30 @@
             ],
             expected: &[(SOUND, "clear")],
         },
+        Case {
+            name: "six endpoints that ended together",
+            seen: &[
+                Seen::Crash(0, 50, 1, SOUND),
+                Seen::Crash(10, 51, 2, SOUND),
+                Seen::Crash(20, 52, 3, SOUND),
+                Seen::Crash(20, 52, 4, SOUND),
+                Seen::Crash(20, 53, 5, SOUND),
+                Seen::Crash(20, 54, 6, SOUND),
+            ],
+            expected: &[(SOUND, "clear")],
+        },
+        Case {
+            name: "sent to three endpoints at once, twice",
+            seen: &[
+                Seen::Crash(0, 10, 1, BAD),
+                Seen::Crash(1, 11, 2, BAD),
+                Seen::Crash(2, 12, 3, BAD),
+                Seen::Crash(3_000, 3_010, 4, BAD),
+                Seen::Crash(3_001, 3_011, 5, BAD),
+                Seen::Crash(3_002, 3_012, 6, BAD),
+            ],
+            expected: &[(BAD, "rejected"), (SOUND, "clear")],
+        },
         Case {
             name: "answered after the last crash",
             seen: &[
