--- a/crates/policy/src/request_crashes/mod.rs
+++ b/crates/policy/src/request_crashes/mod.rs
@@ -1,9 +1,9 @@
 //! Finds requests that crash each endpoint that runs them, from what all hosts saw.
 //!
 //! A request is identified by its content. It is rejected after three crashes that follow each other, or five if it is sent
-//! to several endpoints at once, unless an endpoint has answered it since.
-//! Requests that were in progress beside it are told apart in two ways: an endpoint answers them later, and the crashes
-//! that a rejected request explains do not count for others.
+//! to several endpoints at once, unless an endpoint has answered it since. Requests that were in progress beside it are told
+//! apart in two ways: an endpoint answers them later, and the crashes that a rejected request explains do not count for
+//! others.
 
 mod crash_count;
 mod crash_notice;
@@ -45,8 +45,8 @@
 
 /// The requests during which endpoints ended, as far as all hosts together know.
 ///
-/// Notices can be merged repeatedly and in any order. The verdicts are computed from all of them, so hosts with the same
-/// notices reach the same verdicts.
+/// Notices can be merged repeatedly and in any order, except that an answer to a request without known crashes is not kept.
+/// The verdicts are computed from all notices, so hosts with the same ones reach the same verdicts.
 #[derive(Debug, Default)]
 pub struct RequestCrashes {
     suspects: HashMap<RequestDigest, Suspect>,
