Remember announced departures after a control host restarts

Users saw requests at an endpoint that had said that it leaves (DRAIN). Besides the hosts that asked nobody for updates, the same could happen after a control host was restarted: its table of endpoints begins empty, so it has forgotten which ones left. An announcement that was sent before the departure and arrives late lists the endpoint as ready, and the entry hosts replaced what they knew by it.

Entry hosts now keep the departures that control hosts list as they keep those that endpoints state in answers: by process, before any listing, for as long as the endpoint is listed and a minute more. They are not told to other hosts once more.

The test a_restarted_control_host_brings_no_endpoint_back failed before ("at once, Leaving") and passes now.

--- a/crates/policy/src/directory/directory.rs
+++ b/crates/policy/src/directory/directory.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     subscriptions: HashMap<HostId, Subscription>,
-    /// Endpoints that stated that they leave. Their incarnation takes no new work, whatever is listed.
+    /// Endpoints that stated or announced that they leave. Their incarnation takes no new work, whatever is listed.
     departures: HashMap<EndpointId, Departure>,
     /// The position of the last departure.
     departures_position: u64,
@@ -50,7 +50,11 @@
     ) -> bool {
         let subscription = self.subscriptions.entry(control.clone()).or_default();
         let has_returned = now.since(subscription.last_seen) >= SUBSCRIPTION_RETENTION;
+        let departures = update.departures();
         let changed = subscription.apply(now, update) || has_returned;
+        for notice in departures {
+            self.add_listed_departure(now, notice);
+        }
         changed && self.refresh(now)
     }
 
@@ -91,15 +95,31 @@
     }
 
     fn add_departure(&mut self, now: Timestamp, notice: DepartureNotice, is_own: bool) -> bool {
-        let DepartureNotice { endpoint, incarnation } = notice;
-        if self.departures.get(&endpoint).is_some_and(|known| known.incarnation >= incarnation) {
+        let position = self.departures_position + 1;
+        let incarnation = notice.incarnation;
+        let departure = Departure { incarnation, at: now, position, is_own };
+        let is_new = self.insert_departure(notice.endpoint, departure);
+        if is_new {
+            self.departures_position = position;
+        }
+        is_new
+    }
+
+    /// Adds a departure that a control host lists. It is kept after the control host was restarted and has forgotten it.
+    fn add_listed_departure(&mut self, now: Timestamp, notice: DepartureNotice) {
+        let incarnation = notice.incarnation;
+        let departure = Departure { incarnation, at: now, position: 0, is_own: false };
+        self.insert_departure(notice.endpoint, departure);
+    }
+
+    fn insert_departure(&mut self, endpoint: EndpointId, departure: Departure) -> bool {
+        let known = self.departures.get(&endpoint);
+        if known.is_some_and(|known| known.incarnation >= departure.incarnation) {
             return false;
         }
-        self.departures_position += 1;
-        let position = self.departures_position;
-        self.departures.insert(endpoint, Departure { incarnation, at: now, position, is_own });
+        self.departures.insert(endpoint, departure);
         if self.departures.len() > MAX_DEPARTURES {
-            let oldest = self.departures.iter().min_by_key(|(_, departure)| departure.position);
+            let oldest = self.departures.iter().min_by_key(|(_, departure)| departure.at);
             let oldest = oldest.map(|(id, _)| id.clone());
             oldest.and_then(|id| self.departures.remove(&id));
         }
--- a/crates/policy/src/directory/listing_update.rs
+++ b/crates/policy/src/directory/listing_update.rs
@@ -1,7 +1,7 @@
 use masticstair_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use super::ListingChange;
+use super::{DepartureNotice, ListingChange, ServingState};
 
 /// An update of the listing of a control host for a subscribed entry host.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -18,3 +18,16 @@
     /// The current record or the removal of each changed endpoint.
     pub changes: Vec<ListingChange>,
 }
+
+impl ListingUpdate {
+    /// Returns the endpoints that leave or are gone.
+    pub(super) fn departures(&self) -> Vec<DepartureNotice> {
+        let departure = |change: &ListingChange| match change {
+            ListingChange::Listed(e) if e.state != ServingState::Ready => {
+                Some(DepartureNotice { endpoint: e.id.clone(), incarnation: e.incarnation })
+            }
+            _ => None,
+        };
+        self.changes.iter().filter_map(departure).collect()
+    }
+}
--- a/crates/policy/tests/directory.rs
+++ b/crates/policy/tests/directory.rs
@@ -277,3 +277,44 @@
     assert!(other.departures_after(0, true).is_empty(), "the endpoint did not tell this host");
     assert!(told.departures_after(told.departures_position(), false).is_empty());
 }
+
+/// Guards against endpoints that come back because a control host forgot their departure when it was restarted, and a late
+/// announcement lists them once more.
+#[test]
+fn a_restarted_control_host_brings_no_endpoint_back() {
+    struct Case {
+        name: &'static str,
+        control: &'static str,
+        /// Whether the restarted process has settled before.
+        settled: bool,
+        incarnation: u64,
+        is_ready: bool,
+    }
+    let cases = [
+        Case { name: "at once", control: "c1", settled: false, incarnation: 5, is_ready: false },
+        Case { name: "settled", control: "c1", settled: true, incarnation: 5, is_ready: false },
+        Case { name: "elsewhere", control: "c2", settled: true, incarnation: 5, is_ready: false },
+        Case { name: "later", control: "c1", settled: true, incarnation: 6, is_ready: true },
+    ];
+    let first: HostId = "c1".parse().unwrap();
+    for state in [ServingState::Leaving, ServingState::Gone] {
+        for case in &cases {
+            let mut directory = Directory::default();
+            let left = endpoint("a", "10.0.0.1:80", 5, state);
+            directory.apply_update(at(0), &first, update(true, &[left]));
+            let restarted = update(case.settled, &[]);
+            let incarnation = Incarnation::new(9);
+            directory.apply_update(at(10), &first, ListingUpdate { incarnation, ..restarted });
+            let late = endpoint("a", "10.0.0.1:80", case.incarnation, ServingState::Ready);
+            let control = case.control.parse().unwrap();
+            let listing = update(case.settled, std::slice::from_ref(&late));
+            directory.apply_update(at(20), &control, ListingUpdate { incarnation, ..listing });
+            assert_eq!(directory.is_ready(&late), case.is_ready, "{}, {state:?}", case.name);
+        }
+    }
+    // What a control host lists is known to all hosts, so it is not told once more.
+    let mut directory = Directory::default();
+    let left = endpoint("a", "10.0.0.1:80", 5, ServingState::Gone);
+    directory.apply_update(at(0), &first, update(true, &[left]));
+    assert!(directory.departures_after(0, false).is_empty());
+}
