Convict no request of crashes while its endpoints are cut off

Cause: an endpoint that fell silent counted as ended unless its data centre was in backoff, and that needs three failed connections within a second. On connections from before the cut nothing fails: the calls time out, and each one was a crash of the request.

Silence now counts only if another endpoint of the same data centre, the one that answered last, responds to a connection. Where there is no other one, silence is no evidence.

--- a/crates/gateway/src/entry/check_endpoint_end.rs
+++ b/crates/gateway/src/entry/check_endpoint_end.rs
@@ -61,10 +61,23 @@
         ProbeOutcome::Accepted => false,
         ProbeOutcome::Refused => true,
         // Without a path to the data centre, silence says nothing about the endpoint.
-        ProbeOutcome::Silent => !gw.is_cut_off(&endpoint.data_centre),
+        ProbeOutcome::Silent => {
+            !gw.is_cut_off(&endpoint.data_centre) && has_responsive_neighbor(gw, endpoint).await
+        }
     };
     if has_ended {
         gw.liveness.borrow_mut().record_end(gw.now(), id, incarnation);
     }
     has_ended
 }
+
+/// Returns whether another endpoint in the data centre responds: the one that answered last.
+async fn has_responsive_neighbor(gw: &Gateway, endpoint: &ServingEndpoint) -> bool {
+    let neighbors = gw.directory.borrow().neighbors(endpoint);
+    let neighbor = {
+        let liveness = gw.liveness.borrow();
+        neighbors.into_iter().max_by_key(|e| liveness.last_answer(&e.id))
+    };
+    let Some(neighbor) = neighbor else { return false };
+    gw.pool.probe(neighbor.address, CONNECT_TIMEOUT).await != ProbeOutcome::Silent
+}
--- a/crates/policy/src/directory/directory.rs
+++ b/crates/policy/src/directory/directory.rs
@@ -139,6 +139,14 @@
         })
     }
 
+    /// Returns the other endpoints that take new work in the data centre of an endpoint.
+    pub fn neighbors(&self, endpoint: &ServingEndpoint) -> Vec<Arc<ServingEndpoint>> {
+        let is_neighbor = |e: &&Arc<ServingEndpoint>| {
+            e.data_centre == endpoint.data_centre && e.id != endpoint.id
+        };
+        self.ready.values().flat_map(|ready| ready.iter()).filter(is_neighbor).cloned().collect()
+    }
+
     /// Merges the listings again, without those that expired, and returns whether the set of ready endpoints
     /// changed.
     pub fn refresh(&mut self, now: Timestamp) -> bool {
--- a/crates/policy/src/endpoint_liveness/mod.rs
+++ b/crates/policy/src/endpoint_liveness/mod.rs
@@ -30,9 +30,14 @@
         }
     }
 
+    /// Returns when an endpoint last answered a call, if that is remembered.
+    pub fn last_answer(&self, endpoint: &EndpointId) -> Option<Timestamp> {
+        self.answers.get(endpoint).copied()
+    }
+
     /// Returns whether an endpoint has answered a call since `since`.
     pub fn has_answered(&self, endpoint: &EndpointId, since: Timestamp) -> bool {
-        self.answers.get(endpoint).is_some_and(|at| *at >= since)
+        self.last_answer(endpoint).is_some_and(|at| at >= since)
     }
 
     /// Records that a process of an endpoint has ended.
