Learn of deadly requests also from clients that leave first

A request that makes its endpoint fall silent ended one endpoint after the other (BUDGET) if its clients give up before the host does: the handler of a request is dropped when the client closes the connection, and the check of the endpoint with it.

A call that its client abandoned is now checked like a failed one, if the endpoint has sent nothing for 200 ms, neither to this call nor to others. The check runs in a task of its own; so does that of a request whose time has passed, so that its caller does not wait up to 500 ms longer for the refusal.

--- a/crates/gateway/src/entry/answer_plain.rs
+++ b/crates/gateway/src/entry/answer_plain.rs
@@ -3,7 +3,6 @@
 use masticstair_net::http::relay::RelayHead;
 use masticstair_net::http::server::{Response, ResponseContent};
 use masticstair_policy::directory::ServingEndpoint;
-use masticstair_policy::poison::CallProgress;
 use masticstair_policy::request_crashes::RequestStanding;
 use masticstair_policy::service_choice::{Candidate, pick_endpoint};
 use std::rc::Rc;
@@ -14,13 +13,14 @@
 use super::attempt::attempt;
 use super::attempt_failure::AttemptFailure;
 use super::attempt_options::AttemptOptions;
-use super::check_endpoint_end::check_endpoint_end;
+use super::check_endpoint_end::{check_endpoint_end, spawn_check};
 use super::check_request::{crash_refusal, record_request_answer, request_standing};
 use super::client_request::ClientRequest;
 use super::failed_call::FailedCall;
 use super::in_flight_call::InFlightCall;
 use super::pause_refusal::pause_refusal;
 use super::permitted_endpoint::{choose_permitted, limit_refusal};
+use super::waiting_call::WaitingCall;
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason};
 use crate::telemetry::RequestTimeline;
@@ -104,7 +104,9 @@
         let is_last_run = runs + 1 >= max_runs;
         let timeout = if is_last_run { left } else { attempt_timeout(gw, req, &endpoint) };
         let started = gw.now();
+        let waiting = WaitingCall::new(gw, req, &endpoint, started);
         let result = run_attempt(gw, req, &endpoint, timeout).await;
+        waiting.finish();
         let took = gw.now().since(started);
         let label = result.as_ref().map_or_else(AttemptFailure::name, |_| "answered");
         gw.metrics.count_call(&req.service, label, took);
@@ -125,16 +127,13 @@
                 timeline.record_attempt(&endpoint.id, failure.name(), took);
                 if failure.may_have_run() {
                     runs += 1;
-                }
-                if failure.may_have_run() {
-                    let call = FailedCall {
-                        endpoint: &endpoint,
-                        sent_at: started,
-                        progress: CallProgress::Queued,
-                        has_events: false,
-                        silent_since: failure.is_silent().then_some(started),
-                    };
-                    check_endpoint_end(gw, req, &call).await;
+                    let is_silent = failure.is_silent();
+                    let call = FailedCall::unanswered(req, &endpoint, started, is_silent);
+                    match is_silent && is_last_run {
+                        // The time of the request has passed.
+                        true => spawn_check(gw, call),
+                        false => check_endpoint_end(gw, call).await,
+                    }
                 }
                 last = Some(failure);
             }
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -3,7 +3,7 @@
 use masticstair_net::http::server::{Response, ResponseContent};
 use masticstair_policy::directory::ServingEndpoint;
 use masticstair_policy::engine_choice::{EngineCandidate, pick_engine, rendezvous_weight};
-use masticstair_policy::poison::{CallProgress, Standing};
+use masticstair_policy::poison::Standing;
 use masticstair_policy::request_crashes::RequestStanding;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use super::attempt::attempt;
 use super::attempt_failure::AttemptFailure;
 use super::attempt_options::AttemptOptions;
-use super::check_endpoint_end::check_endpoint_end;
+use super::check_endpoint_end::{check_endpoint_end, spawn_check};
 use super::check_prompt::{poison_refusal, prompt_standing};
 use super::check_request::{crash_refusal, record_request_answer, request_standing};
 use super::client_request::ClientRequest;
@@ -26,6 +26,7 @@
 use super::permitted_endpoint::{PermittedEndpoint, choose_permitted, limit_refusal};
 use super::stage_plan::{admit_stages, run_stages};
 use super::stream_state::{StreamState, stream_events};
+use super::waiting_call::WaitingCall;
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason};
 use crate::telemetry::RequestTimeline;
@@ -191,7 +192,9 @@
         let in_flight_call = InFlightCall::new(gw, &endpoint.id, prompt_tokens(req));
         let priority = Some(req.priority.min(9));
         let options = AttemptOptions { priority, inputs, resume_after, timeout };
+        let waiting = WaitingCall::new(gw, req, &endpoint, sent_at);
         let answer = attempt(gw, req, &endpoint, &options).await;
+        waiting.finish();
         let took = gw.now().since(sent_at);
         let label = answer.as_ref().map_or_else(AttemptFailure::name, |_| "answered");
         gw.metrics.count_call(&req.service, label, took);
@@ -217,14 +220,13 @@
             Err(failure) => {
                 if failure.may_have_run() {
                     *runs += 1;
-                    let call = FailedCall {
-                        endpoint: &endpoint,
-                        sent_at,
-                        progress: CallProgress::Queued,
-                        has_events: false,
-                        silent_since: failure.is_silent().then_some(sent_at),
-                    };
-                    check_endpoint_end(gw, req, &call).await;
+                    let is_silent = failure.is_silent();
+                    let call = FailedCall::unanswered(req, &endpoint, sent_at, is_silent);
+                    match is_silent && *runs >= max_runs {
+                        // The time of the request has passed.
+                        true => spawn_check(gw, call),
+                        false => check_endpoint_end(gw, call).await,
+                    }
                 }
                 last = Some(failure);
             }
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -27,6 +27,7 @@
 mod stream_event;
 mod stream_state;
 mod subscribe;
+mod waiting_call;
 
 pub(crate) use answer_ready::answer_ready;
 pub(crate) use answer_request::answer_request;
--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -3,12 +3,11 @@
 use futures_util::stream::{LocalBoxStream, unfold};
 use masticstair_core::prelude::*;
 use masticstair_net::http::server::BodyAborted;
-use masticstair_policy::poison::CallProgress;
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::answer_stream::{normalized_first_event, open_stream};
-use super::check_endpoint_end::check_endpoint_end;
+use super::check_endpoint_end::{check_endpoint_end, is_endpoint_silent, spawn_check};
 use super::check_prompt::record_prompt_answer;
 use super::check_request::record_request_answer;
 use super::client_request::ClientRequest;
@@ -76,9 +75,20 @@
     }
 }
 
+impl StreamState {
+    /// Checks an engine that has sent nothing for some time when the client leaves, as after a failed call.
+    fn check_silent_engine(&self) {
+        let Some(opened) = &self.opened else { return };
+        if is_endpoint_silent(&self.gw, &opened.endpoint.id, opened.last_output) {
+            spawn_check(&self.gw, FailedCall::unfinished(&self.req, opened, true));
+        }
+    }
+}
+
 impl Drop for StreamState {
     fn drop(&mut self) {
         if !self.finished {
+            self.check_silent_engine();
             self.timeline.finish(&self.gw, "cancelled", "client disconnected");
         }
     }
@@ -210,16 +220,13 @@
         state.gw.with_health(&opened.endpoint.id, |health| health.record_unanswered(now));
         let took = now.since(opened.sent_at);
         state.timeline.record_attempt(&opened.endpoint.id, "broke-off", took);
-        let endpoint = opened.endpoint.clone();
-        let call = FailedCall {
-            endpoint: &endpoint,
-            sent_at: opened.sent_at,
-            progress: CallProgress::Answering,
-            has_events: opened.has_events,
-            silent_since: is_silent.then_some(opened.last_output),
-        };
+        let call = FailedCall::unfinished(&state.req, &opened, is_silent);
         drop(opened);
-        check_endpoint_end(&state.gw, &state.req, &call).await;
+        match is_silent && !can_resume(state) {
+            // The time of the request has passed.
+            true => spawn_check(&state.gw, call),
+            false => check_endpoint_end(&state.gw, call).await,
+        }
     }
     state.splitter = EventSplitter::default();
     if !can_resume(state) {
