Show operators what a gateway has found out

Verdicts on requests and prompts, pauses and departures that endpoints state, and the control hosts that answer a host were in its log and its metrics only, so that an operator had to collect them line by line.

The status of a host now has them, with the evidence: the endpoints that ended during a rejected request, and for how long it is rejected. The gateway thread is asked when the status is read. A host whom no other control host answers, and rejected requests and prompts, are among the things that need a look. The digest of a request is written as text, as in the log.

--- a/crates/cli/src/admin/format_status.rs
+++ b/crates/cli/src/admin/format_status.rs
@@ -1,6 +1,7 @@
 //! Prints the status for people.
 
-use masticstair_host::http_api::admin::{HostStatus, StatusReport};
+use masticstair_core::prelude::*;
+use masticstair_host::http_api::admin::{GatewayStatus, HostStatus, StatusReport};
 use std::fmt::{Display, Write};
 
 /// Prints a status at a glance: what needs a look first.
@@ -19,6 +20,9 @@
     push_hosts(&mut out, &report.hosts);
     push_voters(&mut out, report);
     push_pools(&mut out, report);
+    if let Some(gateway) = &report.gateway {
+        push_gateway(&mut out, gateway);
+    }
     out
 }
 
@@ -104,6 +108,56 @@
     }
 }
 
+fn push_gateway(out: &mut String, gateway: &GatewayStatus) {
+    let (answering, silent) = (&gateway.answering_hosts, &gateway.silent_hosts);
+    let _ = writeln!(
+        out,
+        "\nGateway: catalog {}, {} of {} other control hosts answer",
+        gateway.catalog,
+        answering.len(),
+        answering.len() + silent.len()
+    );
+    for host in silent {
+        let _ = writeln!(out, "  no answer from {host}");
+    }
+    for request in &gateway.rejected_requests {
+        let crashes = request.crashes.iter().map(|c| c.endpoint.to_string());
+        let _ = writeln!(
+            out,
+            "  request {} is rejected for {}: it crashed {}",
+            request.content,
+            seconds(request.left),
+            crashes.collect::<Vec<_>>().join(", ")
+        );
+    }
+    for prompt in &gateway.rejected_prompts {
+        let parts = prompt.parts.iter().map(|part| format!("{:x}", part.get()));
+        let _ = writeln!(
+            out,
+            "  prompts of {} with the parts {} are rejected for {}: {} crashes",
+            prompt.service,
+            parts.collect::<Vec<_>>().join(", "),
+            seconds(prompt.left),
+            prompt.crashes
+        );
+    }
+    for paused in &gateway.paused_endpoints {
+        let _ = writeln!(
+            out,
+            "  endpoint {} wants nothing from this host for {}",
+            paused.endpoint,
+            seconds(paused.left)
+        );
+    }
+    for leaving in &gateway.leaving_endpoints {
+        let _ = writeln!(out, "  endpoint {} states that it is leaving", leaving.endpoint);
+    }
+}
+
+fn seconds(time: Millis) -> String {
+    format!("{:.1} s", time.duration().as_secs_f64())
+}
+
 fn shown<T: Display>(value: Option<T>) -> String {
     value.map_or_else(|| "-".into(), |value| value.to_string())
 }
--- a/crates/cli/tests/admin_formats.rs
+++ b/crates/cli/tests/admin_formats.rs
@@ -33,6 +33,13 @@
         "voters": [voter("h1", json!(5200), json!(0)), voter("h2", json!(40), json!(12)),
             voter("h3", json!(5100), json!(4100)), voter("h5", Value::Null, Value::Null)],
         "pools": [pool("orders", 0, true), pool("stock", 4, true), pool("old", 1, false)],
+        "gateway": { "catalog": 20, "answering_hosts": [], "silent_hosts": ["c1", "c2"],
+            "rejected_requests": [{ "content": "0123456789abcdef".repeat(2),
+                "crashes": [{ "endpoint": "i-1", "incarnation": 1 },
+                    { "endpoint": "i-2", "incarnation": 1 }], "left": 580_000 }],
+            "rejected_prompts": [{ "service": "engine", "parts": [37, 110], "crashes": 2, "left": 90 }],
+            "paused_endpoints": [{ "endpoint": "i-3", "left": 2_400 }],
+            "leaving_endpoints": [{ "endpoint": "i-4", "incarnation": 1 }] },
     })
 }
 
@@ -53,6 +60,9 @@
         healthy[list].as_array_mut().unwrap().truncate(1);
     }
     healthy["pools"] = json!([]);
+    healthy["gateway"] = json!({ "catalog": 20, "answering_hosts": ["c1", "c2"], "silent_hosts": [],
+        "rejected_requests": [], "rejected_prompts": [], "paused_endpoints": [],
+        "leaving_endpoints": [] });
     let mut report: StatusReport = serde_json::from_value(healthy).unwrap();
     report.unhealthy = find_faults(&report);
     assert_snapshot!("status_healthy", format_status(&report));
--- a/crates/core/src/id/request_digest.rs
+++ b/crates/core/src/id/request_digest.rs
@@ -11,6 +11,7 @@
 ///
 /// The account is part of it, so a client cannot make a request that another account's request is taken for.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "Box<str>", into = "Box<str>")]
 pub struct RequestDigest([u8; 16]);
 
 impl RequestDigest {
@@ -44,3 +45,17 @@
         Ok(Self(bytes))
     }
 }
+
+impl TryFrom<Box<str>> for RequestDigest {
+    type Error = DigestError;
+
+    fn try_from(s: Box<str>) -> Result<Self, DigestError> {
+        s.parse()
+    }
+}
+
+impl From<RequestDigest> for Box<str> {
+    fn from(digest: RequestDigest) -> Self {
+        digest.to_string().into()
+    }
+}
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -108,14 +108,14 @@
     loop {
         let (hosts, _) = gw.control_hosts();
         let Some(peer) = hosts.into_iter().find(|h| h.host == *host) else {
-            gw.control_contacts.borrow_mut().remove(host);
+            gw.last_contacts.borrow_mut().remove(host);
             warn!(gw.log, "subscription to control host ended; the host has left";
                 "peer" => %host, "catalog" => %gw.catalog.version());
             return;
         };
         match fetch_updates(gw, &peer).await {
             Ok(reply) => {
-                gw.control_contacts.borrow_mut().insert(host.clone(), gw.now());
+                gw.last_contacts.borrow_mut().insert(host.clone(), gw.now());
                 if std::mem::take(&mut disconnected) {
                     info!(gw.log, "control host reachable again"; "peer" => %host);
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -55,7 +55,7 @@
     /// Which parts of prompts crash engines, as far as all hosts together know.
     pub(crate) poison: RefCell<PoisonTable>,
     /// When each control host last answered a subscription of this host; only those that it subscribes to.
-    pub(crate) control_contacts: RefCell<HashMap<HostId, Timestamp>>,
+    pub(crate) last_contacts: RefCell<HashMap<HostId, Timestamp>>,
     /// Which requests crash endpoints, as far as all hosts together know.
     pub(crate) request_crashes: RefCell<RequestCrashes>,
     pub(crate) liveness: RefCell<EndpointLiveness>,
@@ -101,7 +101,7 @@
             poison: RefCell::default(),
             request_crashes: RefCell::default(),
             liveness: RefCell::default(),
-            control_contacts: RefCell::default(),
+            last_contacts: RefCell::default(),
             findings_changed: Notify::default(),
             has_findings: Cell::new(false),
             incarnation: parts.incarnation,
@@ -150,11 +150,15 @@
         (others.cloned().collect(), view.joined)
     }
 
-    /// Returns the number of control hosts that have answered a subscription in the last `CONTACT_TIME`.
-    pub(crate) fn contact_count(&self) -> usize {
-        let now = self.now();
-        let contacts = self.control_contacts.borrow();
-        contacts.values().filter(|at| now.since(**at) < CONTACT_TIME).count()
+    /// Returns the other control hosts that have answered a subscription in the last `CONTACT_TIME`, and those that have
+    /// not.
+    pub(crate) fn control_contacts(&self) -> (Vec<HostId>, Vec<HostId>) {
+        let (now, contacts) = (self.now(), self.last_contacts.borrow());
+        let answers =
+            |host: &HostId| contacts.get(host).is_some_and(|at| now.since(*at) < CONTACT_TIME);
+        let mut hosts: Vec<_> = self.control_hosts().0.into_iter().map(|h| h.host).collect();
+        hosts.sort_unstable();
+        hosts.into_iter().partition(answers)
     }
 
     /// Returns the batch limits of a stage service; none if the service runs no stages or is not in the
--- a/crates/gateway/src/gateway_event.rs
+++ b/crates/gateway/src/gateway_event.rs
@@ -2,6 +2,8 @@
 use masticstair_core::catalog::CatalogDocument;
 use masticstair_core::prelude::*;
 
+use crate::status::GatewayStatus;
+
 /// What other threads send to the thread of the gateway.
 #[derive(Debug)]
 pub enum GatewayEvent {
@@ -16,6 +18,8 @@
     },
     /// The replica on this host has applied a catalog.
     Catalog(CatalogDocument),
+    /// Asks for the status of the gateway.
+    Status(oneshot::Sender<GatewayStatus>),
 }
 
 /// Creates the channel to the thread of a gateway. It is unbounded.
--- a/crates/gateway/src/handle_events.rs
+++ b/crates/gateway/src/handle_events.rs
@@ -11,8 +11,9 @@
 use crate::messages::{Message, Reply, decode, encode};
 use crate::request_permit::take_permit;
 use crate::stages::{cancel_stage, release_results, run_stage};
+use crate::status::gateway_status;
 
-/// Handles messages and catalogs from other threads; each message runs in its own task.
+/// Handles messages, catalogs and questions of other threads; each message runs in its own task.
 pub(crate) async fn handle_events(
     gw: Rc<Gateway>,
     control: Option<Rc<ControlHost>>,
@@ -26,6 +27,8 @@
                     control.changed.notify();
                 }
             }
+            // The caller may have stopped waiting.
+            GatewayEvent::Status(reply) => drop(reply.send(gateway_status(&gw))),
             GatewayEvent::Message { from, content, reply } => {
                 let (gw, control) = (gw.clone(), control.clone());
                 monoio::spawn(async move {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod front_end;
 mod messages;
 mod stages;
+pub mod status;
 pub mod telemetry;
 
 mod catalog_in_force;
--- a/crates/gateway/src/maintenance.rs
+++ b/crates/gateway/src/maintenance.rs
@@ -21,8 +21,8 @@
         gw.pauses.borrow_mut().expire(gw.now());
         gw.liveness.borrow_mut().expire(gw.now());
         gw.change_request_crashes(|table, now| table.expire(now));
-        gw.metrics.paused_endpoints.set(gw.pauses.borrow().paused_count(gw.now()) as i64);
-        gw.metrics.control_contacts.set(gw.contact_count() as i64);
+        gw.metrics.paused_endpoints.set(gw.pauses.borrow().paused(gw.now()).count() as i64);
+        gw.metrics.control_contacts.set(gw.control_contacts().0.len() as i64);
         gw.metrics.connections.set(gw.pool.connections_opened() as i64);
         if let Some(control) = &control {
             let expired = control.table.borrow_mut().expire(gw.now());
--- a/crates/host/src/http_api/admin/faults.rs
+++ b/crates/host/src/http_api/admin/faults.rs
@@ -16,6 +16,7 @@
 /// Returns one sentence for each fault that a report shows; none for a healthy deployment.
 pub fn find_faults(report: &StatusReport) -> Vec<Box<str>> {
     let mut faults = local_faults(report);
+    faults.extend(gateway_faults(report));
     faults.extend(log_faults(report));
     faults.extend(report.hosts.iter().filter_map(|host| host_fault(report, host)));
     let empty = report.pools.iter().filter(|p| p.in_bundle && p.endpoints.get() == 0);
@@ -44,6 +45,30 @@
     faults
 }
 
+fn gateway_faults(report: &StatusReport) -> Vec<String> {
+    let Some(gateway) = &report.gateway else { return Vec::new() };
+    let host = &report.this_host.host;
+    let mut faults = Vec::new();
+    if gateway.answering_hosts.is_empty() && !gateway.silent_hosts.is_empty() {
+        let catalog = gateway.catalog;
+        faults.push(format!(
+            "No other control host answers host {host}: it serves by catalog {catalog}, which may be old."
+        ));
+    }
+    match gateway.rejected_requests.len() {
+        0 => {}
+        1 => faults.push("1 request is rejected because it crashes endpoints.".to_owned()),
+        some => {
+            faults.push(format!("{some} requests are rejected because they crash endpoints."));
+        }
+    }
+    let prompts = &gateway.rejected_prompts;
+    faults.extend(prompts.iter().map(|p| {
+        format!("Prompts are rejected because they crash engines of service {}.", p.service)
+    }));
+    faults
+}
+
 fn log_faults(report: &StatusReport) -> Vec<String> {
     let mut faults = Vec::new();
     if !report.confirmed {
--- a/crates/host/src/http_api/admin/mod.rs
+++ b/crates/host/src/http_api/admin/mod.rs
@@ -45,6 +45,8 @@
 pub use table_changes::TableChanges;
 pub use winner::Winner;
 
+pub use masticstair_gateway::status::GatewayStatus;
+
 use http::Method;
 use masticstair_core::prelude::*;
 use masticstair_net::http::server::{Request, Response};
--- a/crates/host/src/http_api/admin/status.rs
+++ b/crates/host/src/http_api/admin/status.rs
@@ -1,9 +1,12 @@
 //! The status of a deployment.
 
+use futures_channel::oneshot;
 use futures_util::join;
 use http::StatusCode;
 use masticstair_core::bundle::StageKind;
 use masticstair_core::prelude::*;
+use masticstair_gateway::GatewayEvent;
+use masticstair_gateway::status::GatewayStatus;
 use masticstair_net::http::server::{Request, Response};
 use masticstair_policy::endpoint_table::EndpointView;
 use masticstair_policy::membership::HostState as MemberState;
@@ -22,6 +25,9 @@
 /// Wait limit for the leader. If it doesn't answer, the status holds what this host knows.
 const LEADER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Wait limit for the gateway thread.
+const GATEWAY_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Handles `GET /v1/status`.
 pub(super) async fn report(
     state: &HostState,
@@ -29,8 +35,9 @@
 ) -> Result<Response, Box<AdminProblem>> {
     check_read(state, req)?;
     let control = control(state)?;
-    let (_, leader, revision, local) = join!(
+    let (_, gateway, leader, revision, local) = join!(
         control.survey(),
+        gateway_status(state),
         control.leader_status(LEADER_TIMEOUT),
         control.read(&Query::Revision, LEADER_TIMEOUT),
         control.status(),
@@ -40,6 +47,7 @@
         _ => None,
     };
     let mut report = build_report(state, leader.ok(), confirmed, local.ok());
+    report.gateway = gateway;
     report.unhealthy = find_faults(&report);
     Ok(Response::json(StatusCode::OK, &report))
 }
@@ -75,9 +83,17 @@
         voters_changing: group.as_ref().is_some_and(|g| g.changing),
         voters: group.map_or_else(known_voters, |g| g.voters),
         pools: pool_statuses(in_force.as_deref(), &snapshot.endpoints),
+        gateway: None,
     }
 }
 
+/// Returns the status of the gateway of this host; none if there is no gateway or it does not answer in time.
+async fn gateway_status(state: &HostState) -> Option<GatewayStatus> {
+    let (reply, answer) = oneshot::channel();
+    state.gateway.get()?.unbounded_send(GatewayEvent::Status(reply)).ok()?;
+    monoio::time::timeout(GATEWAY_TIMEOUT, answer).await.ok()?.ok()
+}
+
 fn local_host_status(state: &HostState, local: Option<&ControlStatus>) -> LocalHostStatus {
     let fault = local.and_then(|local| local.node.as_ref()).and_then(|node| node.fault.as_ref());
     LocalHostStatus {
--- a/crates/host/src/http_api/admin/status_report.rs
+++ b/crates/host/src/http_api/admin/status_report.rs
@@ -1,6 +1,7 @@
 use masticstair_core::bundle::BundleVersion;
 use masticstair_core::id::{DeploymentName, LogIndex, Term};
 use masticstair_core::prelude::*;
+use masticstair_gateway::status::GatewayStatus;
 use serde::{Deserialize, Serialize};
 
 use super::{HostStatus, LocalHostStatus, PoolStatus};
@@ -39,4 +40,7 @@
     pub voters: Vec<VoterProgress>,
     /// The pools of the bundle in force and of the endpoints, ordered by name.
     pub pools: Vec<PoolStatus>,
+    /// What the gateway of the answering host has found out; `None` without a gateway, or if it did not answer.
+    #[serde(default)]
+    pub gateway: Option<GatewayStatus>,
 }
--- a/crates/policy/src/endpoint_pauses/mod.rs
+++ b/crates/policy/src/endpoint_pauses/mod.rs
@@ -94,9 +94,10 @@
         self.0.is_empty()
     }
 
-    /// Returns the number of endpoints that must get nothing now.
-    pub fn paused_count(&self, now: Timestamp) -> usize {
-        self.0.values().filter(|pause| pause.until > now).count()
+    /// Returns the endpoints that must get nothing now, and for how long.
+    pub fn paused(&self, now: Timestamp) -> impl Iterator<Item = (&EndpointId, Duration)> {
+        let paused = self.0.iter().filter(move |(_, pause)| pause.until > now);
+        paused.map(move |(endpoint, pause)| (endpoint, pause.until.since(now)))
     }
 
     /// Removes pauses that ended some time ago.
--- a/crates/policy/src/poison/mod.rs
+++ b/crates/policy/src/poison/mod.rs
@@ -185,6 +185,11 @@
         &self.verdicts
     }
 
+    /// Returns the time until a verdict ends.
+    pub fn left(&self, now: Timestamp, verdict: &Verdict) -> Duration {
+        verdict.until.since(evidence_time(now))
+    }
+
     fn add_report(&mut self, now: Timestamp, mut report: CrashReport, is_own: bool) -> bool {
         report.parts.truncate(MAX_PARTS);
         if now.since(report.at) > CRASH_RETENTION || self.open_parts(&report).is_empty() {
--- a/crates/policy/src/request_crashes/mod.rs
+++ b/crates/policy/src/request_crashes/mod.rs
@@ -147,6 +147,16 @@
         &self.verdicts
     }
 
+    /// Returns the time until a verdict ends.
+    pub fn left(&self, now: Timestamp, verdict: &RequestVerdict) -> Duration {
+        verdict.until.since(table_time(now))
+    }
+
+    /// Returns the ends of endpoints that count for a request.
+    pub fn crashes_of(&self, request: RequestDigest) -> BTreeSet<CrashKey> {
+        self.suspects.get(&request).map(Suspect::open_keys).unwrap_or_default()
+    }
+
     /// Returns the ends of endpoints that one request can explain, for each request with `SUSPICION_CRASHES` or more.
     pub fn explained(&self) -> Vec<BTreeSet<CrashKey>> {
         let suspects = self.suspects.values().filter(|suspect| suspect.is_shared());
