Do not count endpoints that refuse connections among the sends of a request

Callers got 503 although endpoints of the service responded: a request is sent to four endpoints at most, and those whose process had ended counted, too.

An endpoint that refuses the connection got nothing and took no time. Unreachable endpoints count as before, since each takes its time.

--- a/crates/gateway/src/entry/answer_plain.rs
+++ b/crates/gateway/src/entry/answer_plain.rs
@@ -20,6 +20,7 @@
 use super::in_flight_call::InFlightCall;
 use super::pause_refusal::pause_refusal;
 use super::permitted_endpoint::{choose_permitted, limit_refusal};
+use super::tried_endpoints::TriedEndpoints;
 use super::waiting_call::WaitingCall;
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason};
@@ -37,9 +38,6 @@
 /// Latency assumed for an endpoint that this host has not called yet.
 const DEFAULT_LATENCY: Duration = Duration::from_millis(30);
 
-/// Endpoints tried in turn when each one states that it has not run the request.
-const MAX_ENDPOINTS_TRIED: usize = 4;
-
 const FULL_RETRY_AFTER: Millis = Millis::new(300);
 
 /// With less time left the request is not sent.
@@ -71,7 +69,7 @@
 ) -> Result<(RelayHead, Bytes), Refusal> {
     gw.record_requests(&req.service, 1);
     let max_runs = req.route.max_runs();
-    let mut tried: Vec<EndpointId> = Vec::new();
+    let mut tried = TriedEndpoints::default();
     let mut runs = 0;
     let mut last: Option<AttemptFailure> = None;
     let mut failed: Option<(RelayHead, Bytes)> = None;
@@ -83,7 +81,7 @@
         // A request that may crash endpoints is not sent to another one.
         let may_run_again = runs == 0 || standing == RequestStanding::Clear;
         let permitted =
-            choose_permitted(gw, req, &tried, |excluded| pick_endpoint_for(gw, req, excluded));
+            choose_permitted(gw, req, tried.ids(), |excluded| pick_endpoint_for(gw, req, excluded));
         let choice = match permitted.await {
             Ok(choice) => choice,
             Err(wait) if runs == 0 => return Err(limit_refusal(req, wait)),
@@ -94,13 +92,13 @@
         let may_try = tried.is_empty()
             || (may_run_again
                 && runs < max_runs
-                && tried.len() < MAX_ENDPOINTS_TRIED
-                && gw.take_retry(&req.service));
+                && tried.may_try_another()
+                && (tried.is_unsent() || gw.take_retry(&req.service)));
         let (Some(permitted), true) = (choice, may_try) else {
             return failed.map_or_else(|| Err(final_refusal(gw, req, runs, last)), Ok);
         };
         let endpoint = permitted.endpoint;
-        tried.push(endpoint.id.clone());
+        tried.add(&endpoint.id);
         let is_last_run = runs + 1 >= max_runs;
         let timeout = if is_last_run { left } else { attempt_timeout(gw, req, &endpoint) };
         let started = gw.now();
@@ -125,6 +123,7 @@
             }
             Err(failure) => {
                 timeline.record_attempt(&endpoint.id, failure.name(), took);
+                tried.record_failure(&failure);
                 if failure.may_have_run() {
                     runs += 1;
                     let is_silent = failure.is_silent();
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -26,6 +26,7 @@
 use super::permitted_endpoint::{PermittedEndpoint, choose_permitted, limit_refusal};
 use super::stage_plan::{admit_stages, run_stages};
 use super::stream_state::{StreamState, stream_events};
+use super::tried_endpoints::TriedEndpoints;
 use super::waiting_call::WaitingCall;
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason};
@@ -37,9 +38,6 @@
 /// Prompt tokens that a typical engine reads per millisecond; the reference for relative latency.
 const PREFILL_TOKENS_PER_MS: f64 = 30.0;
 
-/// Engines tried in turn when each one states that it has not run the request.
-const MAX_ENGINES_TRIED: usize = 4;
-
 const FULL_RETRY_AFTER: Millis = Millis::new(500);
 
 /// Wait limit for the first event of the engine that holds the prompt in its cache, as a fraction of the
@@ -147,7 +145,7 @@
     runs: &mut u32,
 ) -> Result<OpenedStream, Refusal> {
     let max_runs = req.route.max_runs();
-    let mut tried: Vec<EndpointId> = Vec::new();
+    let mut tried = TriedEndpoints::default();
     let mut last: Option<AttemptFailure> = None;
     loop {
         let standing = prompt_standing(gw, req);
@@ -161,7 +159,7 @@
         let may_send = |e: &PermittedEndpoint| e.may_send(gw.now()) && gw.takes_work(&e.endpoint);
         let choice = match planned_engine.take().filter(may_send) {
             Some(engine) => Some(engine),
-            None => match permit_engine(gw, req, &tried, None).await {
+            None => match permit_engine(gw, req, tried.ids(), None).await {
                 Ok(engine) => engine,
                 Err(wait) if *runs == 0 => return Err(limit_refusal(req, wait)),
                 Err(_) => None,
@@ -175,13 +173,13 @@
         let may_try = is_first
             || (may_run_again
                 && *runs < max_runs
-                && tried.len() < MAX_ENGINES_TRIED
-                && gw.take_retry(&req.service));
+                && tried.may_try_another()
+                && (*runs == 0 && tried.is_unsent() || gw.take_retry(&req.service)));
         let (Some(engine), true) = (choice.filter(|_| left > MIN_TIME_LEFT), may_try) else {
             return Err(final_refusal(gw, req, *runs, last));
         };
         let endpoint = engine.endpoint;
-        tried.push(endpoint.id.clone());
+        tried.add(&endpoint.id);
         let timeout = match *runs + 1 < max_runs {
             true => {
                 req.route.objective.duration().mul_f64(FIRST_EVENT_OBJECTIVE_FRACTION).min(left)
@@ -218,6 +216,7 @@
                     .with_retry_after(Millis::new(100)));
             }
             Err(failure) => {
+                tried.record_failure(&failure);
                 if failure.may_have_run() {
                     *runs += 1;
                     let is_silent = failure.is_silent();
--- a/crates/gateway/src/entry/attempt_failure.rs
+++ b/crates/gateway/src/entry/attempt_failure.rs
@@ -4,6 +4,8 @@
 #[derive(Debug)]
 pub(super) enum AttemptFailure {
     NotSent(Box<str>),
+    /// As `NotSent`, at once, because no process listens at the address.
+    Refused(Box<str>),
     /// The endpoint states that it did not run the request.
     NotRun(AnswerMeta, Box<str>),
     /// The request may have run.
@@ -15,7 +17,7 @@
 impl AttemptFailure {
     pub(super) fn name(&self) -> &'static str {
         match self {
-            Self::NotSent(_) => "not-sent",
+            Self::NotSent(_) | Self::Refused(_) => "not-sent",
             Self::NotRun(..) => "not-run",
             Self::Unknown(_) => "broken",
             Self::TimedOut(_) => "silent",
@@ -32,9 +34,15 @@
         matches!(self, Self::TimedOut(_))
     }
 
+    /// Returns whether the endpoint refused the connection.
+    pub(super) fn is_refused(&self) -> bool {
+        matches!(self, Self::Refused(_))
+    }
+
     pub(super) fn detail(&self) -> &str {
         match self {
-            Self::NotSent(d) | Self::NotRun(_, d) | Self::Unknown(d) | Self::TimedOut(d) => d,
+            Self::NotSent(d) | Self::Refused(d) | Self::NotRun(_, d) => d,
+            Self::Unknown(d) | Self::TimedOut(d) => d,
         }
     }
 }
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -27,6 +27,7 @@
 mod stream_event;
 mod stream_state;
 mod subscribe;
+mod tried_endpoints;
 mod waiting_call;
 
 pub(crate) use answer_ready::answer_ready;
--- a/crates/net/src/http/relay/relay_error.rs
+++ b/crates/net/src/http/relay/relay_error.rs
@@ -34,4 +34,9 @@
     pub fn may_have_sent(&self) -> bool {
         matches!(self, Self::Broken(..))
     }
+
+    /// Returns whether no process listens at the address, as after the end of the endpoint.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
 }
--- a/crates/net/src/http/relay/relay_pool.rs
+++ b/crates/net/src/http/relay/relay_pool.rs
@@ -79,11 +79,7 @@
                 self.put_back(connection);
                 ProbeOutcome::Accepted
             }
-            Err(RelayError::Connect { source, .. })
-                if source.kind() == std::io::ErrorKind::ConnectionRefused =>
-            {
-                ProbeOutcome::Refused
-            }
+            Err(e) if e.is_refused() => ProbeOutcome::Refused,
             Err(_) => ProbeOutcome::Silent,
         }
     }
