Find stages that crash the endpoints of their service

A request with a stage that crashes its endpoint ended up to four endpoints for each attempt of its client, and again with the next one; the requests beside it in the same calls were refused with the service (BUDGET; found by looking for the cause of the deadly requests elsewhere). The host that forms the calls sent lost items to the next endpoint without asking whether the endpoint had ended, and the host of the request did not hear of it.

The host that forms the calls now checks the endpoint of a lost call and records its end with each stage that had items in it. After two crashes that follow each other, the items of a stage go into calls of their own, so that the next crash tells the cause from the requests beside it; after three the stage fails. The host of the request records the crashes under a digest of the request and the service: an answer of one stage says nothing of the others or of the model. Verdicts spread and end as those on requests do, and a request with a rejected stage is refused on arrival, as not run.

--- a/crates/core/src/id/request_digest.rs
+++ b/crates/core/src/id/request_digest.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use super::AccountId;
+use super::{AccountId, ServiceName};
 use crate::unit::DigestError;
 
 /// Identifies what a request asks for: the first 16 bytes of a SHA-256 over its method, target, client account and body,
@@ -17,9 +17,18 @@
 impl RequestDigest {
     /// Computes the digest of a request.
     pub fn of(method: &str, target: &str, account: Option<&AccountId>, body: &[u8]) -> Self {
-        let mut hash = Sha256::new();
         let account = account.map(|account| account.as_str().as_bytes()).unwrap_or_default();
-        for field in [method.as_bytes(), target.as_bytes(), account, body] {
+        Self::of_fields(&[method.as_bytes(), target.as_bytes(), account, body])
+    }
+
+    /// Returns the digest of the part of the request that a stage service does.
+    pub fn at_stage(&self, service: &ServiceName) -> Self {
+        Self::of_fields(&[&self.0, service.as_str().as_bytes()])
+    }
+
+    fn of_fields(fields: &[&[u8]]) -> Self {
+        let mut hash = Sha256::new();
+        for field in fields {
             // The lengths keep apart fields that are equal only when they are joined.
             hash.update((field.len() as u64).to_le_bytes());
             hash.update(field);
--- a/crates/gateway/src/entry/check_request.rs
+++ b/crates/gateway/src/entry/check_request.rs
@@ -1,6 +1,7 @@
 use masticstair_core::prelude::*;
 use masticstair_policy::request_crashes::{RequestStanding, RequestVerdict};
 
+use super::check_stage::stage_standing;
 use super::client_request::ClientRequest;
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason};
@@ -17,10 +18,13 @@
 
 /// Refuses a request that is known to crash endpoints, before any work is done for it.
 pub(super) fn check_request(gw: &Gateway, req: &ClientRequest) -> Result<(), Refusal> {
-    match request_standing(gw, req) {
-        RequestStanding::Rejected { verdict, left } => Err(crash_refusal(&verdict, left)),
-        RequestStanding::Clear | RequestStanding::Suspected => Ok(()),
+    let stages = req.route.stages.iter().map(|stage| stage_standing(gw, req, &stage.service));
+    for standing in stages.chain([request_standing(gw, req)]) {
+        if let RequestStanding::Rejected { verdict, left } = standing {
+            return Err(crash_refusal(&verdict, left));
+        }
     }
+    Ok(())
 }
 
 /// Builds the refusal of an attempt that was not run. It may be served once the verdict has ended, `left` from now.
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod check_endpoint_end;
 mod check_prompt;
 mod check_request;
+mod check_stage;
 mod client_request;
 mod engine_output;
 mod event_splitter;
--- a/crates/gateway/src/entry/stage_plan.rs
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -1,11 +1,13 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use masticstair_core::prelude::*;
+use masticstair_policy::request_crashes::RequestStanding;
 use slog::info;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::check_stage::{record_stage_end, stage_standing};
 use super::client_request::ClientRequest;
 use super::held_results::HeldResults;
 use super::pause_refusal::return_delay;
@@ -142,12 +144,13 @@
             let request = stage_request(gw, req, stage, count(stage), source, near);
             running.push(async move {
                 let started_at = gw.now();
-                let reply = submit_stage(gw, request).await;
-                (stage, gw.now().since(started_at), reply)
+                let end = submit_stage(gw, request).await;
+                record_stage_end(gw, req, &spec.service, started_at, &end);
+                (stage, gw.now().since(started_at), end.outcome)
             });
         }
-        let Some((stage, took, reply)) = running.next().await else { break };
-        match reply {
+        let Some((stage, took, outcome)) = running.next().await else { break };
+        match outcome {
             StageOutcome::Done(handles) => {
                 gw.stage_times.record(&stages[stage].service, took);
                 held.hold(&stages[stage].service, handles.clone());
@@ -210,6 +213,7 @@
         priority: req.priority,
         near,
         result: spec.result_size,
+        is_suspected: stage_standing(gw, req, &spec.service) != RequestStanding::Clear,
     }
 }
 
--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::answer_stream::{normalized_first_event, open_stream};
-use super::check_endpoint_end::{check_endpoint_end, is_endpoint_silent, spawn_check};
+use super::check_endpoint_end::{check_endpoint_end, spawn_check};
 use super::check_prompt::record_prompt_answer;
 use super::check_request::record_request_answer;
 use super::client_request::ClientRequest;
@@ -19,6 +19,7 @@
 use super::opened_stream::OpenedStream;
 use super::stage_plan::run_stages;
 use crate::Gateway;
+use crate::endpoint_end::is_endpoint_silent;
 use crate::telemetry::RequestTimeline;
 
 /// How long an engine may stall before a stream that can be resumed moves to another engine, as a multiple of
--- a/crates/gateway/src/entry/waiting_call.rs
+++ b/crates/gateway/src/entry/waiting_call.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use super::check_endpoint_end::{is_endpoint_silent, spawn_check};
+use super::check_endpoint_end::spawn_check;
 use super::client_request::ClientRequest;
 use super::failed_call::FailedCall;
 use crate::Gateway;
+use crate::endpoint_end::is_endpoint_silent;
 
 /// A call that waits for its answer. If the client leaves first, a silent endpoint is checked as after a failed call:
 /// clients may always be the first to give up on a request that crashes endpoints.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod telemetry;
 
 mod catalog_in_force;
+mod endpoint_end;
 mod finding_positions;
 mod gateway;
 mod gateway_config;
--- a/crates/gateway/src/messages/stage_reply.rs
+++ b/crates/gateway/src/messages/stage_reply.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use super::{StageLoad, StageOutcome};
+use super::{StageCrash, StageLoad, StageOutcome};
 
 /// The outcome of a stage, and the load of its service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -8,4 +8,6 @@
     #[serde(rename = "reply")]
     pub outcome: StageOutcome,
     pub load: StageLoad,
+    /// The ends of endpoints during its calls; empty if the stage was completed.
+    pub crashes: Vec<StageCrash>,
 }
--- a/crates/gateway/src/messages/stage_request.rs
+++ b/crates/gateway/src/messages/stage_request.rs
@@ -24,4 +24,6 @@
     pub near: Option<DataCentreId>,
     /// The approximate size of a result.
     pub result: ByteCount,
+    /// Whether the stage may crash endpoints, so that its pieces go into calls of their own.
+    pub is_suspected: bool,
 }
--- a/crates/gateway/src/stages/batch_call.rs
+++ b/crates/gateway/src/stages/batch_call.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::call_loss::CallLoss;
 use super::call_outcome::CallOutcome;
+use super::check_call_end::{LostCall, check_call_end};
 use super::dispatch::dispatch;
 use super::release_results::{fail_jobs, release_results};
 use super::service_stages::ServiceStages;
@@ -76,7 +78,7 @@
     let result = match &outcome {
         CallOutcome::Answered(_) => "answered",
         CallOutcome::NotRun(..) => "not-run",
-        CallOutcome::Lost(_) => "lost",
+        CallOutcome::Lost(..) => "lost",
     };
     gw.metrics.count_call(&stages.service, result, took);
     match outcome {
@@ -100,7 +102,7 @@
             });
             stages.queue.borrow_mut().push(items_in_progress(&stages, items));
         }
-        CallOutcome::Lost(reason) => {
+        CallOutcome::Lost(loss, reason) => {
             info!(gw.log, "outcome of stage call unknown; retrying its items";
                 "service" => %stages.service, "endpoint" => %endpoint.id,
                 "items" => items.len(), "reason" => reason.as_ref(),
@@ -109,6 +111,11 @@
             stages.with_endpoint_load(&endpoint.id, |load| {
                 load.record_failure(now, LOST_CALL_BACKOFF)
             });
+            let mut jobs: Vec<_> = items.iter().map(|item| item.job).collect();
+            jobs.dedup();
+            let (stages, sent_at) = (stages.clone(), started);
+            let call = LostCall { stages: stages.clone(), endpoint, jobs, sent_at, loss };
+            check_call_end(&gw, call).await;
             for item in items {
                 retry_item(&gw, &stages, item);
             }
@@ -135,7 +142,9 @@
         gw.record_reachability(endpoint, sent.as_ref().err());
         let (head, body) = match sent {
             Ok(answer) => answer,
-            Err(e) if e.may_have_sent() => return CallOutcome::Lost(e.to_string().into()),
+            Err(e) if e.may_have_sent() => {
+                return CallOutcome::Lost(CallLoss::Broken, e.to_string().into());
+            }
             Err(e) => return CallOutcome::NotRun(LOST_CALL_BACKOFF, e.to_string().into()),
         };
         let meta = (gw.front_end.read_answer)(head.status, &head.headers);
@@ -148,10 +157,10 @@
         }
         let bytes = match body.read_all(MAX_ANSWER_BYTES).await {
             Ok(bytes) => bytes,
-            Err(e) => return CallOutcome::Lost(e.to_string().into()),
+            Err(e) => return CallOutcome::Lost(CallLoss::Broken, e.to_string().into()),
         };
         if !head.status.is_success() {
-            return CallOutcome::Lost(format!("status {}", head.status).into());
+            return CallOutcome::Lost(CallLoss::Invalid, format!("status {}", head.status).into());
         }
         match (gw.front_end.read_stage_answer)(&bytes) {
             Some(outcomes)
@@ -162,6 +171,7 @@
             _ => {
                 gw.pool.evict(endpoint.address);
                 CallOutcome::Lost(
+                    CallLoss::Invalid,
                     "answer is malformed or repeats results of an earlier call".into(),
                 )
             }
@@ -171,7 +181,8 @@
         Ok(outcome) => outcome,
         Err(_) => {
             gw.pool.evict(endpoint.address);
-            CallOutcome::Lost(format!("no answer within {} ms", timeout.as_millis()).into())
+            let reason = format!("no answer within {} ms", timeout.as_millis());
+            CallOutcome::Lost(CallLoss::Silent, reason.into())
         }
     }
 }
@@ -259,11 +270,13 @@
     release_results(gw, stages, unneeded);
 }
 
-/// Requeues an item without a result. Its stage fails after too many failures, or when no retry is left in the
-/// budget.
+/// Requeues an item without a result. Its stage fails after too many failures, if it crashes endpoints, or when no retry is
+/// left in the budget.
 fn retry_item(gw: &Rc<Gateway>, stages: &Rc<ServiceStages>, mut item: StageItem) {
     item.failures += 1;
-    let exhausted = item.failures > MAX_ITEM_FAILURES;
+    let crashes = stages.crash_count(item.job);
+    item.is_alone |= crashes.is_suspicious();
+    let exhausted = item.failures > MAX_ITEM_FAILURES || crashes.is_verdict();
     if !exhausted && !stages.jobs.borrow().contains_key(&item.job) {
         return;
     }
--- a/crates/gateway/src/stages/call_outcome.rs
+++ b/crates/gateway/src/stages/call_outcome.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::call_loss::CallLoss;
 use crate::front_end::PieceOutcome;
 
 /// The outcome of a call to an endpoint of a stage service.
@@ -9,5 +10,5 @@
     /// Nothing was run; carries the backoff of the endpoint and the reason.
     NotRun(Duration, Box<str>),
     /// The items may have been completed; carries the reason.
-    Lost(Box<str>),
+    Lost(CallLoss, Box<str>),
 }
--- a/crates/gateway/src/stages/job.rs
+++ b/crates/gateway/src/stages/job.rs
@@ -1,6 +1,9 @@
 use futures_channel::oneshot;
 use masticstair_core::prelude::*;
+use std::cell::RefCell;
+use std::rc::Rc;
 
+use super::job_crashes::JobCrashes;
 use crate::messages::{CancelRequest, StageOutcome, StageRequest};
 
 /// A stage of a request that this host runs and has not completed.
@@ -16,6 +19,8 @@
     pub(super) arrived_at: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) due: Timestamp,
+    /// Also read when the job has ended.
+    pub(super) crashes: Rc<RefCell<JobCrashes>>,
     pub(super) reply: oneshot::Sender<StageOutcome>,
 }
 
--- a/crates/gateway/src/stages/mod.rs
+++ b/crates/gateway/src/stages/mod.rs
@@ -1,15 +1,19 @@
 //! Stages of requests. One host forms the calls of a stage service for all hosts, so that the calls are full.
 
 mod batch_call;
+mod call_loss;
 mod call_outcome;
 mod cancel_guard;
+mod check_call_end;
 mod dispatch;
 mod job;
+mod job_crashes;
 mod owner_watch;
 mod owners;
 mod release_results;
 mod run_stage;
 mod service_stages;
+mod stage_end;
 mod stage_loads;
 mod stage_registry;
 mod submit_stage;
@@ -19,6 +23,7 @@
 pub(crate) use owners::{Owners, send_message};
 pub(crate) use release_results::release_results;
 pub(crate) use run_stage::{cancel_stage, hand_over_stages, run_stage};
+pub(crate) use stage_end::StageEnd;
 pub(crate) use stage_loads::stage_loads;
 pub(crate) use stage_registry::StageRegistry;
 pub(crate) use submit_stage::{submit_release, submit_stage};
--- a/crates/gateway/src/stages/run_stage.rs
+++ b/crates/gateway/src/stages/run_stage.rs
@@ -1,11 +1,13 @@
 use futures_channel::oneshot;
 use masticstair_core::prelude::*;
 use masticstair_policy::stage_queue::StageItem;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::dispatch::dispatch;
 use super::job::Job;
+use super::job_crashes::JobCrashes;
 use super::release_results::fail_jobs;
 use super::stage_loads::stage_load;
 use crate::Gateway;
@@ -18,12 +20,22 @@
 /// Runs a stage on the endpoints of its service.
 pub(crate) async fn run_stage(gw: &Rc<Gateway>, from: HostId, request: StageRequest) -> StageReply {
     let service = request.service.clone();
-    let outcome = run(gw, from, request).await;
+    let crashes = Rc::new(RefCell::new(JobCrashes::default()));
+    let outcome = run(gw, from, request, crashes.clone()).await;
+    let crashes = match &outcome {
+        StageOutcome::Done(_) => Vec::new(),
+        StageOutcome::Failed(_) => crashes.borrow().to_messages(gw.now()),
+    };
     let stages = gw.stages.service_of(&service);
-    StageReply { outcome, load: stage_load(gw, &stages) }
+    StageReply { outcome, load: stage_load(gw, &stages), crashes }
 }
 
-async fn run(gw: &Rc<Gateway>, from: HostId, request: StageRequest) -> StageOutcome {
+async fn run(
+    gw: &Rc<Gateway>,
+    from: HostId,
+    request: StageRequest,
+    crashes: Rc<RefCell<JobCrashes>>,
+) -> StageOutcome {
     let service = &request.service;
     let known = gw.catalog.get().is_some_and(|c| c.services.contains_key(service));
     if !known || gw.directory.borrow().ready(service).is_empty() {
@@ -42,6 +54,7 @@
         due: now.plus(request.due.duration()),
         results: vec![None; pieces as usize],
         missing: pieces,
+        crashes,
         request,
         reply,
     };
@@ -55,6 +68,7 @@
         preferred_data_centre: job.request.near.clone(),
         result_size: job.request.result,
         is_first_stage: matches!(job.request.source, StageSource::Key(_)),
+        is_alone: job.request.is_suspected,
         failures: 0,
     };
     stages.queue.borrow_mut().push((0..pieces).map(item));
--- a/crates/gateway/src/stages/service_stages.rs
+++ b/crates/gateway/src/stages/service_stages.rs
@@ -1,4 +1,5 @@
 use masticstair_core::prelude::*;
+use masticstair_policy::request_crashes::CrashCount;
 use masticstair_policy::smoothing::smoothed;
 use masticstair_policy::stage_queue::{
     EndpointLoad, JobNumber, ResultCapacity, RetainedResults, StageQueue,
@@ -81,6 +82,11 @@
         job.results.into_iter().flatten().collect()
     }
 
+    /// Returns the number of endpoints that ended during calls with pieces of a job.
+    pub(super) fn crash_count(&self, number: JobNumber) -> CrashCount {
+        self.jobs.borrow().get(&number).map(|job| job.crashes.borrow().count()).unwrap_or_default()
+    }
+
     /// Completes a job that has all its results.
     pub(super) fn complete_job(&self, number: JobNumber) {
         let Some(job) = self.jobs.borrow_mut().remove(&number) else { return };
--- a/crates/gateway/src/stages/submit_stage.rs
+++ b/crates/gateway/src/stages/submit_stage.rs
@@ -7,6 +7,7 @@
 use super::owners::send_message;
 use super::release_results::release_results;
 use super::run_stage::run_stage;
+use super::stage_end::StageEnd;
 use crate::messages::{
     CancelRequest, Message, ReleaseRequest, Reply, StageFailure, StageOutcome, StageRequest,
 };
@@ -23,16 +24,17 @@
 
 /// Submits a stage to the host that forms the calls of its service, then to the next one if that host does
 /// not answer, and finally to the local host. Dropping the future cancels the stage.
-pub(crate) async fn submit_stage(gw: &Rc<Gateway>, request: StageRequest) -> StageOutcome {
+pub(crate) async fn submit_stage(gw: &Rc<Gateway>, request: StageRequest) -> StageEnd {
     let started = gw.now();
     for _ in 0..MAX_OWNERS {
         let Some(owner) = gw.owners.owner(gw, &request.service) else { break };
         let request = with_less_time(&request, gw.now().since(started));
         if request.left == Millis::default() {
-            return StageOutcome::Failed(StageFailure::Late);
+            let outcome = StageOutcome::Failed(StageFailure::Late);
+            return StageEnd { outcome, crashes: Vec::new() };
         }
-        if let Some(outcome) = submit_to(gw, &owner, request).await {
-            return outcome;
+        if let Some(end) = submit_to(gw, &owner, request).await {
+            return end;
         }
     }
     let request = with_less_time(&request, gw.now().since(started));
@@ -41,7 +43,7 @@
     let reply = run_stage(gw, gw.host.clone(), request.clone()).await;
     guard.disarm();
     gw.stage_times.record_load(gw.now(), reply.load);
-    reply.outcome
+    StageEnd { outcome: reply.outcome, crashes: reply.crashes }
 }
 
 /// Returns the request with its time limits reduced by `elapsed`.
@@ -53,11 +55,7 @@
 }
 
 /// Submits a stage to another host; none if that host does not run it.
-async fn submit_to(
-    gw: &Rc<Gateway>,
-    owner: &PeerHost,
-    request: StageRequest,
-) -> Option<StageOutcome> {
+async fn submit_to(gw: &Rc<Gateway>, owner: &PeerHost, request: StageRequest) -> Option<StageEnd> {
     let cancel = CancelRequest { call: request.call.clone(), stage: request.stage };
     let guard = CancelGuard::new(gw, Some(owner.clone()), cancel);
     let _watched = gw.owners.watch(gw, owner);
@@ -74,7 +72,7 @@
                 StageOutcome::Failed(e @ (StageFailure::NoEndpoint | StageFailure::Moved)) => {
                     e.to_string().into()
                 }
-                outcome => return Some(outcome),
+                outcome => return Some(StageEnd { outcome, crashes: reply.crashes }),
             }
         }
         Ok(Reply::Refused(reason)) => reason,
--- a/crates/policy/src/request_crashes/mod.rs
+++ b/crates/policy/src/request_crashes/mod.rs
@@ -12,6 +12,7 @@
 mod request_verdict;
 mod suspect;
 
+pub use crash_count::CrashCount;
 pub use crash_notice::CrashNotice;
 pub use request_crash::RequestCrash;
 pub use request_standing::RequestStanding;
@@ -136,7 +137,7 @@
         }
         let suspect = self.suspects.get(&request);
         let count = suspect.map(|s| s.count_crashes(|_| true)).unwrap_or_default();
-        match count.successive >= SUSPICION_CRASHES {
+        match count.is_suspicious() {
             true => RequestStanding::Suspected,
             false => RequestStanding::Clear,
         }
--- a/crates/policy/src/request_crashes/suspect.rs
+++ b/crates/policy/src/request_crashes/suspect.rs
@@ -57,21 +57,8 @@
 
     /// Counts the crashes for which `counts` returns true.
     pub(super) fn count_crashes(&self, counts: impl Fn(&CrashKey) -> bool) -> CrashCount {
-        let mut spans: SmallVec<[(Timestamp, Timestamp); MAX_CRASHES]> = self
-            .open()
-            .filter(|crash| counts(&crash.crash))
-            .map(|crash| (crash.ended_at, crash.sent_at))
-            .collect();
-        spans.sort_unstable();
-        let mut last_end = None;
-        let is_successive = |(ended_at, sent_at): &&(Timestamp, Timestamp)| {
-            let is_later = last_end.is_none_or(|end| *sent_at >= end);
-            if is_later {
-                last_end = Some(*ended_at);
-            }
-            is_later
-        };
-        CrashCount { successive: spans.iter().filter(is_successive).count(), all: spans.len() }
+        let crashes = self.open().filter(|crash| counts(&crash.crash));
+        CrashCount::of(crashes.map(|crash| (crash.sent_at, crash.ended_at)))
     }
 
     /// Returns the ends of endpoints that count.
--- a/crates/policy/src/stage_queue/stage_item.rs
+++ b/crates/policy/src/stage_queue/stage_item.rs
@@ -23,6 +23,8 @@
     pub result_size: ByteCount,
     /// Whether the request has no results of earlier stages that would be lost with this stage.
     pub is_first_stage: bool,
+    /// Whether it gets calls without items of other stages, because endpoints ended during calls that contained it.
+    pub is_alone: bool,
     /// The number of failed calls that contained the item.
     pub failures: u8,
 }
--- a/crates/policy/src/stage_queue/stage_queue.rs
+++ b/crates/policy/src/stage_queue/stage_queue.rs
@@ -115,7 +115,7 @@
 
     /// Removes and returns the items of the next call of an endpoint. Items that can meet their objective are taken
     /// before late ones, each group by objective with additions for a lower priority and for preferring another
-    /// data centre.
+    /// data centre. A stage that is to be alone shares the call with no other.
     pub fn take_call(&mut self, now: Timestamp, offer: &EndpointOffer) -> Vec<StageItem> {
         let end = now.plus(offer.full_call_time);
         self.waiting.sort_by_key(|stage| rank(&stage.item, end, &offer.data_centre));
@@ -126,8 +126,13 @@
             if max_pieces == 0 {
                 break;
             }
-            if is_eligible(&stage.item, now, offer) {
-                stage.take(max_pieces, &mut free_bytes, &mut taken);
+            let is_alone = stage.item.is_alone;
+            if (is_alone && !taken.is_empty()) || !is_eligible(&stage.item, now, offer) {
+                continue;
+            }
+            stage.take(max_pieces, &mut free_bytes, &mut taken);
+            if is_alone && !taken.is_empty() {
+                break;
             }
         }
         self.waiting.retain(|stage| stage.len() > 0);
--- a/crates/policy/tests/stage_queue.rs
+++ b/crates/policy/tests/stage_queue.rs
@@ -27,6 +27,7 @@
         preferred_data_centre: None,
         result_size: ByteCount::new(10),
         is_first_stage: true,
+        is_alone: false,
         failures: 0,
     }
 }
@@ -102,6 +103,45 @@
     }
 }
 
+/// Guards against calls in which a stage that may crash endpoints has others beside it.
+#[test]
+fn a_suspected_stage_shares_its_call_with_no_other() {
+    struct Case {
+        name: &'static str,
+        items: Vec<StageItem>,
+        calls: [Vec<u64>; 2],
+    }
+    let alone = |item: StageItem| StageItem { is_alone: true, ..item };
+    let cases = [
+        Case {
+            name: "it is the first one",
+            items: vec![alone(item(1, 700)), item(2, 800), item(3, 900)],
+            calls: [vec![700], vec![800, 900]],
+        },
+        Case {
+            name: "it is passed over",
+            items: vec![item(1, 700), alone(item(2, 800)), item(3, 900)],
+            calls: [vec![700, 900], vec![800]],
+        },
+        Case {
+            name: "its own pieces stay together",
+            items: vec![
+                alone(item(1, 700)),
+                StageItem { piece: 1, ..alone(item(1, 700)) },
+                item(2, 900),
+            ],
+            calls: [vec![700, 700], vec![900]],
+        },
+    ];
+    for case in cases {
+        let mut queue = StageQueue::default();
+        queue.push(case.items);
+        for call in case.calls {
+            assert_eq!(objectives(&queue.take_call(at(0), &offer())), call, "{}", case.name);
+        }
+    }
+}
+
 /// Guards against results that cross data centres while endpoints of the preferred one have free capacity, and
 /// against items that wait for those endpoints for too long.
 #[test]
