Log the end of an endpoint during a stage call once

A call has up to a hundred stages; a line for each of them says no more than their number. The host of a request whose stage failed for it logs the request.

--- a/crates/gateway/src/stages/check_call_end.rs
+++ b/crates/gateway/src/stages/check_call_end.rs
@@ -41,12 +41,11 @@
         return;
     }
     gw.metrics.count_endpoint_end(&stages.service);
+    warn!(gw.log, "endpoint ended during a stage call"; "service" => %stages.service,
+        "endpoint" => %endpoint.id, "incarnation" => %endpoint.incarnation, "stages" => jobs.len());
     let crash = CrashKey { endpoint: endpoint.id.clone(), incarnation: endpoint.incarnation };
     let known = stages.jobs.borrow();
     for job in jobs.iter().filter_map(|number| known.get(number)) {
-        warn!(gw.log, "endpoint ended during a stage of a request"; "request" => %job.request.call,
-            "stage" => job.request.stage, "service" => %stages.service, "endpoint" => %endpoint.id,
-            "incarnation" => %endpoint.incarnation, "from" => %job.from);
         job.crashes.borrow_mut().add(&crash, sent_at, ended_at);
     }
 }
