Release no results at an endpoint that asked for a pause

Releases wait for the end of the pause now. The results may expire at the endpoint before; it gets no stages meanwhile.

The help of the metric on ended endpoints says what it counts.

--- a/crates/gateway/src/gateway_endpoints.rs
+++ b/crates/gateway/src/gateway_endpoints.rs
@@ -4,6 +4,7 @@
 use masticstair_net::http::relay::RelayError;
 use masticstair_policy::directory::ServingEndpoint;
 use masticstair_policy::service_choice::EndpointHealth;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,6 +43,13 @@
         self.pauses.borrow().left(self.now(), &endpoint.id, endpoint.incarnation)
     }
 
+    /// Returns for how long the endpoint at an address must get nothing from this host.
+    pub(crate) fn pause_at(&self, service: &ServiceName, address: SocketAddr) -> Duration {
+        let ready = self.directory.borrow().ready(service);
+        let endpoint = ready.iter().find(|e| e.address == address);
+        endpoint.map(|e| self.pause_of(e)).unwrap_or_default()
+    }
+
     /// Returns the time until the first endpoint of a service takes work from this host again, if all of them have asked
     /// it for a pause.
     pub(crate) fn service_pause(&self, service: &ServiceName) -> Option<Duration> {
--- a/crates/gateway/src/stages/release_results.rs
+++ b/crates/gateway/src/stages/release_results.rs
@@ -80,6 +80,7 @@
     let (gw, stages) = (gw.clone(), stages.clone());
     monoio::spawn(async move {
         monoio::time::sleep(RELEASE_BATCH_DELAY).await;
+        wait_for_pause_end(&gw, &stages.service, address).await;
         let Some(results) = stages.to_release.borrow_mut().remove(&address) else { return };
         let call = (gw.front_end.release_call)(&results);
         let call = gw.relay_call(call, address, RELEASE_TIMEOUT, MAX_CONNECTION_IDLE);
@@ -104,3 +105,14 @@
         }
     });
 }
+
+/// Waits while an endpoint has asked this host to send it nothing. Its results may expire meanwhile.
+async fn wait_for_pause_end(gw: &Gateway, service: &ServiceName, address: SocketAddr) {
+    loop {
+        let left = gw.pause_at(service, address);
+        if left.is_zero() {
+            return;
+        }
+        monoio::time::sleep(left).await;
+    }
+}
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -75,7 +75,7 @@
         registry.register("calls", "Calls to endpoints", self.calls.clone());
         let help = "Time of calls to endpoints";
         registry.register_with_unit("call", help, Unit::Seconds, self.call_time.clone());
-        let help = "Requests during which their endpoint ended";
+        let help = "Requests, and calls of stages, during which their endpoint ended";
         registry.register("endpoint_ends", help, self.endpoint_ends.clone());
         registry.register("endpoints", "Endpoints that take work", self.endpoints.clone());
         registry.register("catalog", "Version of the catalog in force", self.catalog.clone());
