Measure how late catalogs reach hosts, and log the age of what requests are decided on

- gateway_update_bytes counts the bytes of catalogs and listings.
- The line of each request has news_ms: for how long the host may have lacked changes when it decided; the line of a new catalog has its bytes.

--- /dev/null
+++ b/crates/gateway/src/control/catalog_confirmations.rs
@@ -0,0 +1,53 @@
+use masticstair_core::prelude::*;
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+/// Catalogs whose installation time is kept. A subscriber that is further behind counts as late since the oldest one.
+const MAX_CATALOGS: usize = 256;
+
+/// Subscribers whose version is kept.
+const MAX_SUBSCRIBERS: usize = 4_096;
+
+/// When catalogs came into force at a control host, and which one each subscriber has confirmed.
+#[derive(Debug, Default)]
+pub(crate) struct CatalogConfirmations {
+    /// Versions with the time at which they came into force here; both only rise.
+    installed: VecDeque<(CatalogVersion, Timestamp)>,
+    confirmed: HashMap<HostId, CatalogVersion>,
+}
+
+impl CatalogConfirmations {
+    /// Records that a catalog is in force here.
+    pub(crate) fn record_installed(&mut self, now: Timestamp, version: CatalogVersion) {
+        if self.installed.back().is_some_and(|(last, _)| *last >= version) {
+            return;
+        }
+        self.installed.push_back((version, now));
+        if self.installed.len() > MAX_CATALOGS {
+            self.installed.pop_front();
+        }
+    }
+
+    /// Records the version that a subscriber has in force. Returns for how long the oldest version that it has confirmed
+    /// with this request has been in force here; none if it confirms no new one.
+    pub(crate) fn record_confirmed(
+        &mut self,
+        now: Timestamp,
+        subscriber: &HostId,
+        version: CatalogVersion,
+    ) -> Option<Duration> {
+        let is_full = self.confirmed.len() >= MAX_SUBSCRIBERS;
+        let before = match self.confirmed.get_mut(subscriber) {
+            Some(before) => std::mem::replace(before, version),
+            None => {
+                // The first request of a subscriber says nothing of how long an update took.
+                if !is_full {
+                    self.confirmed.insert(subscriber.clone(), version);
+                }
+                return None;
+            }
+        };
+        let mut new = self.installed.iter().filter(|(v, _)| *v > before && *v <= version);
+        new.next().map(|(_, installed)| now.since(*installed))
+    }
+}
--- a/crates/gateway/src/control/control_host.rs
+++ b/crates/gateway/src/control/control_host.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 
 use super::CatalogStore;
+use super::catalog_confirmations::CatalogConfirmations;
 use crate::Notify;
 
 /// Heartbeats that an endpoint may miss before it expires: one may be late and one lost.
@@ -15,6 +16,8 @@
     /// Notified when `table` or the catalog changes; subscribers wait on it.
     pub(crate) changed: Notify,
     pub(crate) store: CatalogStore,
+    /// How far the subscribers are behind.
+    pub(crate) confirmations: RefCell<CatalogConfirmations>,
 }
 
 impl ControlHost {
@@ -27,6 +30,11 @@
     ) -> Self {
         let expiry = heartbeat.duration().mul_f64(MAX_MISSED_HEARTBEATS);
         let table = AnnouncementTable::new(now, incarnation, expiry);
-        Self { table: RefCell::new(table), changed: Notify::default(), store }
+        Self {
+            table: RefCell::new(table),
+            changed: Notify::default(),
+            store,
+            confirmations: RefCell::default(),
+        }
     }
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod answer_control;
 mod answer_findings;
 mod answer_subscribe;
+mod catalog_confirmations;
 mod catalog_store;
 mod control_host;
 mod store_error;
--- a/crates/gateway/src/entry/answer_plain.rs
+++ b/crates/gateway/src/entry/answer_plain.rs
@@ -99,6 +99,7 @@
         };
         let endpoint = permitted.endpoint;
         tried.add(&endpoint.id);
+        timeline.record_news_age(gw);
         let is_last_run = runs + 1 >= max_runs;
         let timeout = if is_last_run { left } else { attempt_timeout(gw, req, &endpoint) };
         let started = gw.now();
--- a/crates/gateway/src/entry/answer_request.rs
+++ b/crates/gateway/src/entry/answer_request.rs
@@ -106,6 +106,7 @@
         return Err(refusal.with_retry_after(NO_CATALOG_RETRY_AFTER));
     };
     timeline.catalog = catalog.version;
+    timeline.record_news_age(gw);
     let Some(route) = catalog.route(&meta.host, &meta.path).cloned() else {
         let detail =
             format!("no route of catalog {} matches {}{}", catalog.version, meta.host, meta.path);
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -180,6 +180,7 @@
         };
         let endpoint = engine.endpoint;
         tried.add(&endpoint.id);
+        timeline.record_news_age(gw);
         let timeout = match *runs + 1 < max_runs {
             true => {
                 req.route.objective.duration().mul_f64(FIRST_EVENT_OBJECTIVE_FRACTION).min(left)
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -109,12 +109,15 @@
         let (hosts, _) = gw.control_hosts();
         let Some(peer) = hosts.into_iter().find(|h| h.host == *host) else {
             gw.last_contacts.borrow_mut().remove(host);
+            gw.answered_requests.borrow_mut().remove(host);
             warn!(gw.log, "subscription to control host ended; the host has left";
                 "peer" => %host, "catalog" => %gw.catalog.version());
             return;
         };
+        let asked_at = gw.now();
         match fetch_updates(gw, &peer).await {
             Ok(reply) => {
+                gw.answered_requests.borrow_mut().insert(host.clone(), asked_at);
                 gw.last_contacts.borrow_mut().insert(host.clone(), gw.now());
                 if std::mem::take(&mut disconnected) {
                     info!(gw.log, "control host reachable again"; "peer" => %host);
--- a/crates/gateway/src/handle_events.rs
+++ b/crates/gateway/src/handle_events.rs
@@ -24,6 +24,8 @@
             GatewayEvent::Catalog(document) => {
                 install_catalog(&gw, document.version, &document.content);
                 if let Some(control) = &control {
+                    let mut confirmations = control.confirmations.borrow_mut();
+                    confirmations.record_installed(gw.now(), gw.catalog.version());
                     control.changed.notify();
                 }
             }
@@ -54,7 +56,7 @@
 ) -> Result<Reply, Box<str>> {
     Ok(match (decode(content)?, control) {
         (Message::Subscribe(request), Some(control)) => {
-            let reply = answer_subscribe(gw, control, request).await;
+            let reply = answer_subscribe(gw, control, &from, request).await;
             Reply::Subscribe(Box::new(reply))
         }
         (Message::Subscribe(_), None) => Reply::Refused("this host is no control host".into()),
--- a/crates/gateway/src/install_catalog.rs
+++ b/crates/gateway/src/install_catalog.rs
@@ -16,7 +16,7 @@
             if gw.catalog.advance(document, catalog) {
                 gw.metrics.catalog.set(version.get() as i64);
                 info!(gw.log, "new catalog in force"; "version" => %version, "routes" => routes,
-                    "services" => services);
+                    "services" => services, "bytes" => content.len());
             }
         }
         Err(e) => {
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -1,4 +1,5 @@
 use masticstair_core::prelude::*;
+use masticstair_policy::directory::{ListingChange, ListingUpdate};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -11,6 +12,7 @@
 use super::permit_labels::PermitLabels;
 use super::route_labels::RouteLabels;
 use super::service_labels::ServiceLabels;
+use super::update_labels::UpdateLabels;
 
 /// Upper bounds of the latency buckets.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -24,7 +26,10 @@
     calls: Family<CallLabels, Counter>,
     call_time: Family<CallLabels, Histogram, fn() -> Histogram>,
     endpoint_ends: Family<ServiceLabels, Counter>,
+    update_bytes: Family<UpdateLabels, Counter>,
     permits: Family<PermitLabels, Counter>,
+    /// The time from a catalog in force at this control host until a subscriber confirms it.
+    pub(crate) catalog_delay: Histogram,
     /// Endpoints that take new work.
     pub endpoints: Gauge,
     /// The version of the catalog in force.
@@ -52,6 +57,8 @@
             calls: Family::default(),
             call_time: Family::new_with_constructor(new_histogram),
             endpoint_ends: Family::default(),
+            update_bytes: Family::default(),
+            catalog_delay: Histogram::new(LATENCY_BUCKETS_S),
             permits: Family::default(),
             endpoints: Gauge::default(),
             catalog: Gauge::default(),
@@ -77,6 +84,11 @@
         registry.register_with_unit("call", help, Unit::Seconds, self.call_time.clone());
         let help = "Requests, and calls of stages, during which their endpoint ended";
         registry.register("endpoint_ends", help, self.endpoint_ends.clone());
+        let help = "Bytes of catalogs and listings sent to subscribers";
+        registry.register("update_bytes", help, self.update_bytes.clone());
+        let help = "Time from a catalog in force here until a subscriber confirms it";
+        let delay = self.catalog_delay.clone();
+        registry.register_with_unit("catalog_confirmed", help, Unit::Seconds, delay);
         registry.register("endpoints", "Endpoints that take work", self.endpoints.clone());
         registry.register("catalog", "Version of the catalog in force", self.catalog.clone());
         let help = "Requests for a permit to send to an endpoint with a limit";
@@ -114,6 +126,16 @@
         self.endpoint_ends.get_or_create(&labels).inc();
     }
 
+    /// Counts the content of a reply to a subscriber. The size of a listing is that of its records in memory.
+    pub(crate) fn count_update(&self, listing: &ListingUpdate, catalog: Option<&[u8]>) {
+        let listed = listing.changes.len() * size_of::<ListingChange>();
+        for (kind, bytes) in [("listing", listed), ("catalog", catalog.map_or(0, <[u8]>::len))] {
+            if bytes > 0 {
+                self.update_bytes.get_or_create(&UpdateLabels { kind }).inc_by(bytes as u64);
+            }
+        }
+    }
+
     pub(crate) fn count_permit(&self, granted: bool) {
         let result = if granted { "granted" } else { "denied" };
         self.permits.get_or_create(&PermitLabels { result }).inc();
--- a/crates/gateway/src/telemetry/request_timeline.rs
+++ b/crates/gateway/src/telemetry/request_timeline.rs
@@ -21,6 +21,8 @@
     pub(crate) first_answer_at: Option<Timestamp>,
     /// The endpoints that were tried and the result of each call, in order.
     pub(crate) attempts: String,
+    /// The longest time for which this host may have lacked changes when it decided on the request.
+    news_age: Duration,
     timeout: Option<Millis>,
 }
 
@@ -35,10 +37,16 @@
             staged_at: None,
             first_answer_at: None,
             attempts: String::new(),
+            news_age: Duration::ZERO,
             timeout: meta.timeout,
         }
     }
 
+    /// Records the age of what this host acts by, where it decides on the request.
+    pub(crate) fn record_news_age(&mut self, gw: &Gateway) {
+        self.news_age = self.news_age.max(gw.news_age());
+    }
+
     /// Appends the result of a call to an endpoint.
     pub(crate) fn record_attempt(&mut self, endpoint: &EndpointId, end: &str, took: Duration) {
         let space = if self.attempts.is_empty() { "" } else { " " };
@@ -55,7 +63,8 @@
         info!(gw.log, "request finished"; "request" => %self.call, "outcome" => outcome,
             "route" => self.route.as_ref().map(ToString::to_string),
             "service" => self.service.as_ref().map(ToString::to_string),
-            "catalog" => %self.catalog, "budget_ms" => self.timeout.map(|timeout| timeout.get()),
+            "catalog" => %self.catalog,
+            "news_ms" => self.news_age.as_millis() as u64, "budget_ms" => self.timeout.map(|timeout| timeout.get()),
             "staged_ms" => self.staged_at.map(since), "first_ms" => self.first_answer_at.map(since),
             "end_ms" => since(now), "attempts" => &self.attempts, "detail" => detail);
     }
