Send each host a new catalog once, as an update of the one before

Cause: every control host sent every subscriber the whole catalog for every version. Everything waited behind the copies: the next catalog, the listings, and the pings of stage calls, which then ended the connection and all calls on it.

Change: the control host that a rendezvous choice names for a subscriber sends the content, the others their version only, and only if the subscriber still lacks it after 250 ms; then it asks that one. The content is compressed with the subscriber's catalog as dictionary (Zstandard, checksummed), some hundred bytes for a change of some routes, and made once for all subscribers with the same catalog. A host leaves nine times the time that it took to install a catalog before it takes the next one, so that changes take at most a tenth of it. Hosts of earlier builds still get whole catalogs.

--- a/crates/gateway/src/control/answer_subscribe.rs
+++ b/crates/gateway/src/control/answer_subscribe.rs
@@ -1,10 +1,11 @@
-use masticstair_core::id::{CatalogVersion, HostId};
-use slog::info;
+use masticstair_core::id::HostId;
+use masticstair_core::unit::Timestamp;
+use slog::{error, info};
 use std::time::Duration;
 
 use super::ControlHost;
 use crate::Gateway;
-use crate::messages::{SubscribeReply, SubscribeRequest};
+use crate::messages::{CatalogMode, SubscribeReply, SubscribeRequest};
 use crate::stages::stage_loads;
 
 /// The longest time that a subscriber waits for an update, whatever it asks for.
@@ -20,40 +21,84 @@
     from: &HostId,
     request: SubscribeRequest,
 ) -> SubscribeReply {
-    record_confirmation(gw, control, from, request.catalog);
-    let until = gw.now().plus(request.wait.duration().min(MAX_WAIT));
+    let arrived = gw.now();
+    control.record_catalog(arrived, &gw.catalog);
+    record_confirmation(gw, control, from, &request);
+    let until = arrived.plus(request.wait.duration().min(MAX_WAIT));
     loop {
         let now = gw.now();
         let update =
             control.table.borrow().changes_after(now, request.incarnation, request.position);
-        let document = gw.catalog.document();
-        let version = document.as_ref().map(|d| d.version).unwrap_or_default();
-        let newer = version > request.catalog;
-        let is_new = newer || update.complete || !update.changes.is_empty();
+        let due = catalog_due(control, &request, arrived);
+        let is_due = due.is_some_and(|at| at <= now);
+        let is_new = is_due || update.complete || !update.changes.is_empty();
         let left = until.since(now);
         if is_new || left.is_zero() || gw.is_stopping() {
-            let catalog = document.filter(|_| newer).map(|d| d.content.to_vec());
-            let loads = stage_loads(gw);
-            gw.metrics.count_update(&update, catalog.as_deref());
-            return SubscribeReply { feed: update, catalog_version: version, catalog, loads };
+            let reply = SubscribeReply {
+                feed: update,
+                catalog_version: gw.catalog.version(),
+                loads: stage_loads(gw),
+                ..SubscribeReply::default()
+            };
+            let reply = if is_due { add_catalog(gw, control, &request, reply) } else { reply };
+            gw.metrics.count_update(&reply);
+            return reply;
         }
-        control.changed.notified(left).await;
+        control.changed.notified(due.map_or(left, |at| left.min(at.since(now)))).await;
     }
 }
 
+/// Returns when a subscriber is to be told of a newer catalog; none while there is none.
+fn catalog_due(
+    control: &ControlHost,
+    request: &SubscribeRequest,
+    arrived: Timestamp,
+) -> Option<Timestamp> {
+    let installed = control.confirmations.borrow().installed_after(request.catalog)?;
+    let from = match request.catalog_mode {
+        CatalogMode::Version => installed,
+        CatalogMode::Whole | CatalogMode::Update => arrived,
+    };
+    Some(from.plus(request.catalog_wait.duration()))
+}
+
+/// Adds what the subscriber wants of the catalog, which is newer than that of the subscriber.
+fn add_catalog(
+    gw: &Gateway,
+    control: &ControlHost,
+    request: &SubscribeRequest,
+    mut reply: SubscribeReply,
+) -> SubscribeReply {
+    match request.catalog_mode {
+        CatalogMode::Version => {}
+        CatalogMode::Whole => reply.catalog = gw.catalog.document().map(|d| d.content.to_vec()),
+        CatalogMode::Update => match control.recent.borrow_mut().update_from(request.catalog) {
+            Ok(Some((version, update))) => {
+                reply.catalog_version = version;
+                reply.catalog_update = Some(update);
+            }
+            Ok(None) => {}
+            Err(e) => error!(gw.log, "cannot compress the catalog"; "reason" => %e),
+        },
+    }
+    reply
+}
+
 fn record_confirmation(
     gw: &Gateway,
     control: &ControlHost,
     from: &HostId,
-    version: CatalogVersion,
+    request: &SubscribeRequest,
 ) {
-    let now = gw.now();
     let mut confirmations = control.confirmations.borrow_mut();
-    confirmations.record_installed(now, gw.catalog.version());
-    let Some(delay) = confirmations.record_confirmed(now, from, version) else { return };
+    let delay = confirmations.record_confirmed(gw.now(), from, request.catalog);
+    // A subscriber that gets its catalogs from another control host confirms them to that one in time.
+    let Some(delay) = delay.filter(|_| request.catalog_mode != CatalogMode::Version) else {
+        return;
+    };
     gw.metrics.catalog_delay.observe(delay.as_secs_f64());
     if delay > LATE_CONFIRMATION {
         info!(gw.log, "subscriber confirmed a catalog late"; "peer" => %from,
-            "version" => %version, "delay_ms" => delay.as_millis() as u64);
+            "version" => %request.catalog, "delay_ms" => delay.as_millis() as u64);
     }
 }
--- a/crates/gateway/src/control/catalog_confirmations.rs
+++ b/crates/gateway/src/control/catalog_confirmations.rs
@@ -28,6 +28,12 @@
         }
     }
 
+    /// Returns when the first version after `version` came into force here; none if there is no later one.
+    pub(crate) fn installed_after(&self, version: CatalogVersion) -> Option<Timestamp> {
+        let next = self.installed.partition_point(|(v, _)| *v <= version);
+        self.installed.get(next).map(|(_, installed)| *installed)
+    }
+
     /// Records the version that a subscriber has in force. Returns for how long the oldest version that it has confirmed
     /// with this request has been in force here; none if it confirms no new one.
     pub(crate) fn record_confirmed(
--- a/crates/gateway/src/control/control_host.rs
+++ b/crates/gateway/src/control/control_host.rs
@@ -4,7 +4,8 @@
 
 use super::CatalogStore;
 use super::catalog_confirmations::CatalogConfirmations;
-use crate::Notify;
+use super::recent_catalogs::RecentCatalogs;
+use crate::{CatalogInForce, Notify};
 
 /// Heartbeats that an endpoint may miss before it expires: one may be late and one lost.
 pub(crate) const MAX_MISSED_HEARTBEATS: f64 = 3.5;
@@ -18,6 +19,7 @@
     pub(crate) store: CatalogStore,
     /// How far the subscribers are behind.
     pub(crate) confirmations: RefCell<CatalogConfirmations>,
+    pub(crate) recent: RefCell<RecentCatalogs>,
 }
 
 impl ControlHost {
@@ -35,6 +37,15 @@
             changed: Notify::default(),
             store,
             confirmations: RefCell::default(),
+            recent: RefCell::default(),
+        }
+    }
+
+    /// Records the catalog in force, if it is a new one.
+    pub(crate) fn record_catalog(&self, now: Timestamp, catalog: &CatalogInForce) {
+        if let Some(document) = catalog.document() {
+            self.confirmations.borrow_mut().record_installed(now, document.version);
+            self.recent.borrow_mut().add(document);
         }
     }
 }
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod attempt_failure;
 mod attempt_options;
+mod catalog_request;
 mod check_endpoint_end;
 mod check_prompt;
 mod check_request;
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -4,14 +4,18 @@
 use slog::{info, warn};
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::catalog_request::CatalogRequest;
 use super::exchange_findings::exchange_findings;
 use crate::control::ControlHost;
 use crate::install_catalog::install_catalog;
 use crate::maintenance::on_endpoints_changed;
-use crate::messages::{Message, Reply, SubscribeReply, SubscribeRequest, decode, encode};
+use crate::messages::{
+    CatalogUpdate, Message, Reply, SubscribeReply, SubscribeRequest, decode, encode,
+};
 use crate::{Gateway, PeerHost};
 
 /// How long a control host may wait for an update. A connection that is dead without an error is detected
@@ -24,15 +28,15 @@
 /// How often the set of control hosts is checked for new ones.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Delay after a control host did not answer, and between complete listings of one that has just started.
+/// Delay after a control host did not answer, or sent a catalog that cannot be read, and between complete listings of one
+/// that has just started.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Without replies from a majority of the control hosts, the newest known catalog counts as current after
 /// this time.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Control hosts that have replied, with the version of the catalog that each one holds. A reply carries a
-/// catalog that is newer than the one in force, and this host installs it before it adds the control host.
+/// Control hosts that have replied, with the version of the catalog that each one holds.
 type Confirmed = Rc<RefCell<HashMap<HostId, CatalogVersion>>>;
 
 /// Subscribes to every control host, each in its own task.
@@ -76,8 +80,8 @@
 /// Marks the catalog in force as current once a majority of the control hosts has replied, or after
 /// `CONFIRMATION_TIMEOUT`.
 ///
-/// A catalog accepted by a quorum is held by at least one host of every majority, so this host has it once a
-/// majority of the control hosts has replied.
+/// A catalog accepted by a quorum is held by at least one host of every majority, so this host has it once it has the
+/// newest one that a majority of the control hosts named.
 fn check_current(
     gw: &Gateway,
     hosts: &[PeerHost],
@@ -93,7 +97,10 @@
     let live: Vec<_> = hosts.iter().filter(|h| !h.is_failed).collect();
     let confirmed_hosts = live.iter().filter(|h| confirmed.contains_key(&h.host)).count();
     // A host that has just started must know the prompts that crash engines, and the limits of endpoints.
-    let has_majority = joined && confirmed_hosts * 2 > live.len() && gw.has_findings.get();
+    let has_majority = joined
+        && confirmed_hosts * 2 > live.len()
+        && confirmed.values().all(|held| *held <= version)
+        && gw.has_findings.get();
     if has_majority || gw.now().since(started) > CONFIRMATION_TIMEOUT {
         gw.is_current.set(true);
         info!(gw.log, "catalog is current; accepting clients"; "catalog" => %version,
@@ -103,28 +110,37 @@
 
 /// Keeps a subscription to one control host until the host leaves or is forgotten.
 async fn subscribe(gw: &Rc<Gateway>, host: &HostId, confirmed: &Confirmed) {
-    let mut disconnected = false;
+    let (mut disconnected, mut is_overdue, mut is_unreadable) = (false, false, false);
     info!(gw.log, "subscribing to control host"; "peer" => %host);
     loop {
         let (hosts, _) = gw.control_hosts();
         let Some(peer) = hosts.into_iter().find(|h| h.host == *host) else {
             gw.last_contacts.borrow_mut().remove(host);
-            gw.answered_requests.borrow_mut().remove(host);
+            gw.control_news.borrow_mut().remove(host);
             warn!(gw.log, "subscription to control host ended; the host has left";
                 "peer" => %host, "catalog" => %gw.catalog.version());
             return;
         };
         let asked_at = gw.now();
-        match fetch_updates(gw, &peer).await {
+        let in_force = gw.catalog.version();
+        let catalog = match is_unreadable {
+            true => CatalogRequest::whole(),
+            false => CatalogRequest::next(gw, host, is_overdue),
+        };
+        match fetch_updates(gw, &peer, catalog).await {
             Ok(reply) => {
-                gw.answered_requests.borrow_mut().insert(host.clone(), asked_at);
                 gw.last_contacts.borrow_mut().insert(host.clone(), gw.now());
                 if std::mem::take(&mut disconnected) {
                     info!(gw.log, "control host reachable again"; "peer" => %host);
                 }
-                let settled = reply.feed.settled;
-                apply_updates(gw, host, reply, confirmed);
-                if !settled {
+                let (settled, held) = (reply.feed.settled, reply.catalog_version);
+                is_unreadable = apply_updates(gw, host, reply, confirmed).is_err();
+                let now_in_force = gw.catalog.version();
+                is_overdue = held > now_in_force && now_in_force == in_force;
+                let mut news = gw.control_news.borrow_mut();
+                news.entry(host.clone()).or_default().record(asked_at, held, now_in_force);
+                drop(news);
+                if !settled || is_unreadable {
                     monoio::time::sleep(RETRY_DELAY).await;
                 }
             }
@@ -139,14 +155,20 @@
     }
 }
 
-async fn fetch_updates(gw: &Gateway, peer: &PeerHost) -> Result<SubscribeReply, Box<str>> {
+async fn fetch_updates(
+    gw: &Gateway,
+    peer: &PeerHost,
+    catalog: CatalogRequest,
+) -> Result<SubscribeReply, Box<str>> {
     let client = peer.client.as_ref().ok_or("the local host has no peer connection")?;
     let (incarnation, position) = gw.directory.borrow().position(&peer.host);
     let request = SubscribeRequest {
         incarnation,
         position,
-        catalog: gw.catalog.version(),
+        catalog: catalog.base,
         wait: Millis::new(UPDATE_WAIT.as_millis() as u64),
+        catalog_mode: catalog.mode,
+        catalog_wait: catalog.wait,
     };
     let content = encode(&Message::Subscribe(request))?;
     let message = GatewayMessage { content, budget: UPDATE_WAIT + ANSWER_MARGIN };
@@ -158,10 +180,24 @@
     }
 }
 
-fn apply_updates(gw: &Rc<Gateway>, host: &HostId, reply: SubscribeReply, confirmed: &Confirmed) {
+/// Applies a reply. Fails if its catalog cannot be read; the rest is applied all the same.
+fn apply_updates(
+    gw: &Rc<Gateway>,
+    host: &HostId,
+    reply: SubscribeReply,
+    confirmed: &Confirmed,
+) -> io::Result<()> {
     if let Some(content) = &reply.catalog {
         install_catalog(gw, reply.catalog_version, content);
     }
+    let installed = match &reply.catalog_update {
+        Some(update) => install_update(gw, reply.catalog_version, update),
+        None => Ok(()),
+    };
+    if let Err(e) = &installed {
+        warn!(gw.log, "cannot read the update of the catalog"; "peer" => %host,
+            "version" => %reply.catalog_version, "reason" => %e);
+    }
     for load in reply.loads {
         gw.stage_times.record_load(gw.now(), load);
     }
@@ -170,4 +206,20 @@
     if changed {
         on_endpoints_changed(gw);
     }
+    installed
+}
+
+/// Installs a catalog that was sent as an update.
+fn install_update(gw: &Gateway, version: CatalogVersion, update: &CatalogUpdate) -> io::Result<()> {
+    if version <= gw.catalog.version() {
+        return Ok(());
+    }
+    let base = gw.catalog.document().filter(|d| d.version == update.base);
+    if base.is_none() && update.base != CatalogVersion::default() {
+        // Another control host has sent a catalog since; the next request names that one.
+        return Ok(());
+    }
+    let content = update.decode(base.as_ref().map(|d| &*d.content).unwrap_or_default())?;
+    install_catalog(gw, version, &content);
+    Ok(())
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use masticstair_policy::endpoint_limits::EndpointLimits;
 use masticstair_policy::endpoint_liveness::EndpointLiveness;
 use masticstair_policy::endpoint_pauses::EndpointPauses;
-use masticstair_policy::freshness::known_until;
+use masticstair_policy::freshness::{ControlHostNews, known_until};
 use masticstair_policy::poison::PoisonTable;
 use masticstair_policy::request_crashes::RequestCrashes;
 use masticstair_policy::service_choice::{DataCentreReachability, EndpointHealth};
@@ -58,8 +58,10 @@
     pub(crate) poison: RefCell<PoisonTable>,
     /// When each control host last answered a subscription of this host; only those that it subscribes to.
     pub(crate) last_contacts: RefCell<HashMap<HostId, Timestamp>>,
-    /// When the last request that each control host answered was sent; only those that this host subscribes to.
-    pub(crate) answered_requests: RefCell<HashMap<HostId, Timestamp>>,
+    /// What is known of the catalog of each control host; only those that this host subscribes to.
+    pub(crate) control_news: RefCell<HashMap<HostId, ControlHostNews>>,
+    /// Not before this time the next catalog is to be installed.
+    pub(crate) next_install: Cell<Timestamp>,
     /// Which requests crash endpoints, as far as all hosts together know.
     pub(crate) request_crashes: RefCell<RequestCrashes>,
     pub(crate) liveness: RefCell<EndpointLiveness>,
@@ -106,7 +108,8 @@
             request_crashes: RefCell::default(),
             liveness: RefCell::default(),
             last_contacts: RefCell::default(),
-            answered_requests: RefCell::default(),
+            control_news: RefCell::default(),
+            next_install: Cell::default(),
             findings_changed: Notify::default(),
             has_findings: Cell::new(false),
             incarnation: parts.incarnation,
@@ -169,13 +172,15 @@
     /// Returns for how long this host may lack changes of the catalog.
     pub(crate) fn news_age(&self) -> Duration {
         let (hosts, _) = self.control_hosts();
-        let answered = self.answered_requests.borrow();
-        let asked_at = |h: &PeerHost| answered.get(&h.host).copied().unwrap_or_default();
-        let mut asked_at: SmallVec<[Timestamp; 8]> = hosts.iter().map(asked_at).collect();
+        let (news, in_force) = (self.control_news.borrow(), self.catalog.version());
+        let confirmed_at = |h: &PeerHost| {
+            news.get(&h.host).map(|news| news.confirmed_at(in_force)).unwrap_or_default()
+        };
+        let mut confirmed_at: SmallVec<[Timestamp; 8]> = hosts.iter().map(confirmed_at).collect();
         if self.cfg.control_listen.is_some() {
-            asked_at.push(self.now());
+            confirmed_at.push(self.now());
         }
-        self.now().since(known_until(&mut asked_at))
+        self.now().since(known_until(&mut confirmed_at))
     }
 
     /// Returns the batch limits of a stage service; none if the service runs no stages or is not in the
--- a/crates/gateway/src/handle_events.rs
+++ b/crates/gateway/src/handle_events.rs
@@ -24,8 +24,7 @@
             GatewayEvent::Catalog(document) => {
                 install_catalog(&gw, document.version, &document.content);
                 if let Some(control) = &control {
-                    let mut confirmations = control.confirmations.borrow_mut();
-                    confirmations.record_installed(gw.now(), gw.catalog.version());
+                    control.record_catalog(gw.now(), &gw.catalog);
                     control.changed.notify();
                 }
             }
--- a/crates/gateway/src/messages/mod.rs
+++ b/crates/gateway/src/messages/mod.rs
@@ -1,6 +1,8 @@
 //! Messages between gateways.
 
 mod cancel_request;
+mod catalog_mode;
+mod catalog_update;
 mod codec;
 mod findings_reply;
 mod findings_request;
@@ -17,6 +19,8 @@
 mod subscribe_request;
 
 pub(crate) use cancel_request::CancelRequest;
+pub(crate) use catalog_mode::CatalogMode;
+pub(crate) use catalog_update::CatalogUpdate;
 pub(crate) use codec::{decode, encode};
 pub(crate) use findings_reply::FindingsReply;
 pub(crate) use findings_request::FindingsRequest;
--- a/crates/gateway/src/messages/subscribe_reply.rs
+++ b/crates/gateway/src/messages/subscribe_reply.rs
@@ -2,7 +2,7 @@
 use masticstair_policy::directory::ListingUpdate;
 use serde::{Deserialize, Serialize};
 
-use super::StageLoad;
+use super::{CatalogUpdate, StageLoad};
 
 /// Updates from a control host.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -11,8 +11,10 @@
     pub feed: ListingUpdate,
     /// The version of the catalog that the control host holds.
     pub catalog_version: CatalogVersion,
-    /// The content of the catalog, if it is newer than that of the subscriber.
+    /// The content of the catalog, if it is newer than that of the subscriber and the subscriber takes no updates.
     pub catalog: Option<Vec<u8>>,
     /// Loads of the stage services whose calls the control host forms.
     pub loads: Vec<StageLoad>,
+    /// The catalog, if it is newer than that of the subscriber and the subscriber takes updates.
+    pub catalog_update: Option<CatalogUpdate>,
 }
--- a/crates/gateway/src/messages/subscribe_request.rs
+++ b/crates/gateway/src/messages/subscribe_request.rs
@@ -1,6 +1,8 @@
 use masticstair_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use super::CatalogMode;
+
 /// Asks a control host for updates.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SubscribeRequest {
@@ -12,4 +14,9 @@
     pub catalog: CatalogVersion,
     /// How long the control host may wait for an update.
     pub wait: Millis,
+    /// What the subscriber wants of a newer catalog.
+    pub catalog_mode: CatalogMode,
+    /// How long the control host may hold a newer catalog back: an update from the arrival of the request on, a version
+    /// from the time on at which the control host put it in force.
+    pub catalog_wait: Millis,
 }
--- a/crates/gateway/src/peer_host.rs
+++ b/crates/gateway/src/peer_host.rs
@@ -6,6 +6,8 @@
 pub struct PeerHost {
     /// The name of the host.
     pub host: HostId,
+    /// The data centre of the host.
+    pub data_centre: DataCentreId,
     /// Whether it is a control host.
     pub is_control: bool,
     /// Whether it answered recently.
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -1,5 +1,5 @@
 use masticstair_core::prelude::*;
-use masticstair_policy::directory::{ListingChange, ListingUpdate};
+use masticstair_policy::directory::ListingChange;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -13,6 +13,7 @@
 use super::route_labels::RouteLabels;
 use super::service_labels::ServiceLabels;
 use super::update_labels::UpdateLabels;
+use crate::messages::SubscribeReply;
 
 /// Upper bounds of the latency buckets.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -127,9 +128,11 @@
     }
 
     /// Counts the content of a reply to a subscriber. The size of a listing is that of its records in memory.
-    pub(crate) fn count_update(&self, listing: &ListingUpdate, catalog: Option<&[u8]>) {
-        let listed = listing.changes.len() * size_of::<ListingChange>();
-        for (kind, bytes) in [("listing", listed), ("catalog", catalog.map_or(0, <[u8]>::len))] {
+    pub(crate) fn count_update(&self, reply: &SubscribeReply) {
+        let listing = reply.feed.changes.len() * size_of::<ListingChange>();
+        let update = reply.catalog_update.as_ref().map(|update| &update.content);
+        let catalog = update.or(reply.catalog.as_ref()).map_or(0, Vec::len);
+        for (kind, bytes) in [("listing", listing), ("catalog", catalog)] {
             if bytes > 0 {
                 self.update_bytes.get_or_create(&UpdateLabels { kind }).inc_by(bytes as u64);
             }
--- a/crates/host/src/daemon/gateway_thread.rs
+++ b/crates/host/src/daemon/gateway_thread.rs
@@ -116,6 +116,7 @@
 fn peer_host(view: &HostView) -> PeerHost {
     PeerHost {
         host: view.record.host.clone(),
+        data_centre: view.record.data_centre.clone(),
         is_control: view.record.durable,
         is_alive: view.record.state == MemberState::Alive,
         is_failed: view.record.state == MemberState::Failed,
--- a/crates/policy/src/freshness/known_until.rs
+++ b/crates/policy/src/freshness/known_until.rs
@@ -1,10 +1,10 @@
 use masticstair_core::unit::Timestamp;
 
-/// Returns the time up to which a host knows all changes of the catalog: a majority of the control hosts has answered a
-/// request that it sent no earlier. What a quorum has stored is known to at least one host of every majority.
+/// Returns the time up to which a host knows all changes of the catalog: it has what a majority of the control hosts held
+/// then. What a quorum has stored is known to at least one host of every majority.
 ///
-/// `asked_at` has, for each control host, when the last request that it answered was sent; zero if it answered none.
-pub fn known_until(asked_at: &mut [Timestamp]) -> Timestamp {
-    asked_at.sort_unstable_by(|a, b| b.cmp(a));
-    asked_at.get(asked_at.len() / 2).copied().unwrap_or_default()
+/// `confirmed_at` has the time up to which the host has what each control host held; zero before its first reply.
+pub fn known_until(confirmed_at: &mut [Timestamp]) -> Timestamp {
+    confirmed_at.sort_unstable_by(|a, b| b.cmp(a));
+    confirmed_at.get(confirmed_at.len() / 2).copied().unwrap_or_default()
 }
