Continue the listing of a control host that has just started

After a restart of the control hosts each host fetched a complete listing from each of them every 150 ms until they had settled, some four seconds in which the changes that operators and endpoints had waited with are sent as well.

A subscriber now continues from the first listing of a new process, and remembers which endpoints that process listed itself; once it has settled, the others are dropped as before.

The test failed before: the second update was a complete listing again.

--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -28,8 +28,7 @@
 /// How often the set of control hosts is checked for new ones.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Delay after a control host did not answer, or sent a catalog that cannot be read, and between complete listings of one
-/// that has just started.
+/// Delay after a control host did not answer, or sent a catalog that cannot be read.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Without replies from a majority of the control hosts, the newest known catalog counts as current after
@@ -133,14 +132,14 @@
                 if std::mem::take(&mut disconnected) {
                     info!(gw.log, "control host reachable again"; "peer" => %host);
                 }
-                let (settled, held) = (reply.feed.settled, reply.catalog_version);
+                let held = reply.catalog_version;
                 is_unreadable = apply_updates(gw, host, reply, confirmed).is_err();
                 let now_in_force = gw.catalog.version();
                 is_overdue = held > now_in_force && now_in_force == in_force;
                 let mut news = gw.control_news.borrow_mut();
                 news.entry(host.clone()).or_default().record(asked_at, held, now_in_force);
                 drop(news);
-                if !settled || is_unreadable {
+                if is_unreadable {
                     monoio::time::sleep(RETRY_DELAY).await;
                 }
             }
--- a/crates/policy/src/directory/directory.rs
+++ b/crates/policy/src/directory/directory.rs
@@ -35,10 +35,8 @@
     /// Returns the incarnation and the position that the next update of a control host shall continue from; the
     /// position is 0 when a complete listing is needed.
     pub fn position(&self, control: &HostId) -> (Incarnation, u64) {
-        match self.subscriptions.get(control).filter(|subscription| subscription.settled) {
-            Some(subscription) => (subscription.incarnation, subscription.position),
-            None => (Incarnation::default(), 0),
-        }
+        let subscription = self.subscriptions.get(control);
+        subscription.map(|known| (known.incarnation, known.position)).unwrap_or_default()
     }
 
     /// Applies an update of a control host and returns whether the set of ready endpoints changed.
--- a/crates/policy/tests/directory.rs
+++ b/crates/policy/tests/directory.rs
@@ -318,3 +318,94 @@
     directory.apply_update(at(0), &first, update(true, &[left]));
     assert!(directory.departures_after(0, false).is_empty());
 }
+
+/// Guards against complete listings that follow each other after a restart, and against endpoints that stay listed although
+/// the restarted control host has settled without them (DRAIN).
+#[test]
+fn a_restarted_control_host_lists_its_endpoints_once() {
+    let (control, e): (HostId, _) = ("c1".parse().unwrap(), endpoint);
+    let mut directory = Directory::default();
+    let before = [
+        e("a", "10.0.0.1:80", 1, ServingState::Ready),
+        e("b", "10.0.0.2:80", 1, ServingState::Ready),
+    ];
+    directory.apply_update(at(0), &control, update(true, &before));
+
+    let mut restarted = AnnouncementTable::new(at(10), Incarnation::new(9), TIMEOUT);
+    struct Step {
+        name: &'static str,
+        at_ms: u64,
+        announced: Option<&'static str>,
+        complete: bool,
+        changes: usize,
+        ready: &'static [&'static str],
+    }
+    let settled_at = 11 + TIMEOUT.as_millis() as u64;
+    let steps = [
+        Step {
+            name: "first",
+            at_ms: 20,
+            announced: None,
+            complete: true,
+            changes: 0,
+            ready: &["a", "b"],
+        },
+        Step {
+            name: "one",
+            at_ms: 30,
+            announced: Some("a"),
+            complete: false,
+            changes: 1,
+            ready: &["a", "b"],
+        },
+        Step {
+            name: "none",
+            at_ms: 40,
+            announced: None,
+            complete: false,
+            changes: 0,
+            ready: &["a", "b"],
+        },
+        Step {
+            name: "new",
+            at_ms: 50,
+            announced: Some("c"),
+            complete: false,
+            changes: 1,
+            ready: &["a", "b", "c"],
+        },
+        Step {
+            name: "settled",
+            at_ms: settled_at,
+            announced: None,
+            complete: false,
+            changes: 0,
+            ready: &["a", "c"],
+        },
+        Step {
+            name: "after",
+            at_ms: settled_at,
+            announced: Some("d"),
+            complete: false,
+            changes: 1,
+            ready: &["a", "c", "d"],
+        },
+    ];
+    for (n, step) in steps.iter().enumerate() {
+        if let Some(id) = step.announced {
+            let address = format!("10.0.0.{}:80", 1 + id.as_bytes()[0] - b'a');
+            let endpoint = e(id, &address, 1, ServingState::Ready);
+            restarted.announce(at(step.at_ms), Announcement { endpoint, sequence: n as u64 });
+        }
+        let (incarnation, position) = directory.position(&control);
+        let update = restarted.changes_after(at(step.at_ms), incarnation, position);
+        assert_eq!(
+            (update.complete, update.changes.len()),
+            (step.complete, step.changes),
+            "{}",
+            step.name
+        );
+        directory.apply_update(at(step.at_ms), &control, update);
+        assert_eq!(ready(&directory), step.ready, "{}", step.name);
+    }
+}
