Deny no route or key by a catalog that may be old

Otherwise it answers 503 with Retry-After, reason outdated, and how old its catalog may be. It still serves what its catalog allows.

--- a/crates/gateway/src/entry/answer_request.rs
+++ b/crates/gateway/src/entry/answer_request.rs
@@ -2,6 +2,7 @@
 use masticstair_core::catalog::Catalog;
 use masticstair_core::prelude::*;
 use masticstair_net::http::server::{Request, Response};
+use masticstair_policy::freshness::may_deny;
 use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,6 +22,9 @@
 /// Retry delay sent to clients while this host has no catalog; all hosts may have started at the same time.
 const NO_CATALOG_RETRY_AFTER: Millis = Millis::new(800);
 
+/// Retry delay sent to clients while this host may lack changes of the catalog; another one may have them.
+const OUTDATED_RETRY_AFTER: Millis = Millis::new(300);
+
 /// How long a request waits for the catalog and the endpoints that a host learns after its start.
 const STARTUP_WAIT: Duration = Duration::from_millis(1_200);
 
@@ -110,10 +114,10 @@
     let Some(route) = catalog.route(&meta.host, &meta.path).cloned() else {
         let detail =
             format!("no route of catalog {} matches {}{}", catalog.version, meta.host, meta.path);
-        return Err(Refusal::not_run(RefusalReason::NoRoute, detail));
+        return Err(deny(gw, RefusalReason::NoRoute, detail));
     };
     timeline.route = Some(route.name.clone());
-    let (account, priority) = authenticate(&catalog, &meta, route.public)?;
+    let (account, priority) = authenticate(gw, &catalog, &meta, route.public)?;
     let service = match route.targets.as_slice() {
         [only] => only.service.clone(),
         _ => route.pick_target(Draw::new(rand::random())).clone(),
@@ -144,8 +148,19 @@
     })
 }
 
+/// Refuses a request that the catalog in force does not allow, for good if that catalog is certainly a recent one.
+fn deny(gw: &Gateway, reason: RefusalReason, detail: String) -> Refusal {
+    let news_age = gw.news_age();
+    if may_deny(news_age) {
+        return Refusal::not_run(reason, detail);
+    }
+    let detail = format!("{detail}, which may be {} ms old", news_age.as_millis());
+    Refusal::not_run(RefusalReason::Outdated, detail).with_retry_after(OUTDATED_RETRY_AFTER)
+}
+
 /// Returns the account of a request and the account's priority.
 fn authenticate(
+    gw: &Gateway,
     catalog: &Arc<Catalog>,
     meta: &RequestMeta,
     public: bool,
@@ -153,7 +168,7 @@
     let account = meta.key.as_deref().and_then(|key| catalog.accounts.find(key));
     if account.is_none() && !public && !catalog.accounts.is_empty() {
         let detail = format!("the key belongs to no account of catalog {}", catalog.version);
-        return Err(Refusal::not_run(RefusalReason::UnknownKey, detail));
+        return Err(deny(gw, RefusalReason::UnknownKey, detail));
     }
     Ok((account.map(|a| a.name.clone()), account.and_then(|a| a.priority)))
 }
--- a/crates/gateway/src/front_end/refusal_reason.rs
+++ b/crates/gateway/src/front_end/refusal_reason.rs
@@ -7,6 +7,8 @@
     NoCatalog,
     /// No route of the catalog matches.
     NoRoute,
+    /// This host may lack the change that added the route or the key.
+    Outdated,
     /// The key belongs to no account.
     UnknownKey,
     /// The request cannot be parsed.
@@ -37,6 +39,7 @@
         match self {
             Self::NoCatalog => "no-catalog",
             Self::NoRoute => "no-route",
+            Self::Outdated => "outdated",
             Self::UnknownKey => "unknown-key",
             Self::Malformed => "malformed",
             Self::NoEndpoint => "no-endpoint",
