Give the updates between hosts a connection of their own

Cause: subscriptions shared the connection to a control host with the calls of stages. While a stage runs, its host pings the control host that forms the calls; a ping that takes longer than 350 ms ends the connection, so that the stage goes elsewhere at once. On links that requests fill each direction takes some hundred milliseconds, so every ping ended the subscription as well, and the next connection did not live long enough for a reply. The class: a connection that carries what must arrive was ended by the failure detection of something else, which may move elsewhere.

Change: subscriptions and findings go over a second connection, which no ping ends; it takes their replies up to 1.5 s longer than the wait, also on a full link. A control host accepts twice as many connections for that.

--- a/crates/gateway/src/entry/exchange_findings.rs
+++ b/crates/gateway/src/entry/exchange_findings.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::update_link::UpdateLink;
 use crate::finding_positions::FindingPositions as Positions;
 use crate::messages::{FindingsReply, FindingsRequest, Message, Reply, decode, encode};
 use crate::{Gateway, PeerHost};
@@ -30,14 +31,14 @@
 }
 
 /// Exchanges findings on prompts and endpoints with one control host until the host leaves or is forgotten.
-pub(super) async fn exchange_findings(gw: &Rc<Gateway>, host: &HostId) {
+pub(super) async fn exchange_findings(gw: &Rc<Gateway>, host: &HostId, link: &UpdateLink) {
     let mut exchange = Exchange::default();
     loop {
         let (hosts, _) = gw.control_hosts();
         let Some(peer) = hosts.into_iter().find(|h| h.host == *host) else { return };
         let (request, positions) = next_request(gw, &exchange);
         let sends = has_findings(&request);
-        let reply = pin!(send_findings(&peer, request));
+        let reply = pin!(send_findings(&peer, link, request));
         let reply = match select(reply, pin!(own_news(gw, positions, sends))).await {
             Either::Left((reply, _)) => reply,
             // What is new is sent at once, in place of waiting for the reply.
@@ -118,9 +119,10 @@
 
 async fn send_findings(
     peer: &PeerHost,
+    link: &UpdateLink,
     request: FindingsRequest,
 ) -> Result<FindingsReply, Box<str>> {
-    let client = peer.client.as_ref().ok_or("the local host has no peer connection")?;
+    let client = link.client(peer).ok_or("the local host has no peer connection")?;
     let budget = request.wait.duration() + ANSWER_MARGIN;
     let content = encode(&Message::Findings(request))?;
     let reply =
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -30,6 +30,7 @@
 mod stream_state;
 mod subscribe;
 mod tried_endpoints;
+mod update_link;
 mod waiting_call;
 
 pub(crate) use answer_ready::answer_ready;
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -10,6 +10,7 @@
 
 use super::catalog_request::CatalogRequest;
 use super::exchange_findings::exchange_findings;
+use super::update_link::UpdateLink;
 use crate::control::ControlHost;
 use crate::install_catalog::install_catalog;
 use crate::maintenance::on_endpoints_changed;
@@ -22,8 +23,9 @@
 /// after this time plus `ANSWER_MARGIN`.
 const UPDATE_WAIT: Duration = Duration::from_millis(500);
 
-/// Time allowed for the reply beyond the wait.
-const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+/// Time allowed for the reply beyond the wait. On a link that requests fill, each direction may take some hundred
+/// milliseconds.
+const ANSWER_MARGIN: Duration = Duration::from_millis(1_500);
 
 /// How often the set of control hosts is checked for new ones.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(100);
@@ -50,7 +52,9 @@
                 let (gw, name, confirmed) = (gw.clone(), host.host.clone(), confirmed.clone());
                 let subscribed = subscribed.clone();
                 monoio::spawn(async move {
-                    join(subscribe(&gw, &name, &confirmed), exchange_findings(&gw, &name)).await;
+                    let link = UpdateLink::default();
+                    let subscription = subscribe(&gw, &name, &link, &confirmed);
+                    join(subscription, exchange_findings(&gw, &name, &link)).await;
                     subscribed.borrow_mut().remove(&name);
                 });
             }
@@ -108,7 +112,7 @@
 }
 
 /// Keeps a subscription to one control host until the host leaves or is forgotten.
-async fn subscribe(gw: &Rc<Gateway>, host: &HostId, confirmed: &Confirmed) {
+async fn subscribe(gw: &Rc<Gateway>, host: &HostId, link: &UpdateLink, confirmed: &Confirmed) {
     let (mut disconnected, mut is_overdue, mut is_unreadable) = (false, false, false);
     info!(gw.log, "subscribing to control host"; "peer" => %host);
     loop {
@@ -126,7 +130,7 @@
             true => CatalogRequest::whole(),
             false => CatalogRequest::next(gw, host, is_overdue),
         };
-        match fetch_updates(gw, &peer, catalog).await {
+        match fetch_updates(gw, &peer, link, catalog).await {
             Ok(reply) => {
                 gw.last_contacts.borrow_mut().insert(host.clone(), gw.now());
                 if std::mem::take(&mut disconnected) {
@@ -157,9 +161,10 @@
 async fn fetch_updates(
     gw: &Gateway,
     peer: &PeerHost,
+    link: &UpdateLink,
     catalog: CatalogRequest,
 ) -> Result<SubscribeReply, Box<str>> {
-    let client = peer.client.as_ref().ok_or("the local host has no peer connection")?;
+    let client = link.client(peer).ok_or("the local host has no peer connection")?;
     let (incarnation, position) = gw.directory.borrow().position(&peer.host);
     let request = SubscribeRequest {
         incarnation,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -30,7 +30,7 @@
 use crate::{CatalogInForce, GatewayConfig, GatewayParts, Notify, PeerHost, PeerView, Peers};
 
 /// A control host that is reachable answers a subscription more often than this.
-const CONTACT_TIME: Duration = Duration::from_secs(1);
+const CONTACT_TIME: Duration = Duration::from_millis(1_500);
 
 /// A running gateway; its tasks share one thread.
 pub struct Gateway {
--- a/crates/net/src/peer/limits.rs
+++ b/crates/net/src/peer/limits.rs
@@ -41,9 +41,9 @@
 /// `CLIENT_CALLS_LIMIT`, because calls that the client has abandoned may still be running here.
 pub const SERVER_CALLS_LIMIT: usize = 128;
 
-/// Maximum number of connections from peers: one from every host of a large deployment and as many again
-/// that are being replaced.
-pub const SERVER_CONNECTIONS_LIMIT: usize = 1024;
+/// Maximum number of connections from peers: two from every host of a large deployment, one of them for updates, and as
+/// many again that are being replaced.
+pub const SERVER_CONNECTIONS_LIMIT: usize = 2048;
 
 /// Timeout of a client for the TCP connection and the hello together.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/net/src/peer/peer_client.rs
+++ b/crates/net/src/peer/peer_client.rs
@@ -22,6 +22,8 @@
 #[derive(Clone)]
 pub struct PeerClient {
     address: SocketAddr,
+    /// What another client of the same peer is spawned with.
+    cfg: Arc<PeerClientConfig>,
     queue: mpsc::UnboundedSender<QueuedCall>,
     in_flight: Arc<AtomicUsize>,
     connected_peer: Arc<Mutex<Option<PeerIdentity>>>,
@@ -36,6 +38,7 @@
         let (tx, rx) = mpsc::unbounded();
         let client = Self {
             address: cfg.address,
+            cfg: Arc::new(cfg.clone()),
             queue: tx,
             in_flight: Arc::default(),
             connected_peer: Arc::default(),
@@ -45,6 +48,12 @@
         client
     }
 
+    /// Spawns a client with a connection of its own to the same peer, on the runtime of the current thread. Calls on this
+    /// one that fail, or wait for each other, do not affect it.
+    pub fn separate(&self) -> Self {
+        Self::spawn(PeerClientConfig::clone(&self.cfg))
+    }
+
     /// Returns the configured address of the peer.
     pub fn address(&self) -> SocketAddr {
         self.address
