--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -140,9 +140,7 @@
                 is_unreadable = apply_updates(gw, host, reply, confirmed).is_err();
                 let now_in_force = gw.catalog.version();
                 is_overdue = held > now_in_force && now_in_force == in_force;
-                let mut news = gw.control_news.borrow_mut();
-                news.entry(host.clone()).or_default().record(asked_at, held, now_in_force);
-                drop(news);
+                record_news(gw, host, asked_at, held);
                 if is_unreadable {
                     monoio::time::sleep(RETRY_DELAY).await;
                 }
@@ -158,6 +156,12 @@
     }
 }
 
+/// Records which catalog a control host named in the reply to a request of `asked_at`.
+fn record_news(gw: &Gateway, host: &HostId, asked_at: Timestamp, held: CatalogVersion) {
+    let mut news = gw.control_news.borrow_mut();
+    news.entry(host.clone()).or_default().record(asked_at, held, gw.catalog.version());
+}
+
 async fn fetch_updates(
     gw: &Gateway,
     peer: &PeerHost,
