Part the circle of the modules that answer requests

answer_request, answer_plain, answer_stream and stream_state used each other: refusals went through the first one, and a resumed stream through the third. refuse, open_stream and choose_engine are modules of their own now. Moved code only.

--- a/crates/gateway/src/entry/answer_plain.rs
+++ b/crates/gateway/src/entry/answer_plain.rs
@@ -9,7 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::answer_request::refuse;
 use super::attempt::attempt;
 use super::attempt_failure::AttemptFailure;
 use super::attempt_options::AttemptOptions;
@@ -20,6 +19,7 @@
 use super::in_flight_call::InFlightCall;
 use super::pause_refusal::pause_refusal;
 use super::permitted_endpoint::{choose_permitted, limit_refusal};
+use super::refuse::refuse;
 use super::tried_endpoints::TriedEndpoints;
 use super::waiting_call::WaitingCall;
 use crate::Gateway;
--- a/crates/gateway/src/entry/answer_request.rs
+++ b/crates/gateway/src/entry/answer_request.rs
@@ -15,6 +15,7 @@
 use super::check_request::check_request;
 use super::client_request::ClientRequest;
 use super::in_flight::InFlight;
+use super::refuse::refuse;
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason, RequestMeta};
 use crate::telemetry::RequestTimeline;
@@ -64,17 +65,6 @@
     if gw.is_stopping() { response.closing() } else { response }
 }
 
-/// Ends a request without an answer from an endpoint.
-pub(super) fn refuse(gw: &Gateway, timeline: &RequestTimeline, refusal: &Refusal) -> Response {
-    let outcome = match refusal.outcome {
-        RefusalOutcome::NotRun => "not_run",
-        RefusalOutcome::Failed => "failed",
-        RefusalOutcome::Unknown => "unknown",
-    };
-    timeline.finish(gw, outcome, &format!("{}: {}", refusal.reason, refusal.detail));
-    (gw.front_end.refuse)(refusal)
-}
-
 /// Delays a request while this host has no catalog, or knows no endpoint of the services of its route. Both
 /// arrive within a second after a start.
 async fn wait_for_startup(gw: &Gateway, arrived: Timestamp, meta: &RequestMeta) {
--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -6,16 +6,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::answer_stream::{normalized_first_event, open_stream};
 use super::check_endpoint_end::{check_endpoint_end, spawn_check};
 use super::check_prompt::record_prompt_answer;
 use super::check_request::record_request_answer;
+use super::choose_engine::normalized_first_event;
 use super::client_request::ClientRequest;
 use super::engine_output::EngineOutput;
 use super::event_splitter::EventSplitter;
 use super::failed_call::FailedCall;
 use super::held_results::HeldResults;
 use super::in_flight::InFlight;
+use super::open_stream::open_stream;
 use super::opened_stream::OpenedStream;
 use super::stage_plan::run_stages;
 use crate::Gateway;
