Read the software version of endpoints, and log who wrote a stream and what a client takes up

Announcements and listings now have the version of the endpoint's software, which belongs to an incarnation; the line of a finished request has the version of the first event, and for a stream that a client takes up, the attempt that it names and the last event that it has. Between hosts the versions travel beside the records, so that hosts of earlier builds can read those.

--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::id::{
     AccountId, AttemptId, CallId, CatalogVersion, DataCentreId, EndpointId, HostId, IdempotencyKey,
     Incarnation, PipelineName, PoolName, PromptPartId, RequestDigest, RequestId, ResultHandle,
-    Revision, RouteName, ServiceName, StageName,
+    Revision, RouteName, ServiceName, SoftwareVersion, StageName,
 };
 pub use crate::outcome::{Problem, RefusalOutcome};
 pub use crate::unit::{
--- a/crates/gateway/src/control/answer_control.rs
+++ b/crates/gateway/src/control/answer_control.rs
@@ -44,7 +44,8 @@
             "service" => %endpoint.service, "address" => %endpoint.address,
             "data_centre" => %endpoint.data_centre, "state" => ?endpoint.state,
             "incarnation" => %endpoint.incarnation, "sequence" => sequence,
-            "capacity" => %endpoint.capacity);
+            "capacity" => %endpoint.capacity,
+            "software" => endpoint.software.as_ref().map(ToString::to_string));
         control.changed.notify();
     }
     ControlReply::Acknowledged
--- a/crates/gateway/src/control/answer_subscribe.rs
+++ b/crates/gateway/src/control/answer_subscribe.rs
@@ -35,6 +35,7 @@
         let left = until.since(now);
         if is_new || left.is_zero() || gw.is_stopping() {
             let reply = SubscribeReply {
+                software: update.software(),
                 feed: update,
                 catalog_version: gw.catalog.version(),
                 loads: stage_loads(gw),
--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -205,6 +205,8 @@
 fn record_first_event(state: &mut StreamState) {
     let now = state.gw.now();
     state.timeline.first_answer_at = Some(now);
+    let writer = state.opened.as_ref();
+    state.timeline.software = writer.and_then(|opened| opened.endpoint.software.clone());
     if let Some(opened) = &mut state.opened {
         opened.in_flight_call.record_prompt_read();
         let took = now.since(opened.sent_at);
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -192,7 +192,7 @@
 fn apply_updates(
     gw: &Rc<Gateway>,
     host: &HostId,
-    reply: SubscribeReply,
+    mut reply: SubscribeReply,
     confirmed: &Confirmed,
 ) -> io::Result<()> {
     if let Some(content) = &reply.catalog {
@@ -210,6 +210,7 @@
         gw.stage_times.record_load(gw.now(), load);
     }
     confirmed.borrow_mut().insert(host.clone(), reply.catalog_version);
+    reply.feed.add_software(reply.software);
     let changed = gw.directory.borrow_mut().apply_update(gw.now(), host, reply.feed);
     if changed {
         on_endpoints_changed(gw);
--- a/crates/gateway/src/front_end/request_meta.rs
+++ b/crates/gateway/src/front_end/request_meta.rs
@@ -22,6 +22,8 @@
     pub pieces: SmallVec<[u32; 4]>,
     /// The input of stages that depend on no other stage.
     pub piece_key: Option<Box<str>>,
+    /// The attempt that brought the first event of a stream that the client takes up.
+    pub resumes: Option<CallId>,
     /// The last event that the client received in an earlier attempt.
     pub resume_after: Option<u64>,
 }
--- a/crates/gateway/src/messages/subscribe_reply.rs
+++ b/crates/gateway/src/messages/subscribe_reply.rs
@@ -1,5 +1,5 @@
 use masticstair_core::prelude::*;
-use masticstair_policy::directory::ListingUpdate;
+use masticstair_policy::directory::{ListingUpdate, SoftwareNotice};
 use serde::{Deserialize, Serialize};
 
 use super::{CatalogUpdate, StageLoad};
@@ -17,4 +17,6 @@
     pub loads: Vec<StageLoad>,
     /// The catalog, if it is newer than that of the subscriber and the subscriber takes updates.
     pub catalog_update: Option<CatalogUpdate>,
+    /// The software of the endpoints in `feed`.
+    pub software: Vec<SoftwareNotice>,
 }
--- a/crates/gateway/src/telemetry/request_timeline.rs
+++ b/crates/gateway/src/telemetry/request_timeline.rs
@@ -21,6 +21,12 @@
     pub(crate) first_answer_at: Option<Timestamp>,
     /// The endpoints that were tried and the result of each call, in order.
     pub(crate) attempts: String,
+    /// The software that wrote the first event of a stream.
+    pub(crate) software: Option<SoftwareVersion>,
+    /// The attempt that brought the first event of a stream that the client takes up.
+    resumes: Option<CallId>,
+    /// The last event that the client has of such a stream.
+    resume_after: Option<u64>,
     /// The longest time for which this host may have lacked changes when it decided on the request.
     news_age: Duration,
     timeout: Option<Millis>,
@@ -37,6 +43,9 @@
             staged_at: None,
             first_answer_at: None,
             attempts: String::new(),
+            software: None,
+            resumes: meta.resumes.clone(),
+            resume_after: meta.resume_after,
             news_age: Duration::ZERO,
             timeout: meta.timeout,
         }
@@ -66,6 +75,9 @@
             "catalog" => %self.catalog,
             "news_ms" => self.news_age.as_millis() as u64, "budget_ms" => self.timeout.map(|timeout| timeout.get()),
             "staged_ms" => self.staged_at.map(since), "first_ms" => self.first_answer_at.map(since),
-            "end_ms" => since(now), "attempts" => &self.attempts, "detail" => detail);
+            "end_ms" => since(now), "attempts" => &self.attempts, "detail" => detail,
+            "software" => self.software.as_ref().map(ToString::to_string),
+            "resumes" => self.resumes.as_ref().map(ToString::to_string),
+            "resume_after" => self.resume_after);
     }
 }
--- a/crates/policy/src/directory/listing_update.rs
+++ b/crates/policy/src/directory/listing_update.rs
@@ -1,7 +1,8 @@
 use masticstair_core::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 
-use super::{DepartureNotice, ListingChange, ServingState};
+use super::{DepartureNotice, ListingChange, ServingState, SoftwareNotice};
 
 /// An update of the listing of a control host for a subscribed entry host.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -20,6 +21,32 @@
 }
 
 impl ListingUpdate {
+    /// Returns the software of the listed endpoints, as far as they state it.
+    pub fn software(&self) -> Vec<SoftwareNotice> {
+        let notice = |change: &ListingChange| match change {
+            ListingChange::Listed(e) => Some(SoftwareNotice {
+                endpoint: e.id.clone(),
+                incarnation: e.incarnation,
+                software: e.software.clone()?,
+            }),
+            ListingChange::Dropped(_) => None,
+        };
+        self.changes.iter().filter_map(notice).collect()
+    }
+
+    /// Adds the software to the listed endpoints.
+    pub fn add_software(&mut self, notices: Vec<SoftwareNotice>) {
+        let mut software: HashMap<_, _> = notices
+            .into_iter()
+            .map(|notice| ((notice.endpoint, notice.incarnation), notice.software))
+            .collect();
+        for change in &mut self.changes {
+            if let ListingChange::Listed(e) = change {
+                e.software = software.remove(&(e.id.clone(), e.incarnation));
+            }
+        }
+    }
+
     /// Returns the endpoints that leave or are gone.
     pub(super) fn departures(&self) -> Vec<DepartureNotice> {
         let departure = |change: &ListingChange| match change {
--- a/crates/policy/src/directory/mod.rs
+++ b/crates/policy/src/directory/mod.rs
@@ -13,6 +13,7 @@
 mod listing_update;
 mod serving_endpoint;
 mod serving_state;
+mod software_notice;
 mod subscription;
 
 pub use announcement::Announcement;
@@ -23,3 +24,4 @@
 pub use listing_update::ListingUpdate;
 pub use serving_endpoint::ServingEndpoint;
 pub use serving_state::ServingState;
+pub use software_notice::SoftwareNotice;
--- a/crates/policy/src/directory/serving_endpoint.rs
+++ b/crates/policy/src/directory/serving_endpoint.rs
@@ -23,6 +23,10 @@
     pub state: ServingState,
     /// The remaining warm-up time after the start. A change of it alone is not published.
     pub cold: Millis,
+    /// The software of this incarnation; none if it states no version. Between hosts it travels as a `SoftwareNotice`, since
+    /// hosts of earlier builds read records without it.
+    #[serde(skip)]
+    pub software: Option<SoftwareVersion>,
 }
 
 impl ServingEndpoint {
--- a/crates/policy/tests/directory.rs
+++ b/crates/policy/tests/directory.rs
@@ -25,6 +25,7 @@
         incarnation: Incarnation::new(incarnation),
         state,
         cold: Millis::new(0),
+        software: None,
     }
 }
 
