--- a/crates/gateway/src/entry/exchange_findings.rs
+++ b/crates/gateway/src/entry/exchange_findings.rs
@@ -1,13 +1,11 @@
 use futures_util::future::{Either, select};
 use masticstair_core::prelude::*;
-use masticstair_net::peer::GatewayMessage;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::update_link::UpdateLink;
 use crate::finding_positions::FindingPositions as Positions;
-use crate::messages::{FindingsReply, FindingsRequest, Message, Reply, decode, encode};
+use crate::messages::{FindingsReply, FindingsRequest, Message, Reply};
 use crate::{Gateway, PeerHost};
 
 /// How long a control host may wait for news. A connection that is dead without an error is detected after this time
@@ -31,14 +29,14 @@
 }
 
 /// Exchanges findings on prompts and endpoints with one control host until the host leaves or is forgotten.
-pub(super) async fn exchange_findings(gw: &Rc<Gateway>, host: &HostId, link: &UpdateLink) {
+pub(super) async fn exchange_findings(gw: &Rc<Gateway>, host: &HostId) {
     let mut exchange = Exchange::default();
     loop {
         let (hosts, _) = gw.control_hosts();
         let Some(peer) = hosts.into_iter().find(|h| h.host == *host) else { return };
         let (request, positions) = next_request(gw, &exchange);
         let sends = has_findings(&request);
-        let reply = pin!(send_findings(&peer, link, request));
+        let reply = pin!(send_findings(gw, &peer, request));
         let reply = match select(reply, pin!(own_news(gw, positions, sends))).await {
             Either::Left((reply, _)) => reply,
             // What is new is sent at once, in place of waiting for the reply.
@@ -118,18 +116,13 @@
 }
 
 async fn send_findings(
+    gw: &Gateway,
     peer: &PeerHost,
-    link: &UpdateLink,
     request: FindingsRequest,
 ) -> Result<FindingsReply, Box<str>> {
-    let client = link.client(peer).ok_or("the local host has no peer connection")?;
     let budget = request.wait.duration() + ANSWER_MARGIN;
-    let content = encode(&Message::Findings(request))?;
-    let reply =
-        client.gateway(GatewayMessage { content, budget }).await.map_err(|e| e.to_string())?;
-    match decode(&reply)? {
+    match gw.update_links.send(peer, &Message::Findings(request), budget).await? {
         Reply::Findings(reply) => Ok(reply),
-        Reply::Refused(reason) => Err(reason),
         _ => Err("reply does not match the message".into()),
     }
 }
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -33,7 +33,6 @@
 mod stream_state;
 mod subscribe;
 mod tried_endpoints;
-mod update_link;
 mod waiting_call;
 
 pub(crate) use answer_ready::answer_ready;
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -1,6 +1,5 @@
 use futures_util::future::join;
 use masticstair_core::prelude::*;
-use masticstair_net::peer::GatewayMessage;
 use slog::{info, warn};
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -10,13 +9,10 @@
 
 use super::catalog_request::CatalogRequest;
 use super::exchange_findings::exchange_findings;
-use super::update_link::UpdateLink;
 use crate::control::ControlHost;
 use crate::install_catalog::install_catalog;
 use crate::maintenance::on_endpoints_changed;
-use crate::messages::{
-    CatalogUpdate, Message, Reply, SubscribeReply, SubscribeRequest, decode, encode,
-};
+use crate::messages::{CatalogUpdate, Message, Reply, SubscribeReply, SubscribeRequest};
 use crate::{Gateway, PeerHost};
 
 /// How long a control host may wait for an update. A connection that is dead without an error is detected
@@ -52,9 +48,8 @@
                 let (gw, name, confirmed) = (gw.clone(), host.host.clone(), confirmed.clone());
                 let subscribed = subscribed.clone();
                 monoio::spawn(async move {
-                    let link = UpdateLink::default();
-                    let subscription = subscribe(&gw, &name, &link, &confirmed);
-                    join(subscription, exchange_findings(&gw, &name, &link)).await;
+                    join(subscribe(&gw, &name, &confirmed), exchange_findings(&gw, &name)).await;
+                    gw.update_links.remove(&name);
                     subscribed.borrow_mut().remove(&name);
                 });
             }
@@ -112,7 +107,7 @@
 }
 
 /// Keeps a subscription to one control host until the host leaves or is forgotten.
-async fn subscribe(gw: &Rc<Gateway>, host: &HostId, link: &UpdateLink, confirmed: &Confirmed) {
+async fn subscribe(gw: &Rc<Gateway>, host: &HostId, confirmed: &Confirmed) {
     let (mut disconnected, mut is_overdue, mut is_unreadable) = (false, false, false);
     info!(gw.log, "subscribing to control host"; "peer" => %host);
     loop {
@@ -130,7 +125,7 @@
             true => CatalogRequest::whole(),
             false => CatalogRequest::next(gw, host, is_overdue),
         };
-        match fetch_updates(gw, &peer, link, catalog).await {
+        match fetch_updates(gw, &peer, catalog).await {
             Ok(reply) => {
                 gw.last_contacts.borrow_mut().insert(host.clone(), gw.now());
                 if std::mem::take(&mut disconnected) {
@@ -165,10 +160,8 @@
 async fn fetch_updates(
     gw: &Gateway,
     peer: &PeerHost,
-    link: &UpdateLink,
     catalog: CatalogRequest,
 ) -> Result<SubscribeReply, Box<str>> {
-    let client = link.client(peer).ok_or("the local host has no peer connection")?;
     let (incarnation, position) = gw.directory.borrow().position(&peer.host);
     let request = SubscribeRequest {
         incarnation,
@@ -178,12 +171,9 @@
         catalog_mode: catalog.mode,
         catalog_wait: catalog.wait,
     };
-    let content = encode(&Message::Subscribe(request))?;
-    let message = GatewayMessage { content, budget: UPDATE_WAIT + ANSWER_MARGIN };
-    let reply = client.gateway(message).await.map_err(|e| e.to_string())?;
-    match decode(&reply)? {
+    let message = Message::Subscribe(request);
+    match gw.update_links.send(peer, &message, UPDATE_WAIT + ANSWER_MARGIN).await? {
         Reply::Subscribe(reply) => Ok(*reply),
-        Reply::Refused(reason) => Err(reason),
         _ => Err("reply does not match the message".into()),
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::gateway_event::GatewayEvent;
 use crate::stages::{Owners, StageRegistry};
 use crate::telemetry::GatewayMetrics;
+use crate::update_links::UpdateLinks;
 use crate::{CatalogInForce, GatewayConfig, GatewayParts, Notify, PeerHost, PeerView, Peers};
 
 /// A control host that is reachable answers a subscription more often than this.
@@ -64,6 +65,7 @@
     pub(crate) next_install: Cell<Timestamp>,
     /// Which requests crash endpoints, as far as all hosts together know.
     pub(crate) request_crashes: RefCell<RequestCrashes>,
+    pub(crate) update_links: UpdateLinks,
     pub(crate) liveness: RefCell<EndpointLiveness>,
     /// Notified when `poison`, `request_crashes`, `limits` or the departures in `directory` change.
     pub(crate) findings_changed: Notify,
@@ -106,6 +108,7 @@
             pauses: RefCell::default(),
             poison: RefCell::default(),
             request_crashes: RefCell::default(),
+            update_links: UpdateLinks::default(),
             liveness: RefCell::default(),
             last_contacts: RefCell::default(),
             control_news: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod request_permit;
 mod run_gateway;
 mod stop_gateway;
+mod update_links;
 
 pub(crate) use catalog_in_force::CatalogInForce;
 pub(crate) use gateway::Gateway;
