Let streams go on only at the software version that began them

Streams held events of two software versions of a service (ORDER), within one answer and over the attempts of a client; after a kill of all entry hosts many of those that clients took up again.

Cause: nothing knew which version had written the first event. A stream that broke off went on at any engine, and a client that took one up got any engine of any service of the route.

Change: the first event binds a stream to the service and the version of its engine, and only such an engine goes on with it; if none takes work, the answer breaks off at once. The host records the attempt with its writer and sends the record to two control hosts, in the rendezvous order of the attempt, or to the next ones if these do not take it. A host that gets a take-up asks them for the attempt in Resumes, then the others. If nobody knows it, or none is named, the request is refused before anything runs, with 503 and the reason. An attempt that began two streams names neither. A control host that has lost its records gets those of the entry hosts again. Which endpoint may go on is a plain function in policy.

--- a/crates/gateway/src/entry/answer_request.rs
+++ b/crates/gateway/src/entry/answer_request.rs
@@ -130,6 +130,7 @@
         priority: priority.unwrap_or(route.priority),
         account,
         service,
+        writer: None,
         arrived: now,
         deadline: now.plus(timeout.duration().max(Duration::from_millis(1))),
         content: OnceCell::new(),
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -15,6 +15,7 @@
 use super::refuse::refuse;
 use super::stage_plan::{admit_stages, run_stages};
 use super::stream_state::{StreamState, stream_events};
+use super::take_up::bind_to_writer;
 use crate::Gateway;
 use crate::front_end::{Refusal, RefusalReason};
 use crate::telemetry::RequestTimeline;
@@ -25,10 +26,14 @@
 /// Answers a request with the event stream of an engine.
 pub(super) async fn answer_stream(
     gw: Rc<Gateway>,
-    req: ClientRequest,
+    mut req: ClientRequest,
     mut timeline: RequestTimeline,
     in_flight: InFlight,
 ) -> Response {
+    if let Err(refusal) = bind_to_writer(&gw, &mut req).await {
+        return refuse(&gw, &timeline, &refusal);
+    }
+    timeline.service = Some(req.service.clone());
     if let Err(refusal) = admit_stages(&gw, &req) {
         return refuse(&gw, &timeline, &refusal);
     }
--- a/crates/gateway/src/entry/choose_engine.rs
+++ b/crates/gateway/src/entry/choose_engine.rs
@@ -36,7 +36,8 @@
     near: Option<&DataCentreId>,
 ) -> Option<Arc<ServingEndpoint>> {
     let ready = gw.endpoints(&req.service);
-    let eligible: Vec<_> = ready.iter().filter(|e| !excluded.contains(&e.id)).collect();
+    let eligible: Vec<_> =
+        ready.iter().filter(|e| !excluded.contains(&e.id) && req.may_use(e)).collect();
     let prompt = req.meta.prompt.as_ref();
     let session = prompt.and_then(|prompt| prompt.session());
     let key = session.map(|part| part.get().to_le_bytes()).unwrap_or_default();
--- a/crates/gateway/src/entry/client_request.rs
+++ b/crates/gateway/src/entry/client_request.rs
@@ -2,6 +2,8 @@
 use http::{HeaderMap, Method};
 use masticstair_core::catalog::Route;
 use masticstair_core::prelude::*;
+use masticstair_policy::directory::ServingEndpoint;
+use masticstair_policy::stream_versions::StreamWriter;
 use std::cell::OnceCell;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +31,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     pub(crate) account: Option<AccountId>,
+    /// What wrote the first event of the stream that this request goes on with; none while there is no event.
+    pub(crate) writer: Option<StreamWriter>,
     /// 0 is the most urgent.
     pub(crate) priority: u8,
     pub(crate) arrived: Timestamp,
@@ -52,6 +56,11 @@
         self.deadline.min(self.arrived.plus(wait_limit))
     }
 
+    /// Returns whether an endpoint may answer the request, as far as its software decides.
+    pub(crate) fn may_use(&self, endpoint: &ServingEndpoint) -> bool {
+        self.writer.as_ref().is_none_or(|writer| writer.may_continue(endpoint))
+    }
+
     /// Returns the digest of what the request asks for.
     pub(crate) fn content(&self) -> RequestDigest {
         *self.content.get_or_init(|| {
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -29,9 +29,11 @@
 mod stage_plan;
 mod stage_results;
 mod stage_times;
+mod stream_copies;
 mod stream_event;
 mod stream_state;
 mod subscribe;
+mod take_up;
 mod tried_endpoints;
 mod waiting_call;
 
--- a/crates/gateway/src/entry/permitted_endpoint.rs
+++ b/crates/gateway/src/entry/permitted_endpoint.rs
@@ -52,7 +52,7 @@
     let mut waits: SmallVec<[Duration; 8]> = SmallVec::new();
     for endpoint in gw.endpoints(&req.service).iter() {
         let wait = gw.limits.borrow().wait(gw.now(), &endpoint.id, endpoint.incarnation);
-        if !wait.is_zero() && !tried.contains(&endpoint.id) {
+        if !wait.is_zero() && !tried.contains(&endpoint.id) && req.may_use(endpoint) {
             waits.push(wait);
             excluded.push(endpoint.id.clone());
         }
--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -3,6 +3,8 @@
 use futures_util::stream::{LocalBoxStream, unfold};
 use masticstair_core::prelude::*;
 use masticstair_net::http::server::BodyAborted;
+use masticstair_policy::directory::ServingEndpoint;
+use masticstair_policy::stream_versions::StreamWriter;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +21,8 @@
 use super::open_stream::open_stream;
 use super::opened_stream::OpenedStream;
 use super::stage_plan::run_stages;
+use super::stream_copies::record_stream;
+use super::take_up::has_endpoint;
 use crate::Gateway;
 use crate::endpoint_end::is_endpoint_silent;
 use crate::telemetry::RequestTimeline;
@@ -205,8 +209,10 @@
 fn record_first_event(state: &mut StreamState) {
     let now = state.gw.now();
     state.timeline.first_answer_at = Some(now);
-    let writer = state.opened.as_ref();
-    state.timeline.software = writer.and_then(|opened| opened.endpoint.software.clone());
+    if let Some(opened) = &state.opened {
+        bind_stream(&state.gw, &mut state.req, &opened.endpoint);
+        state.timeline.software = opened.endpoint.software.clone();
+    }
     if let Some(opened) = &mut state.opened {
         opened.in_flight_call.record_prompt_read();
         let took = now.since(opened.sent_at);
@@ -217,6 +223,15 @@
     state.held.release_all();
 }
 
+/// Binds a new stream to the endpoint that wrote its first event.
+fn bind_stream(gw: &Rc<Gateway>, req: &mut ClientRequest, endpoint: &ServingEndpoint) {
+    if req.writer.is_none() {
+        let writer = StreamWriter::of(endpoint);
+        record_stream(gw, req, writer.clone());
+        req.writer = Some(writer);
+    }
+}
+
 /// Resumes the stream at another engine after the last forwarded event, if the route allows it.
 async fn resume(state: &mut StreamState, reason: &str, is_silent: bool) -> Result<(), BodyAborted> {
     let now = state.gw.now();
@@ -236,6 +251,9 @@
     if !can_resume(state) {
         return Err(abort(state, reason));
     }
+    if !has_endpoint(&state.gw, &state.req) {
+        return Err(abort(state, &format!("{reason}; no other engine has the same software")));
+    }
     let (gw, last) = (state.gw.clone(), state.last_event_id);
     // The results were released with the first event, because they occupy capacity that others need; before
     // the first event they may still exist.
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -9,6 +9,7 @@
 
 use super::catalog_request::CatalogRequest;
 use super::exchange_findings::exchange_findings;
+use super::stream_copies::restore_records;
 use crate::control::ControlHost;
 use crate::install_catalog::install_catalog;
 use crate::maintenance::on_endpoints_changed;
@@ -132,6 +133,10 @@
                     info!(gw.log, "control host reachable again"; "peer" => %host);
                 }
                 let held = reply.catalog_version;
+                let (before, _) = gw.directory.borrow().position(host);
+                if before != Incarnation::default() && before != reply.feed.incarnation {
+                    restore_records(gw, &peer);
+                }
                 is_unreadable = apply_updates(gw, host, reply, confirmed).is_err();
                 let now_in_force = gw.catalog.version();
                 is_overdue = held > now_in_force && now_in_force == in_force;
--- a/crates/gateway/src/front_end/refusal_reason.rs
+++ b/crates/gateway/src/front_end/refusal_reason.rs
@@ -23,6 +23,8 @@
     Paused,
     /// The stages of the request failed or cannot complete in time.
     Stages,
+    /// It is not known which software version began the stream that the client takes up.
+    UnknownStream,
     /// Requests with the same parts in their prompts crash engines.
     PoisonPrompt,
     /// The request has crashed the endpoints that ran it.
@@ -47,6 +49,7 @@
             Self::Limit => "limit",
             Self::Paused => "paused",
             Self::Stages => "stages",
+            Self::UnknownStream => "unknown-stream",
             Self::PoisonPrompt => "poison-prompt",
             Self::PoisonRequest => "poison-request",
             Self::Deadline => "deadline",
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use masticstair_policy::request_crashes::RequestCrashes;
 use masticstair_policy::service_choice::{DataCentreReachability, EndpointHealth};
 use masticstair_policy::service_retry_budget::{ServiceRetryBudget, ServiceRetryLimits};
+use masticstair_policy::stream_versions::StreamRecords;
 use slog::Logger;
 use smallvec::SmallVec;
 use std::cell::{Cell, RefCell};
@@ -65,6 +66,8 @@
     pub(crate) next_install: Cell<Timestamp>,
     /// Which requests crash endpoints, as far as all hosts together know.
     pub(crate) request_crashes: RefCell<RequestCrashes>,
+    /// Who wrote the streams that clients may take up: those of this host, and copies on control hosts.
+    pub(crate) streams: RefCell<StreamRecords>,
     pub(crate) update_links: UpdateLinks,
     pub(crate) liveness: RefCell<EndpointLiveness>,
     /// Notified when `poison`, `request_crashes`, `limits` or the departures in `directory` change.
@@ -108,6 +111,7 @@
             pauses: RefCell::default(),
             poison: RefCell::default(),
             request_crashes: RefCell::default(),
+            streams: RefCell::default(),
             update_links: UpdateLinks::default(),
             liveness: RefCell::default(),
             last_contacts: RefCell::default(),
--- a/crates/gateway/src/handle_events.rs
+++ b/crates/gateway/src/handle_events.rs
@@ -75,6 +75,15 @@
             Reply::Findings(answer_findings(gw, request).await)
         }
         (Message::Permit(notice), _) => Reply::Permit(take_permit(gw, notice)),
-        (Message::Findings(_), None) => Reply::Refused("this host is no control host".into()),
+        (Message::Streams(records), Some(_)) => {
+            gw.streams.borrow_mut().merge(gw.now(), records);
+            Reply::Done
+        }
+        (Message::FindStream(attempt), Some(_)) => {
+            Reply::Stream(gw.streams.borrow().find(gw.now(), &attempt).cloned())
+        }
+        (Message::Streams(_) | Message::FindStream(_) | Message::Findings(_), None) => {
+            Reply::Refused("this host is no control host".into())
+        }
     })
 }
--- a/crates/gateway/src/maintenance.rs
+++ b/crates/gateway/src/maintenance.rs
@@ -20,6 +20,8 @@
         gw.limits.borrow_mut().expire(gw.now());
         gw.pauses.borrow_mut().expire(gw.now());
         gw.liveness.borrow_mut().expire(gw.now());
+        gw.streams.borrow_mut().expire(gw.now());
+        gw.metrics.stream_records.set(gw.streams.borrow().len() as i64);
         gw.change_request_crashes(|table, now| table.expire(now));
         gw.metrics.paused_endpoints.set(gw.pauses.borrow().paused(gw.now()).count() as i64);
         gw.metrics.control_contacts.set(gw.control_contacts().0.len() as i64);
--- a/crates/gateway/src/messages/message.rs
+++ b/crates/gateway/src/messages/message.rs
@@ -1,4 +1,6 @@
+use masticstair_core::id::CallId;
 use masticstair_policy::endpoint_limits::LimitNotice;
+use masticstair_policy::stream_versions::StreamNotice;
 use serde::{Deserialize, Serialize};
 
 use super::{CancelRequest, FindingsRequest, ReleaseRequest, StageRequest, SubscribeRequest};
@@ -21,4 +23,8 @@
     Findings(FindingsRequest),
     /// A host asks for a permit to send a request to an endpoint that has a limit.
     Permit(LimitNotice),
+    /// A host tells a control host who wrote the streams of its clients.
+    Streams(Vec<StreamNotice>),
+    /// A host asks a control host who wrote the stream of an attempt.
+    FindStream(CallId),
 }
--- a/crates/gateway/src/messages/reply.rs
+++ b/crates/gateway/src/messages/reply.rs
@@ -1,4 +1,5 @@
 use masticstair_policy::endpoint_limits::Permit;
+use masticstair_policy::stream_versions::StreamWriter;
 use serde::{Deserialize, Serialize};
 
 use super::{FindingsReply, StageReply, SubscribeReply};
@@ -19,4 +20,6 @@
     Findings(FindingsReply),
     /// To `Permit`.
     Permit(Permit),
+    /// To `FindStream`; none if this host does not know.
+    Stream(Option<StreamWriter>),
 }
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -45,6 +45,8 @@
     pub poison_verdicts: Gauge,
     /// Other control hosts that answer the subscriptions of this host.
     pub control_contacts: Gauge,
+    /// Streams whose writer is known to this host.
+    pub stream_records: Gauge,
     /// Connections opened to endpoints since the start.
     pub connections: Gauge,
 }
@@ -68,6 +70,7 @@
             poison_requests: Gauge::default(),
             poison_verdicts: Gauge::default(),
             control_contacts: Gauge::default(),
+            stream_records: Gauge::default(),
             connections: Gauge::default(),
         }
     }
@@ -104,6 +107,8 @@
         registry.register("poison_verdicts", help, self.poison_verdicts.clone());
         let help = "Other control hosts that answer the subscriptions of this host";
         registry.register("control_contacts", help, self.control_contacts.clone());
+        let help = "Streams whose first event this host can assign to a software version";
+        registry.register("stream_records", help, self.stream_records.clone());
         let help = "Connections opened to endpoints";
         registry.register("connections", help, self.connections.clone());
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod service_retry_budget;
 pub mod smoothing;
 pub mod stage_queue;
+pub mod stream_versions;
--- /dev/null
+++ b/crates/policy/src/stream_versions/mod.rs
@@ -0,0 +1,10 @@
+//! Which endpoints may go on with a stream. What two software versions write does not fit together, so only the version
+//! that wrote the first event may.
+
+mod stream_notice;
+mod stream_records;
+mod stream_writer;
+
+pub use stream_notice::StreamNotice;
+pub use stream_records::StreamRecords;
+pub use stream_writer::StreamWriter;
