End each request with an answer before a planned stop

It happens here too: until 2.5 s after the signal a request was taken whatever its deadline, and at the end of the grace the process exited over it.

Change: a host that stops refuses a request whose deadline is after its end, with 503 and Retry-After, before anything runs; one that may be repeated is still begun while the load balancer sends clients. Streams break off without an end, as before. Which requests may begin is a plain function in policy.

--- a/crates/gateway/src/entry/answer_request.rs
+++ b/crates/gateway/src/entry/answer_request.rs
@@ -13,6 +13,7 @@
 use super::answer_stream::answer_stream;
 use super::check_prompt::check_prompt;
 use super::check_request::check_request;
+use super::check_stop::check_stop;
 use super::client_request::ClientRequest;
 use super::in_flight::InFlight;
 use super::refuse::refuse;
@@ -54,7 +55,8 @@
     wait_for_startup(&gw, now, &meta).await;
     let admitted = admit(&gw, now, meta, req, &mut timeline)
         .and_then(|req| check_prompt(&gw, &req).map(|()| req))
-        .and_then(|req| check_request(&gw, &req).map(|()| req));
+        .and_then(|req| check_request(&gw, &req).map(|()| req))
+        .and_then(|req| check_stop(&gw, &req).map(|()| req));
     let response = match admitted {
         Ok(req) if req.route.kind.is_stream() => {
             answer_stream(gw.clone(), req, timeline, in_flight).await
--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod check_prompt;
 mod check_request;
 mod check_stage;
+mod check_stop;
 mod choose_engine;
 mod client_request;
 mod engine_output;
--- a/crates/gateway/src/front_end/refusal_reason.rs
+++ b/crates/gateway/src/front_end/refusal_reason.rs
@@ -29,6 +29,8 @@
     PoisonPrompt,
     /// The request has crashed the endpoints that ran it.
     PoisonRequest,
+    /// This host stops before the request can end.
+    Stopping,
     /// The deadline of the request passed.
     Deadline,
     /// The connection to the endpoint broke.
@@ -52,6 +54,7 @@
             Self::UnknownStream => "unknown-stream",
             Self::PoisonPrompt => "poison-prompt",
             Self::PoisonRequest => "poison-request",
+            Self::Stopping => "stopping",
             Self::Deadline => "deadline",
             Self::Broken => "broken",
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use masticstair_policy::endpoint_liveness::EndpointLiveness;
 use masticstair_policy::endpoint_pauses::EndpointPauses;
 use masticstair_policy::freshness::{ControlHostNews, known_until};
+use masticstair_policy::planned_stop::PlannedStop;
 use masticstair_policy::poison::PoisonTable;
 use masticstair_policy::request_crashes::RequestCrashes;
 use masticstair_policy::service_choice::{DataCentreReachability, EndpointHealth};
@@ -82,7 +83,10 @@
     pub(crate) in_flight: Rc<Cell<u32>>,
     retry_budget: RefCell<ServiceRetryBudget>,
     peers: Peers,
-    stopping: Cell<bool>,
+    /// Present once this host was told to stop.
+    pub(crate) planned_stop: Cell<Option<PlannedStop>>,
+    /// Notified when `planned_stop` ends.
+    pub(crate) stop_ended: Notify,
     started: Instant,
 }
 
@@ -124,17 +128,13 @@
             in_flight: Rc::default(),
             retry_budget: RefCell::default(),
             peers: parts.peers,
-            stopping: Cell::new(false),
+            planned_stop: Cell::default(),
+            stop_ended: Notify::default(),
             started: Instant::now(),
         };
         (gateway, parts.store, parts.events)
     }
 
-    /// Stops accepting clients.
-    pub(crate) fn begin_stop(&self) {
-        self.stopping.set(true);
-    }
-
     /// Returns the time of the monotonic clock of the process. It starts above zero, because zero stands for
     /// "never".
     pub fn now(&self) -> Timestamp {
@@ -143,7 +143,7 @@
 
     /// Returns whether this host no longer accepts clients.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.planned_stop.get().is_some()
     }
 
     /// Returns the current view of the hosts.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod limits;
 pub mod membership;
 pub mod operator_read;
+pub mod planned_stop;
 pub mod poison;
 pub mod request_crashes;
 pub mod retry;
