Go on with a stream without a record if one version alone can have begun it

Clients that name no attempt, and streams whose record was lost with both its holders, were refused even where all endpoints of the service run the same software, as in most deployments most of the time.

Each host now remembers which versions the services had lately, endpoints that have left included, and since when none can be missing; a complete listing carries that, so that a host that has just started knows it too. A take-up without a record goes on if exactly one version was listed within the time in which a client may come back, and all control hosts have answered lately: one that is out of reach may list another version. The decision is a plain function in policy.

--- a/crates/gateway/src/entry/stream_copies.rs
+++ b/crates/gateway/src/entry/stream_copies.rs
@@ -1,4 +1,5 @@
 use futures_util::future::join_all;
+use masticstair_core::catalog::Route;
 use masticstair_core::prelude::*;
 use masticstair_policy::engine_choice::rendezvous_order;
 use masticstair_policy::stream_versions::{StreamNotice, StreamWriter};
@@ -25,14 +26,18 @@
 
 /// Records who wrote the first event of a stream, here and on control hosts, where another entry host finds it.
 pub(super) fn record_stream(gw: &Rc<Gateway>, req: &ClientRequest, writer: StreamWriter) {
-    let timeouts = req.route.timeout.get().saturating_mul(RETENTION_TIMEOUTS);
-    let retention = Millis::new(timeouts).max(MIN_RETENTION);
-    let now = gw.now();
+    let (now, retention) = (gw.now(), retention(&req.route));
     let notice = gw.streams.borrow_mut().record(now, &req.meta.call, writer, retention);
     let gw = gw.clone();
     monoio::spawn(async move { copy_record(&gw, notice).await });
 }
 
+/// Returns how long clients may take a stream of a route up.
+pub(super) fn retention(route: &Route) -> Millis {
+    let timeouts = route.timeout.get().saturating_mul(RETENTION_TIMEOUTS);
+    Millis::new(timeouts).max(MIN_RETENTION)
+}
+
 /// Sends a record to the first control hosts in the order of its attempt that take it.
 async fn copy_record(gw: &Gateway, notice: StreamNotice) {
     let hosts = holders(gw, &notice.attempt);
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -206,6 +206,10 @@
     }
     confirmed.borrow_mut().insert(host.clone(), reply.catalog_version);
     reply.feed.add_software(reply.software);
+    let mut software = gw.software.borrow_mut();
+    software.merge(gw.now(), reply.sightings_cover, reply.sightings);
+    software.record(gw.now(), reply.feed.listed());
+    drop(software);
     let changed = gw.directory.borrow_mut().apply_update(gw.now(), host, reply.feed);
     if changed {
         on_endpoints_changed(gw);
--- a/crates/gateway/src/entry/take_up.rs
+++ b/crates/gateway/src/entry/take_up.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::client_request::ClientRequest;
-use super::stream_copies::holders;
+use super::stream_copies::{holders, retention};
 use crate::front_end::{Refusal, RefusalReason};
 use crate::messages::{Message, Reply};
 use crate::{Gateway, PeerHost};
@@ -28,11 +28,14 @@
     if req.meta.resumes.is_none() && req.meta.resume_after.is_none() {
         return Ok(());
     }
-    let Some(attempt) = req.meta.resumes.clone() else {
-        let detail = "the request names no attempt that began the stream; begin it anew";
-        return Err(Refusal::not_run(RefusalReason::UnknownStream, detail));
+    let found = match &req.meta.resumes {
+        Some(attempt) => find_writer(gw, attempt).await,
+        None => Err(Refusal::not_run(
+            RefusalReason::UnknownStream,
+            "the request names no attempt that began the stream; begin it anew",
+        )),
     };
-    let writer = find_writer(gw, &attempt).await?;
+    let writer = found.or_else(|refusal| sole_writer(gw, req).ok_or(refusal))?;
     if !req.route.targets.iter().any(|target| target.service == writer.service) {
         let detail = format!("service {} no longer answers this route", writer.service);
         return Err(Refusal::not_run(RefusalReason::UnknownStream, detail));
@@ -45,6 +48,16 @@
     Ok(())
 }
 
+/// Returns what alone can have written any stream of the route that a client may still take up; none if that is not
+/// certain. A control host that is out of reach may list other versions.
+fn sole_writer(gw: &Gateway, req: &ClientRequest) -> Option<StreamWriter> {
+    let [target] = req.route.targets.as_slice() else { return None };
+    let (_, silent) = gw.control_contacts();
+    let span = retention(&req.route).duration();
+    let history = gw.software.borrow();
+    silent.is_empty().then(|| history.sole_writer(gw.now(), &target.service, span)).flatten()
+}
+
 /// Returns whether an endpoint that may go on with a stream takes work.
 pub(super) fn has_endpoint(gw: &Gateway, req: &ClientRequest) -> bool {
     gw.endpoints(&req.service).iter().any(|e| req.may_use(e))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use masticstair_policy::request_crashes::RequestCrashes;
 use masticstair_policy::service_choice::{DataCentreReachability, EndpointHealth};
 use masticstair_policy::service_retry_budget::{ServiceRetryBudget, ServiceRetryLimits};
-use masticstair_policy::stream_versions::StreamRecords;
+use masticstair_policy::stream_versions::{SoftwareHistory, StreamRecords};
 use slog::Logger;
 use smallvec::SmallVec;
 use std::cell::{Cell, RefCell};
@@ -69,6 +69,8 @@
     pub(crate) request_crashes: RefCell<RequestCrashes>,
     /// Who wrote the streams that clients may take up: those of this host, and copies on control hosts.
     pub(crate) streams: RefCell<StreamRecords>,
+    /// Which software versions the services had lately.
+    pub(crate) software: RefCell<SoftwareHistory>,
     pub(crate) update_links: UpdateLinks,
     pub(crate) liveness: RefCell<EndpointLiveness>,
     /// Notified when `poison`, `request_crashes`, `limits` or the departures in `directory` change.
@@ -116,6 +118,7 @@
             poison: RefCell::default(),
             request_crashes: RefCell::default(),
             streams: RefCell::default(),
+            software: RefCell::default(),
             update_links: UpdateLinks::default(),
             liveness: RefCell::default(),
             last_contacts: RefCell::default(),
--- a/crates/gateway/src/maintenance.rs
+++ b/crates/gateway/src/maintenance.rs
@@ -1,3 +1,4 @@
+use masticstair_core::unit::Timestamp;
 use slog::info;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,13 +10,21 @@
 /// How often endpoints are checked for missed heartbeats and connections for idleness.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How often the versions of the listed endpoints are recorded.
+const SIGHTING_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Less than the idle timeout of endpoints, which is several seconds.
 const CONNECTION_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Closes idle connections and removes expired endpoints periodically.
 pub(crate) async fn run_maintenance(gw: Rc<Gateway>, control: Option<Rc<ControlHost>>) {
+    let mut recorded = Timestamp::default();
     loop {
         monoio::time::sleep(MAINTENANCE_INTERVAL).await;
+        if gw.now().since(recorded) >= SIGHTING_INTERVAL {
+            recorded = gw.now();
+            gw.software.borrow_mut().record(recorded, gw.directory.borrow().listed());
+        }
         gw.pool.close_idle(CONNECTION_IDLE_TIMEOUT);
         gw.limits.borrow_mut().expire(gw.now());
         gw.pauses.borrow_mut().expire(gw.now());
--- a/crates/policy/src/directory/directory.rs
+++ b/crates/policy/src/directory/directory.rs
@@ -209,6 +209,11 @@
         endpoints.find(|e| e.address == address).map(|e| &e.data_centre)
     }
 
+    /// Returns the endpoints in all listings, also those that leave or are gone.
+    pub fn listed(&self) -> impl Iterator<Item = &ServingEndpoint> {
+        self.subscriptions.values().flat_map(|s| s.listed.values()).map(Arc::as_ref)
+    }
+
     /// Returns the number of endpoints that accept new work, of all services.
     pub fn ready_count(&self) -> usize {
         self.ready.values().map(|endpoints| endpoints.len()).sum()
--- a/crates/policy/src/directory/listing_update.rs
+++ b/crates/policy/src/directory/listing_update.rs
@@ -2,7 +2,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
-use super::{DepartureNotice, ListingChange, ServingState, SoftwareNotice};
+use super::{DepartureNotice, ListingChange, ServingEndpoint, ServingState, SoftwareNotice};
 
 /// An update of the listing of a control host for a subscribed entry host.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -21,17 +21,21 @@
 }
 
 impl ListingUpdate {
+    /// Returns the listed endpoints.
+    pub fn listed(&self) -> impl Iterator<Item = &ServingEndpoint> {
+        self.changes.iter().filter_map(|change| match change {
+            ListingChange::Listed(endpoint) => Some(endpoint),
+            ListingChange::Dropped(_) => None,
+        })
+    }
+
     /// Returns the software of the listed endpoints, as far as they state it.
     pub fn software(&self) -> Vec<SoftwareNotice> {
-        let notice = |change: &ListingChange| match change {
-            ListingChange::Listed(e) => Some(SoftwareNotice {
-                endpoint: e.id.clone(),
-                incarnation: e.incarnation,
-                software: e.software.clone()?,
-            }),
-            ListingChange::Dropped(_) => None,
+        let notice = |e: &ServingEndpoint| {
+            let (endpoint, incarnation) = (e.id.clone(), e.incarnation);
+            Some(SoftwareNotice { endpoint, incarnation, software: e.software.clone()? })
         };
-        self.changes.iter().filter_map(notice).collect()
+        self.listed().filter_map(notice).collect()
     }
 
     /// Adds the software to the listed endpoints.
--- a/crates/policy/src/stream_versions/stream_writer.rs
+++ b/crates/policy/src/stream_versions/stream_writer.rs
@@ -4,7 +4,7 @@
 use crate::directory::ServingEndpoint;
 
 /// What wrote the first event of a stream.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct StreamWriter {
     /// The service of the endpoint.
     pub service: ServiceName,
