Let subscribers of a stopping control host wait as usual

A control host that stops answered each subscription at once, and its subscribers asked again at once: until its last stage call had ended, up to the whole grace, all hosts asked it without a pause. Found while looking for updates that wait behind updates. It now answers the requests that waited when the stop began, and lets later ones wait.

The test failed before: 687 messages in a second from three control hosts with four subscribers; now some 70.

Findings share the connection of the subscriptions, so they get as much time for their replies.

--- a/crates/gateway/src/control/answer_subscribe.rs
+++ b/crates/gateway/src/control/answer_subscribe.rs
@@ -24,6 +24,7 @@
     let arrived = gw.now();
     control.record_catalog(arrived, &gw.catalog);
     record_confirmation(gw, control, from, &request);
+    let was_stopping = gw.is_stopping();
     let until = arrived.plus(request.wait.duration().min(MAX_WAIT));
     loop {
         let now = gw.now();
@@ -33,7 +34,7 @@
         let is_due = due.is_some_and(|at| at <= now);
         let is_new = is_due || update.complete || !update.changes.is_empty();
         let left = until.since(now);
-        if is_new || left.is_zero() || gw.is_stopping() {
+        if is_new || left.is_zero() || gw.is_stopping() != was_stopping {
             let (sightings_cover, sightings) = match update.complete {
                 true => gw.software.borrow().sightings(now),
                 false => Default::default(),
--- a/crates/gateway/src/entry/exchange_findings.rs
+++ b/crates/gateway/src/entry/exchange_findings.rs
@@ -12,8 +12,8 @@
 /// plus `ANSWER_MARGIN`; until then the other control hosts pass the findings on.
 const NEWS_WAIT: Duration = Duration::from_secs(2);
 
-/// Time allowed for the reply beyond the wait.
-const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+/// Time allowed for the reply beyond the wait; as for subscriptions, whose connection a late reply would end.
+const ANSWER_MARGIN: Duration = Duration::from_millis(1_500);
 
 /// Delay after a control host did not answer.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
