Let a host that starts under many changes accept clients at once

Since control hosts name versions without sending them, a host that starts waited until it had each version that any of them had named: under changes that follow each other it would reach that only by the timeout of 3 s. It now needs the versions that a majority named first.

A reply of the source that came early with a listing no longer counts as overdue, which asked for the next catalog without the pause.

--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -13,7 +13,9 @@
 use crate::control::ControlHost;
 use crate::install_catalog::install_catalog;
 use crate::maintenance::on_endpoints_changed;
-use crate::messages::{CatalogUpdate, Message, Reply, SubscribeReply, SubscribeRequest};
+use crate::messages::{
+    CatalogMode, CatalogUpdate, Message, Reply, SubscribeReply, SubscribeRequest,
+};
 use crate::{Gateway, PeerHost};
 
 /// How long a control host may wait for an update. A connection that is dead without an error is detected
@@ -34,7 +36,7 @@
 /// this time.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Control hosts that have replied, with the version of the catalog that each one holds.
+/// Control hosts that have replied, with the version of the catalog that each one named first.
 type Confirmed = Rc<RefCell<HashMap<HostId, CatalogVersion>>>;
 
 /// Subscribes to every control host, each in its own task.
@@ -126,6 +128,7 @@
             true => CatalogRequest::whole(),
             false => CatalogRequest::next(gw, host, is_overdue),
         };
+        let is_backup = catalog.mode == CatalogMode::Version;
         match fetch_updates(gw, &peer, catalog).await {
             Ok(reply) => {
                 gw.last_contacts.borrow_mut().insert(host.clone(), gw.now());
@@ -139,7 +142,7 @@
                 }
                 is_unreadable = apply_updates(gw, host, reply, confirmed).is_err();
                 let now_in_force = gw.catalog.version();
-                is_overdue = held > now_in_force && now_in_force == in_force;
+                is_overdue = is_backup && held > now_in_force && now_in_force == in_force;
                 record_news(gw, host, asked_at, held);
                 if is_unreadable {
                     monoio::time::sleep(RETRY_DELAY).await;
@@ -204,7 +207,7 @@
     for load in reply.loads {
         gw.stage_times.record_load(gw.now(), load);
     }
-    confirmed.borrow_mut().insert(host.clone(), reply.catalog_version);
+    confirmed.borrow_mut().entry(host.clone()).or_insert(reply.catalog_version);
     reply.feed.add_software(reply.software);
     let mut software = gw.software.borrow_mut();
     software.merge(gw.now(), reply.sightings_cover, reply.sightings);
