Answer streams that have not begun when a host stops

A stream that still waited for its stages or its engine at the end of the grace was cut without an answer, as plain requests were before. The wait for the stop is now around both kinds. Found by reading; the new case of the test was not run without the change.

--- a/crates/gateway/src/entry/answer_plain.rs
+++ b/crates/gateway/src/entry/answer_plain.rs
@@ -1,12 +1,10 @@
 use bytes::Bytes;
-use futures_util::future::{Either, select};
 use masticstair_core::prelude::*;
 use masticstair_net::http::relay::RelayHead;
 use masticstair_net::http::server::{Response, ResponseContent};
 use masticstair_policy::directory::ServingEndpoint;
 use masticstair_policy::request_crashes::RequestStanding;
 use masticstair_policy::service_choice::{Candidate, pick_endpoint};
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +14,6 @@
 use super::attempt_options::AttemptOptions;
 use super::check_endpoint_end::{check_endpoint_end, spawn_check};
 use super::check_request::{crash_refusal, record_request_answer, request_standing};
-use super::check_stop::broken_off;
 use super::client_request::ClientRequest;
 use super::failed_call::FailedCall;
 use super::in_flight_call::InFlightCall;
@@ -43,9 +40,6 @@
 
 const FULL_RETRY_AFTER: Millis = Millis::new(300);
 
-/// A request ends soon after its deadline, so the end of a stop is not awaited longer than this after it.
-const STOP_MARGIN: Duration = Duration::from_secs(10);
-
 /// With less time left the request is not sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -55,14 +49,7 @@
     req: ClientRequest,
     mut timeline: RequestTimeline,
 ) -> Response {
-    let called = {
-        let stop_ended = pin!(gw.stop_ended.notified(req.deadline.since(gw.now()) + STOP_MARGIN));
-        match select(pin!(call_service(gw, &req, &mut timeline)), stop_ended).await {
-            Either::Left((called, _)) => called,
-            Either::Right(_) => Err(broken_off()),
-        }
-    };
-    match called {
+    match call_service(gw, &req, &mut timeline).await {
         Ok((head, body)) => {
             timeline.finish(gw, "answered", head.status.as_str());
             Response {
--- a/crates/gateway/src/entry/answer_request.rs
+++ b/crates/gateway/src/entry/answer_request.rs
@@ -1,9 +1,11 @@
+use futures_util::future::{Either, select};
 use http::header::HOST;
 use masticstair_core::catalog::Catalog;
 use masticstair_core::prelude::*;
 use masticstair_net::http::server::{Request, Response};
 use masticstair_policy::freshness::may_deny;
 use std::cell::OnceCell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +15,7 @@
 use super::answer_stream::answer_stream;
 use super::check_prompt::check_prompt;
 use super::check_request::check_request;
-use super::check_stop::check_stop;
+use super::check_stop::{broken_off, check_stop};
 use super::client_request::ClientRequest;
 use super::in_flight::InFlight;
 use super::refuse::refuse;
@@ -35,6 +37,9 @@
 
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// A request ends soon after its deadline, so the end of a stop is not awaited longer than this after it.
+const STOP_MARGIN: Duration = Duration::from_secs(10);
+
 /// Assumed when a request states no timeout.
 const DEFAULT_CLIENT_TIMEOUT: Millis = Millis::new(10_000);
 
@@ -58,15 +63,33 @@
         .and_then(|req| check_request(&gw, &req).map(|()| req))
         .and_then(|req| check_stop(&gw, &req).map(|()| req));
     let response = match admitted {
-        Ok(req) if req.route.kind.is_stream() => {
-            answer_stream(gw.clone(), req, timeline, in_flight).await
-        }
-        Ok(req) => answer_plain(&gw, req, timeline).await,
+        Ok(req) => answer_until_stop(&gw, req, timeline, in_flight).await,
         Err(refusal) => refuse(&gw, &timeline, &refusal),
     };
     if gw.is_stopping() { response.closing() } else { response }
 }
 
+/// Answers a request with what its route says, unless this host stops before there is an answer.
+async fn answer_until_stop(
+    gw: &Rc<Gateway>,
+    req: ClientRequest,
+    timeline: RequestTimeline,
+    in_flight: InFlight,
+) -> Response {
+    let limit = req.deadline.since(gw.now()) + STOP_MARGIN;
+    let at_stop = timeline.clone();
+    let answer = async {
+        match req.route.kind.is_stream() {
+            true => answer_stream(gw.clone(), req, timeline, in_flight).await,
+            false => answer_plain(gw, req, timeline).await,
+        }
+    };
+    match select(pin!(answer), pin!(gw.stop_ended.notified(limit))).await {
+        Either::Left((response, _)) => response,
+        Either::Right(_) => refuse(gw, &at_stop, &broken_off()),
+    }
+}
+
 /// Delays a request while this host has no catalog, or knows no endpoint of the services of its route. Both
 /// arrive within a second after a start.
 async fn wait_for_startup(gw: &Gateway, arrived: Timestamp, meta: &RequestMeta) {
