Let subscribers of an empty listing wait

A control host to which no endpoint announces itself answered each subscription at once with a complete, empty listing, and the subscribers asked again at once. Found in a test that used 2.6 cores while nothing happened.

Cause: a table without changes is at position 1 for its subscribers and at 0 for itself, so that every position was ahead of it.

--- a/crates/policy/src/directory/announcement_table.rs
+++ b/crates/policy/src/directory/announcement_table.rs
@@ -151,10 +151,12 @@
         incarnation: Incarnation,
         after: u64,
     ) -> ListingUpdate {
-        let changes_behind = self.position.saturating_sub(after);
+        // A table without changes is at position 1 for its subscribers, because 0 requests a complete listing.
+        let position = self.position.max(1);
+        let changes_behind = position.saturating_sub(after);
         let is_kept = incarnation == self.incarnation
             && after != 0
-            && after <= self.position
+            && after <= position
             && changes_behind <= self.changes.len() as u64;
         let changes = match is_kept {
             true => {
@@ -164,7 +166,7 @@
         };
         ListingUpdate {
             incarnation: self.incarnation,
-            position: self.position.max(1),
+            position,
             complete: !is_kept,
             settled: now.since(self.started) > self.timeout,
             changes: changes.into_iter().map(|id| self.listing(id)).collect(),
--- a/crates/policy/tests/directory.rs
+++ b/crates/policy/tests/directory.rs
@@ -351,6 +351,14 @@
             changes: 0,
             ready: &["a", "b"],
         },
+        Step {
+            name: "still empty",
+            at_ms: 25,
+            announced: None,
+            complete: false,
+            changes: 0,
+            ready: &["a", "b"],
+        },
         Step {
             name: "one",
             at_ms: 30,
