Take one version for certain only while the catalog has not changed

A take-up without a record could go on at the one version of a service to which an earlier catalog had not sent the route at all. Found by reading. It goes on now only if the catalog in force has been there for as long as clients may come back. A host has to run that long for it, so the versions that other hosts saw before need not be sent any more.

--- a/crates/gateway/src/control/answer_subscribe.rs
+++ b/crates/gateway/src/control/answer_subscribe.rs
@@ -35,13 +35,7 @@
         let is_new = is_due || update.complete || !update.changes.is_empty();
         let left = until.since(now);
         if is_new || left.is_zero() || gw.is_stopping() != was_stopping {
-            let (sightings_cover, sightings) = match update.complete {
-                true => gw.software.borrow().sightings(now),
-                false => Default::default(),
-            };
             let reply = SubscribeReply {
-                sightings,
-                sightings_cover,
                 software: update.software(),
                 feed: update,
                 catalog_version: gw.catalog.version(),
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -209,10 +209,7 @@
     }
     confirmed.borrow_mut().entry(host.clone()).or_insert(reply.catalog_version);
     reply.feed.add_software(reply.software);
-    let mut software = gw.software.borrow_mut();
-    software.merge(gw.now(), reply.sightings_cover, reply.sightings);
-    software.record(gw.now(), reply.feed.listed());
-    drop(software);
+    gw.software.borrow_mut().record(gw.now(), reply.feed.listed());
     let changed = gw.directory.borrow_mut().apply_update(gw.now(), host, reply.feed);
     if changed {
         on_endpoints_changed(gw);
--- a/crates/gateway/src/entry/take_up.rs
+++ b/crates/gateway/src/entry/take_up.rs
@@ -49,13 +49,16 @@
 }
 
 /// Returns what alone can have written any stream of the route that a client may still take up; none if that is not
-/// certain. A control host that is out of reach may list other versions.
+/// certain. An earlier catalog may have sent the route elsewhere, and a control host that is out of reach may list other
+/// versions.
 fn sole_writer(gw: &Gateway, req: &ClientRequest) -> Option<StreamWriter> {
     let [target] = req.route.targets.as_slice() else { return None };
+    let (now, span) = (gw.now(), retention(&req.route).duration());
     let (_, silent) = gw.control_contacts();
-    let span = retention(&req.route).duration();
-    let history = gw.software.borrow();
-    silent.is_empty().then(|| history.sole_writer(gw.now(), &target.service, span)).flatten()
+    if now.since(gw.catalog.since()) < span || !silent.is_empty() {
+        return None;
+    }
+    gw.software.borrow().sole_writer(now, &target.service, span)
 }
 
 /// Returns whether an endpoint that may go on with a stream takes work.
--- a/crates/gateway/src/install_catalog.rs
+++ b/crates/gateway/src/install_catalog.rs
@@ -20,7 +20,7 @@
         Ok((document, catalog)) => {
             let version = document.version;
             let (routes, services) = (catalog.routes.len(), catalog.services.len());
-            if gw.catalog.advance(document, catalog) {
+            if gw.catalog.advance(gw.now(), document, catalog) {
                 gw.metrics.catalog.set(version.get() as i64);
                 info!(gw.log, "new catalog in force"; "version" => %version, "routes" => routes,
                     "services" => services, "bytes" => content.len());
--- a/crates/gateway/src/maintenance.rs
+++ b/crates/gateway/src/maintenance.rs
@@ -11,7 +11,7 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// How often the versions of the listed endpoints are recorded.
-const SIGHTING_INTERVAL: Duration = Duration::from_secs(1);
+const RECORD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Less than the idle timeout of endpoints, which is several seconds.
 const CONNECTION_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -21,7 +21,7 @@
     let mut recorded = Timestamp::default();
     loop {
         monoio::time::sleep(MAINTENANCE_INTERVAL).await;
-        if gw.now().since(recorded) >= SIGHTING_INTERVAL {
+        if gw.now().since(recorded) >= RECORD_INTERVAL {
             recorded = gw.now();
             gw.software.borrow_mut().record(recorded, gw.directory.borrow().listed());
         }
--- a/crates/gateway/src/messages/subscribe_reply.rs
+++ b/crates/gateway/src/messages/subscribe_reply.rs
@@ -1,6 +1,5 @@
 use masticstair_core::prelude::*;
 use masticstair_policy::directory::{ListingUpdate, SoftwareNotice};
-use masticstair_policy::stream_versions::SoftwareSighting;
 use serde::{Deserialize, Serialize};
 
 use super::{CatalogUpdate, StageLoad};
@@ -20,8 +19,4 @@
     pub catalog_update: Option<CatalogUpdate>,
     /// The software of the endpoints in `feed`.
     pub software: Vec<SoftwareNotice>,
-    /// With a complete listing: the versions that services had lately, and those of endpoints that have left.
-    pub sightings: Vec<SoftwareSighting>,
-    /// The time of which `sightings` misses no version.
-    pub sightings_cover: Millis,
 }
--- a/crates/policy/src/stream_versions/mod.rs
+++ b/crates/policy/src/stream_versions/mod.rs
@@ -2,13 +2,11 @@
 //! that wrote the first event may.
 
 mod software_history;
-mod software_sighting;
 mod stream_notice;
 mod stream_records;
 mod stream_writer;
 
 pub use software_history::SoftwareHistory;
-pub use software_sighting::SoftwareSighting;
 pub use stream_notice::StreamNotice;
 pub use stream_records::StreamRecords;
 pub use stream_writer::StreamWriter;
