--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -252,7 +252,7 @@
         return Err(abort(state, reason));
     }
     if !has_endpoint(&state.gw, &state.req) {
-        return Err(abort(state, &format!("{reason}; no other engine has the same software")));
+        return Err(abort(state, &format!("{reason}; no engine that may go on takes work")));
     }
     let (gw, last) = (state.gw.clone(), state.last_event_id);
     // The results were released with the first event, because they occupy capacity that others need; before
