Deny routes only if no quorum can hold a newer catalog

A host counted its catalog as confirmed by a majority of the control hosts. Where some of them have no vote, as with eight hosts and five voters, three that are cut off from the others may acknowledge a change that the other five lack, and the host went on answering 404 by the old catalog (CONFIG). Found by reading; the old rule was not run with the new cases. All but as many control hosts as disks may be lost have to confirm it now, and a majority.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -40,6 +40,7 @@
     pub(crate) cfg: GatewayConfig,
     pub(crate) host: HostId,
     pub(crate) data_centre: DataCentreId,
+    pub(crate) disk_losses: usize,
     pub(crate) front_end: FrontEnd,
     pub(crate) log: Logger,
     pub(crate) metrics: GatewayMetrics,
@@ -101,6 +102,7 @@
             cfg: parts.cfg,
             host: parts.host,
             data_centre: parts.data_centre,
+            disk_losses: parts.disk_losses,
             front_end: parts.front_end,
             log: parts.log,
             metrics: parts.metrics,
@@ -190,7 +192,7 @@
         if self.cfg.control_listen.is_some() {
             confirmed_at.push(self.now());
         }
-        self.now().since(known_until(&mut confirmed_at))
+        self.now().since(known_until(&mut confirmed_at, self.disk_losses))
     }
 
     /// Returns the batch limits of a stage service; none if the service runs no stages or is not in the
--- a/crates/gateway/src/gateway_parts.rs
+++ b/crates/gateway/src/gateway_parts.rs
@@ -18,6 +18,8 @@
     pub incarnation: Incarnation,
     /// The data centre of this host.
     pub data_centre: DataCentreId,
+    /// The disks that may be lost at the same time without a loss of what was acknowledged.
+    pub disk_losses: usize,
     /// The encoding of the messages.
     pub front_end: FrontEnd,
     /// Receives the log lines of the gateway.
--- a/crates/host/src/daemon/gateway_thread.rs
+++ b/crates/host/src/daemon/gateway_thread.rs
@@ -86,6 +86,7 @@
         host: state.cfg.host.clone(),
         incarnation: state.incarnation,
         data_centre: state.cfg.data_centre.clone(),
+        disk_losses: state.cfg.disk_losses,
         front_end,
         log: state.log.clone(),
         metrics: state.metrics.gateway.clone(),
--- a/crates/policy/tests/freshness.rs
+++ b/crates/policy/tests/freshness.rs
@@ -21,19 +21,25 @@
 fn a_majority_of_the_control_hosts_confirms_the_catalog() {
     struct Case {
         confirmed_ms: &'static [u64],
+        disk_losses: usize,
         known_until_ms: u64,
     }
     let cases = [
-        Case { confirmed_ms: &[], known_until_ms: 0 },
-        Case { confirmed_ms: &[7], known_until_ms: 7 },
-        Case { confirmed_ms: &[9, 0], known_until_ms: 0 },
-        Case { confirmed_ms: &[9, 0, 5], known_until_ms: 5 },
-        Case { confirmed_ms: &[9, 8, 0, 0], known_until_ms: 0 },
-        Case { confirmed_ms: &[1, 9, 8, 0], known_until_ms: 1 },
+        Case { confirmed_ms: &[], disk_losses: 1, known_until_ms: 0 },
+        Case { confirmed_ms: &[7], disk_losses: 1, known_until_ms: 7 },
+        Case { confirmed_ms: &[9, 0], disk_losses: 1, known_until_ms: 0 },
+        Case { confirmed_ms: &[9, 0, 5], disk_losses: 1, known_until_ms: 5 },
+        Case { confirmed_ms: &[9, 8, 0, 0], disk_losses: 1, known_until_ms: 0 },
+        Case { confirmed_ms: &[1, 9, 8, 0], disk_losses: 1, known_until_ms: 1 },
+        // Five of these may vote, so three may have acknowledged what the other five lack.
+        Case { confirmed_ms: &[9, 9, 9, 9, 9, 0, 0, 0], disk_losses: 2, known_until_ms: 0 },
+        Case { confirmed_ms: &[9, 9, 9, 9, 9, 4, 0, 0], disk_losses: 2, known_until_ms: 4 },
+        Case { confirmed_ms: &[9, 9, 5, 0, 0], disk_losses: 2, known_until_ms: 5 },
+        Case { confirmed_ms: &[9, 5, 0, 0, 0], disk_losses: 4, known_until_ms: 0 },
     ];
     for case in cases {
         let mut confirmed: Vec<_> = case.confirmed_ms.iter().map(|ms| at(*ms)).collect();
-        let found = known_until(&mut confirmed);
+        let found = known_until(&mut confirmed, case.disk_losses);
         assert_eq!(found, at(case.known_until_ms), "{:?}", case.confirmed_ms);
     }
     assert!(may_deny(Duration::from_millis(1_000)));
