Do not count a host that has just started as late

The first catalog that a started host confirmed counted from the oldest one that the control host remembers: a false line and a false figure in gateway_catalog_confirmed_seconds for each start.

--- a/crates/gateway/src/control/answer_subscribe.rs
+++ b/crates/gateway/src/control/answer_subscribe.rs
@@ -94,7 +94,7 @@
 ) {
     let mut confirmations = control.confirmations.borrow_mut();
     let delay = confirmations.record_confirmed(gw.now(), from, request.catalog);
-    // A subscriber that gets its catalogs from another control host confirms them to that one in time.
+    // The requests to control hosts that send no content come later than those to the one that does.
     let Some(delay) = delay.filter(|_| request.catalog_mode != CatalogMode::Version) else {
         return;
     };
--- a/crates/gateway/src/control/catalog_confirmations.rs
+++ b/crates/gateway/src/control/catalog_confirmations.rs
@@ -35,21 +35,23 @@
     }
 
     /// Records the version that a subscriber has in force. Returns for how long the oldest version that it has confirmed
-    /// with this request has been in force here; none if it confirms no new one.
+    /// with this request has been in force here; none if it confirms no new one, or had none before.
     pub(crate) fn record_confirmed(
         &mut self,
         now: Timestamp,
         subscriber: &HostId,
         version: CatalogVersion,
     ) -> Option<Duration> {
+        if version == CatalogVersion::default() {
+            self.confirmed.remove(subscriber);
+            return None;
+        }
         let is_full = self.confirmed.len() >= MAX_SUBSCRIBERS;
         let before = match self.confirmed.get_mut(subscriber) {
             Some(before) => std::mem::replace(before, version),
+            None if is_full => return None,
             None => {
-                // The first request of a subscriber says nothing of how long an update took.
-                if !is_full {
-                    self.confirmed.insert(subscriber.clone(), version);
-                }
+                self.confirmed.insert(subscriber.clone(), version);
                 return None;
             }
         };
