Keep the updates of large catalogs small

An update of a catalog of 1.5 MB took 117 KB, since the compressor's tables at its fast level cover only a part of the base, and beyond 2 MB the document before was not kept, so that every host got the whole one. Matches over long distances are searched now (Zstandard's mode for that), and the newest two documents are always kept.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -16,3 +16,7 @@
 pub(crate) use answer_control::answer_control;
 pub(crate) use answer_findings::answer_findings;
 pub(crate) use answer_subscribe::answer_subscribe;
+
+#[cfg(test)]
+#[allow(clippy::unwrap_used)]
+mod tests;
--- a/crates/gateway/src/control/recent_catalogs.rs
+++ b/crates/gateway/src/control/recent_catalogs.rs
@@ -8,7 +8,7 @@
 /// Documents that are kept. A subscriber that is further behind gets the whole document.
 const MAX_DOCUMENTS: usize = 16;
 
-/// The limit on their size together; the newest one is kept in any case.
+/// The limit on their size together; the newest one and the one before are kept in any case.
 const MAX_BYTES: usize = 2 << 20;
 
 /// The catalogs that were in force at this control host last, from which updates are made.
@@ -32,7 +32,7 @@
             documents.iter().map(|d| d.content.len()).sum()
         };
         while self.documents.len() > MAX_DOCUMENTS
-            || (self.documents.len() > 1 && size(&self.documents) > MAX_BYTES)
+            || (self.documents.len() > 2 && size(&self.documents) > MAX_BYTES)
         {
             self.documents.pop_front();
         }
--- a/crates/gateway/src/messages/catalog_update.rs
+++ b/crates/gateway/src/messages/catalog_update.rs
@@ -33,6 +33,8 @@
         let reach = (base.len() + document.len()).max(1);
         // The window has to reach back over the base.
         encoder.window_log((reach.ilog2() + 1).clamp(*WINDOW_LOG.start(), *WINDOW_LOG.end()))?;
+        // The tables of a fast level cover only a part of a large base.
+        encoder.long_distance_matching(true)?;
         encoder.include_checksum(true)?;
         encoder.set_pledged_src_size(Some(document.len() as u64))?;
         encoder.write_all(document)?;
