Do not take a catalog for overdue while a host pauses

A host whose installs take 28 ms or more pauses for 250 ms between two, and the other control hosts told their version after 250 ms: under changes in quick succession such a host, for which the pause is meant, got each catalog from all of them. They wait 500 ms now, and the build checks the relation of the two times.

--- a/crates/gateway/src/entry/catalog_request.rs
+++ b/crates/gateway/src/entry/catalog_request.rs
@@ -3,11 +3,15 @@
 use smallvec::SmallVec;
 
 use crate::Gateway;
+use crate::install_catalog::MAX_PAUSE;
 use crate::messages::CatalogMode;
 
 /// How long a control host that is not the source holds a new version back. By then the source has sent the content,
 /// unless it is out of touch.
-const BACKUP_WAIT: Millis = Millis::new(250);
+const BACKUP_WAIT: Millis = Millis::new(500);
+
+// A host that pauses between two catalogs must not take the second one for overdue.
+const _: () = assert!(BACKUP_WAIT.get() as u128 >= 2 * MAX_PAUSE.as_millis());
 
 /// What a subscription asks for when there is a newer catalog.
 pub(super) struct CatalogRequest {
@@ -19,7 +23,8 @@
 
 impl CatalogRequest {
     /// Returns the next request to a control host. The content comes from one of them only; from this one also if it is
-    /// overdue, because this host still lacks a version that it was told of.
+    /// overdue, because this host still lacks a version that it was told of. A host without a catalog takes the first one
+    /// that it gets.
     pub(super) fn next(gw: &Gateway, host: &HostId, is_overdue: bool) -> Self {
         let base = gw.catalog.version();
         let (mode, wait) = if base == CatalogVersion::default() || is_overdue {
--- a/crates/gateway/src/install_catalog.rs
+++ b/crates/gateway/src/install_catalog.rs
@@ -8,7 +8,7 @@
 const PAUSE_FACTOR: u32 = 9;
 
 /// The limit on that time.
-const MAX_PAUSE: Duration = Duration::from_millis(250);
+pub(crate) const MAX_PAUSE: Duration = Duration::from_millis(250);
 
 /// Installs a catalog if its version is higher than the current one.
 pub(crate) fn install_catalog(gw: &Gateway, version: CatalogVersion, content: &[u8]) {
