Take one software version for certain only after unbroken contact

Without contact to a control host, a version that came and crashed there meanwhile was missing in the history, and for routes with a timeout over five minutes versions were forgotten too early; a take-up without a record could then go on at another version (ORDER). Found by reading; the new cases were not run on the old rule. The history is complete only since all control hosts answer without a break, and spans that it does not remember are never certain.

--- a/crates/gateway/src/maintenance.rs
+++ b/crates/gateway/src/maintenance.rs
@@ -25,6 +25,8 @@
             recorded = gw.now();
             gw.software.borrow_mut().record(recorded, gw.directory.borrow().listed());
         }
+        let (answering, silent) = gw.control_contacts();
+        gw.software.borrow_mut().record_contact(gw.now(), silent.is_empty());
         gw.pool.close_idle(CONNECTION_IDLE_TIMEOUT);
         gw.limits.borrow_mut().expire(gw.now());
         gw.pauses.borrow_mut().expire(gw.now());
@@ -33,7 +35,7 @@
         gw.metrics.stream_records.set(gw.streams.borrow().len() as i64);
         gw.change_request_crashes(|table, now| table.expire(now));
         gw.metrics.paused_endpoints.set(gw.pauses.borrow().paused(gw.now()).count() as i64);
-        gw.metrics.control_contacts.set(gw.control_contacts().0.len() as i64);
+        gw.metrics.control_contacts.set(answering.len() as i64);
         gw.metrics.connections.set(gw.pool.connections_opened() as i64);
         if let Some(control) = &control {
             let expired = control.table.borrow_mut().expire(gw.now());
--- a/crates/policy/tests/stream_versions.rs
+++ b/crates/policy/tests/stream_versions.rs
@@ -97,10 +97,20 @@
         name: &'static str,
         /// The versions, with the time at which each was listed last.
         listed: &'static [(&'static str, u64)],
+        /// Since when all control hosts answer.
+        complete_ms: u64,
         asked_ms: u64,
+        span_s: u64,
         found: Option<&'static str>,
     }
-    let case = |name, listed, asked_ms, found| Case { name, listed, asked_ms, found };
+    let case = |name, listed, asked_ms, found| Case {
+        name,
+        listed,
+        complete_ms: 0,
+        asked_ms,
+        span_s: 20,
+        found,
+    };
     let cases = [
         case("one", &[("v1", 60_000)], 60_000, Some("v1")),
         case("two", &[("v1", 60_000), ("v2", 60_000)], 60_000, None),
@@ -110,15 +120,23 @@
         case("long enough", &[("v1", 20_000)], 20_000, Some("v1")),
         case("no version", &[("", 60_000)], 60_000, Some("")),
         case("none", &[], 60_000, None),
+        Case { complete_ms: 41_000, ..case("silent before", &[("v1", 60_000)], 60_000, None) },
+        Case {
+            complete_ms: 40_000,
+            ..case("answers again", &[("v1", 60_000)], 60_000, Some("v1"))
+        },
+        Case { span_s: 599, ..case("not remembered", &[("v1", 900_000)], 900_000, None) },
     ];
     for case in cases {
         let mut history = SoftwareHistory::default();
-        history.record(at(0), std::iter::empty());
+        history.record_contact(at(0), case.complete_ms == 0);
         for (version, ms) in case.listed {
             history.record(at(*ms), [endpoint(version)].iter());
         }
+        history.record_contact(at(case.complete_ms), true);
         let service = writer("").service;
-        let found = history.sole_writer(at(case.asked_ms), &service, Duration::from_secs(20));
+        let found =
+            history.sole_writer(at(case.asked_ms), &service, Duration::from_secs(case.span_s));
         assert_eq!(found, case.found.map(writer), "{}", case.name);
     }
 }
