Send the records of streams again until a restarted control host takes them

They were sent once; a message that was lost cost the take-ups of those streams a refusal (LOST). A deployment with a single control host logged a warning for each stream, because it cannot hold two copies. Found by reading; no test.

--- a/crates/gateway/src/entry/stream_copies.rs
+++ b/crates/gateway/src/entry/stream_copies.rs
@@ -24,6 +24,12 @@
 /// Timeout for a control host to take a record.
 const COPY_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// How often all records are sent to a control host that was restarted, until it takes them.
+const RESTORE_TRIES: usize = 5;
+
+/// Time between these.
+const RESTORE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Records who wrote the first event of a stream, here and on control hosts, where another entry host finds it.
 pub(super) fn record_stream(gw: &Rc<Gateway>, req: &ClientRequest, writer: StreamWriter) {
     let (now, retention) = (gw.now(), retention(&req.route));
@@ -41,15 +47,16 @@
 /// Sends a record to the first control hosts in the order of its attempt that take it.
 async fn copy_record(gw: &Gateway, notice: StreamNotice) {
     let hosts = holders(gw, &notice.attempt);
+    let wanted = COPIES.min(hosts.len());
     let mut copies = 0;
     let mut rest = hosts.as_slice();
-    while copies < COPIES && !rest.is_empty() {
-        let (next, others) = rest.split_at((COPIES - copies).min(rest.len()));
+    while copies < wanted && !rest.is_empty() {
+        let (next, others) = rest.split_at((wanted - copies).min(rest.len()));
         rest = others;
         let sent = next.iter().map(|host| send_records(gw, host, vec![notice.clone()]));
         copies += join_all(sent).await.into_iter().filter(|taken| *taken).count();
     }
-    if copies < COPIES {
+    if copies < wanted {
         warn!(gw.log, "record of a stream has too few copies"; "request" => %notice.attempt,
             "copies" => copies);
     }
@@ -71,7 +78,16 @@
     let records = gw.streams.borrow().own(gw.now());
     if !records.is_empty() {
         let (gw, host) = (gw.clone(), host.clone());
-        monoio::spawn(async move { send_records(&gw, &host, records).await });
+        monoio::spawn(async move {
+            for _ in 0..RESTORE_TRIES {
+                if send_records(&gw, &host, records.clone()).await {
+                    return;
+                }
+                monoio::time::sleep(RESTORE_INTERVAL).await;
+            }
+            warn!(gw.log, "control host did not take the records of streams"; "peer" => %host.host,
+                "records" => records.len());
+        });
     }
 }
 
