--- a/crates/gateway/src/entry/answer_request.rs
+++ b/crates/gateway/src/entry/answer_request.rs
@@ -15,7 +15,7 @@
 use super::answer_stream::answer_stream;
 use super::check_prompt::check_prompt;
 use super::check_request::check_request;
-use super::check_stop::{broken_off, check_stop};
+use super::check_stop::{check_stop, stop_refusal};
 use super::client_request::ClientRequest;
 use super::in_flight::InFlight;
 use super::refuse::refuse;
@@ -86,7 +86,7 @@
     };
     match select(pin!(answer), pin!(gw.stop_ended.notified(limit))).await {
         Either::Left((response, _)) => response,
-        Either::Right(_) => refuse(gw, &at_stop, &broken_off()),
+        Either::Right(_) => refuse(gw, &at_stop, &stop_refusal()),
     }
 }
 
@@ -164,13 +164,14 @@
     })
 }
 
-/// Refuses a request that the catalog in force does not allow, for good if that catalog is certainly a recent one.
+/// Refuses a request that the catalog in force does not allow. If the catalog may be old, another host may allow it.
 fn deny(gw: &Gateway, reason: RefusalReason, detail: String) -> Refusal {
     let news_age = gw.news_age();
     if may_deny(news_age) {
         return Refusal::not_run(reason, detail);
     }
-    let detail = format!("{detail}, which may be {} ms old", news_age.as_millis());
+    let unconfirmed = news_age.as_millis();
+    let detail = format!("{detail}; too few control hosts have confirmed it for {unconfirmed} ms");
     Refusal::not_run(RefusalReason::Outdated, detail).with_retry_after(OUTDATED_RETRY_AFTER)
 }
 
--- a/crates/gateway/src/entry/check_stop.rs
+++ b/crates/gateway/src/entry/check_stop.rs
@@ -18,7 +18,7 @@
     Err(Refusal::not_run(RefusalReason::Stopping, detail).with_retry_after(STOPPING_RETRY_AFTER))
 }
 
-/// Builds the answer to a request that has not ended when this host stops.
-pub(super) fn broken_off() -> Refusal {
+/// Builds the refusal of a request that has no answer when this host stops. It may have run.
+pub(super) fn stop_refusal() -> Refusal {
     Refusal::unknown(RefusalReason::Stopping, "this host stops before the endpoint has answered")
 }
