Confirm the catalog at once after a late reply of a control host

Callers got 503 for unknown routes and keys again after a host that had been cut off had begun to answer 404, for some hundred milliseconds.

Cause: the reply to a request confirms the catalog as of the time at which the request was sent. A request that had waited for the end of the cut confirmed it with little time left; the next one waited up to 500 ms for an update, and meanwhile the confirmations were older than the 1.5 s by which a host may deny.

A request that follows a late reply, or none, now asks for a reply at once. In calm nothing changes.

--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -26,6 +26,10 @@
 /// milliseconds.
 const ANSWER_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// A reply that takes longer, or does not come, leaves this host without confirmation for so long that the next one must not
+/// wait for an update.
+const LATE_REPLY: Duration = Duration::from_millis(750);
+
 /// How often the set of control hosts is checked for new ones.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -112,6 +116,7 @@
 /// Keeps a subscription to one control host until the host leaves or is forgotten.
 async fn subscribe(gw: &Rc<Gateway>, host: &HostId, confirmed: &Confirmed) {
     let (mut disconnected, mut is_overdue, mut is_unreadable) = (false, false, false);
+    let mut wait = UPDATE_WAIT;
     info!(gw.log, "subscribing to control host"; "peer" => %host);
     loop {
         let (hosts, _) = gw.control_hosts();
@@ -129,7 +134,10 @@
             false => CatalogRequest::next(gw, host, is_overdue),
         };
         let is_backup = catalog.mode == CatalogMode::Version;
-        match fetch_updates(gw, &peer, catalog).await {
+        let fetched = fetch_updates(gw, &peer, catalog, wait).await;
+        let is_late = fetched.is_err() || gw.now().since(asked_at) > LATE_REPLY;
+        wait = if is_late { Duration::ZERO } else { UPDATE_WAIT };
+        match fetched {
             Ok(reply) => {
                 gw.last_contacts.borrow_mut().insert(host.clone(), gw.now());
                 if std::mem::take(&mut disconnected) {
@@ -169,13 +177,14 @@
     gw: &Gateway,
     peer: &PeerHost,
     catalog: CatalogRequest,
+    wait: Duration,
 ) -> Result<SubscribeReply, Box<str>> {
     let (incarnation, position) = gw.directory.borrow().position(&peer.host);
     let request = SubscribeRequest {
         incarnation,
         position,
         catalog: catalog.base,
-        wait: Millis::new(UPDATE_WAIT.as_millis() as u64),
+        wait: Millis::new(wait.as_millis() as u64),
         catalog_mode: catalog.mode,
         catalog_wait: catalog.wait,
     };
