Do not give up streams that go on because a first event would be late

Callers lost half-written streams while the stages were busy. Streams that broke off within an answer lost their stages in the same way: by then the objective has passed, and late stages are removed first.

Cause: a stream that goes on was judged by the objective for the first event, which its client has had. The class: a continued request that is treated as a new one.

Such a stream now has until its client leaves, less the time for the events that follow. policy::stream_timing decides; new streams are judged as before.

--- a/crates/gateway/src/entry/client_request.rs
+++ b/crates/gateway/src/entry/client_request.rs
@@ -3,21 +3,13 @@
 use masticstair_core::catalog::Route;
 use masticstair_core::prelude::*;
 use masticstair_policy::directory::ServingEndpoint;
+use masticstair_policy::stream_timing::StreamTiming;
 use masticstair_policy::stream_versions::StreamWriter;
 use std::cell::OnceCell;
 use std::sync::Arc;
-use std::time::Duration;
 
 use crate::front_end::RequestMeta;
 
-/// Multiple of the objective that a client waits for the first event of a stream.
-const FIRST_EVENT_OBJECTIVES: u32 = 4;
-
-/// Multiple of the longest on-time gap between events that a client waits for the first event.
-const FIRST_EVENT_GAPS: u32 = 8;
-
-const MIN_FIRST_EVENT_WAIT: Duration = Duration::from_secs(2);
-
 /// A request of a client with its route and account.
 ///
 /// The route is that of the catalog in force when the request arrived; the request keeps it to its end.
@@ -46,14 +38,21 @@
     /// Returns the limit for the first event of a stream: clients abandon a request before its deadline
     /// when they receive nothing.
     pub(crate) fn first_event_by(&self) -> Timestamp {
-        let objectives = self.route.objective.duration() * FIRST_EVENT_OBJECTIVES;
-        let gaps = self
-            .route
-            .max_event_gap
-            .map(|gap| gap.duration() * FIRST_EVENT_GAPS)
-            .unwrap_or_default();
-        let wait_limit = MIN_FIRST_EVENT_WAIT.max(objectives).max(gaps);
-        self.deadline.min(self.arrived.plus(wait_limit))
+        self.timing().client_leaves()
+    }
+
+    /// Returns the time up to which an answer, or the next event of a stream, is to come.
+    pub(crate) fn due(&self) -> Timestamp {
+        self.timing().next_event_due(self.writer.is_some())
+    }
+
+    fn timing(&self) -> StreamTiming {
+        StreamTiming {
+            arrived: self.arrived,
+            deadline: self.deadline,
+            objective: self.route.objective.duration(),
+            max_event_gap: self.route.max_event_gap.map(Millis::duration),
+        }
     }
 
     /// Returns whether an endpoint may answer the request, as far as its software decides.
@@ -68,9 +67,4 @@
             RequestDigest::of(self.method.as_str(), &self.target, account, &self.body)
         })
     }
-
-    /// Returns the time up to which an answer, or the first event of a stream, is on time.
-    pub(crate) fn objective(&self) -> Timestamp {
-        self.arrived.plus(self.route.objective.duration())
-    }
 }
--- a/crates/gateway/src/entry/stage_plan.rs
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -35,7 +35,7 @@
 const RETRY_AFTER_RANGE: [Duration; 2] =
     [Duration::from_millis(1_000), Duration::from_millis(2_500)];
 
-/// Refuses a request whose stages are so busy that its answer would miss the objective.
+/// Refuses a request whose stages are so busy that its answer would be late.
 pub(super) fn admit_stages(gw: &Gateway, req: &ClientRequest) -> Result<(), Refusal> {
     let now = gw.now();
     let stages = &req.route.stages;
@@ -59,15 +59,15 @@
     }
     let first = gw.stage_times.get(&req.service, DEFAULT_FIRST_EVENT_TIME);
     let expected = longest.into_iter().max().unwrap_or_default() + first;
-    let objective = req.objective().since(now);
-    if longest_wait < MIN_CONGESTION_WAIT || expected <= objective {
+    let left = req.due().since(now);
+    if longest_wait < MIN_CONGESTION_WAIT || expected <= left {
         return Ok(());
     }
-    let retry_after = (expected - objective).clamp(RETRY_AFTER_RANGE[0], RETRY_AFTER_RANGE[1]);
+    let retry_after = (expected - left).clamp(RETRY_AFTER_RANGE[0], RETRY_AFTER_RANGE[1]);
     let detail = format!(
         "the first event is expected after {} ms ({} ms is on time); {} ms of it wait for {}, as told {} ms ago",
         expected.as_millis(),
-        objective.as_millis(),
+        left.as_millis(),
         longest_wait.as_millis(),
         busiest.map_or("none", ServiceName::as_str),
         busiest.map_or(0, |service| gw.stage_times.age(now, service).as_millis())
@@ -198,7 +198,7 @@
     let remaining = time_after_stage(gw, req, stage);
     let spec = &req.route.stages[stage];
     let near = inputs_data_centre(gw, req, stage, &source).or(near.cloned());
-    let due = req.objective().since(now).saturating_sub(remaining);
+    let due = req.due().since(now).saturating_sub(remaining);
     // The later stages take time even when they run fast, and a result that just misses the deadline is
     // wasted work.
     let left = req.first_event_by().since(now).saturating_sub(remaining / 2);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod service_retry_budget;
 pub mod smoothing;
 pub mod stage_queue;
+pub mod stream_timing;
 pub mod stream_versions;
