Acknowledge departures once the subscribers know of them

An endpoint whose departure had been acknowledged still got requests: a control host acknowledged a departure as soon as it had listed it, whatever its subscribers knew. On links of 100 ms in each direction, 20 of 20 requests that were sent after the acknowledgement reached the endpoint. If the control host then lost power, nobody else knew of the departure.

A request for updates says which position of the listing its sender has. The control host keeps the last one of each subscriber that has asked within 2 s, and answers a departure once all of them have it, or after 400 ms, with a log line. Endpoints wait for 1 s, so the wait for an endpoint that is not listed is 400 ms in place of 600. Catalogs are acknowledged as before: subscribers skip versions under many changes, so each would wait for the whole time.

--- a/crates/gateway/src/control/answer_control.rs
+++ b/crates/gateway/src/control/answer_control.rs
@@ -2,7 +2,7 @@
 use masticstair_core::prelude::*;
 use masticstair_net::http::server::{Request, Response};
 use masticstair_policy::catalog_register::CatalogReply;
-use masticstair_policy::directory::Announcement;
+use masticstair_policy::directory::{Announcement, ServingState};
 use slog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,17 +12,20 @@
 use crate::front_end::{ControlReply, ControlRequest};
 
 /// How long to wait until a leaving endpoint is listed; endpoints abandon the leave call after 1 s.
-const LISTING_WAIT: Duration = Duration::from_millis(600);
+const LISTING_WAIT: Duration = Duration::from_millis(400);
 
 const LISTING_POLL_INTERVAL: Duration = Duration::from_millis(30);
 
+/// How long a departure waits until the subscribers know of it; endpoints wait 1 s for the acknowledgement.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(400);
+
 pub(crate) async fn answer_control(
     gw: Rc<Gateway>,
     control: Rc<ControlHost>,
     req: Request,
 ) -> Response {
     let reply = match (gw.front_end.read_control)(&req) {
-        ControlRequest::Announce(announcement) => announce(&gw, &control, *announcement),
+        ControlRequest::Announce(announcement) => announce(&gw, &control, *announcement).await,
         ControlRequest::Leave(id, incarnation) => leave(&gw, &control, &id, incarnation).await,
         ControlRequest::Unusable(reason) => {
             warn!(gw.log, "unusable announcement ignored"; "reason" => reason.as_ref(),
@@ -36,7 +39,7 @@
     (gw.front_end.control_response)(&reply)
 }
 
-fn announce(gw: &Gateway, control: &ControlHost, announcement: Announcement) -> ControlReply {
+async fn announce(gw: &Gateway, control: &ControlHost, announcement: Announcement) -> ControlReply {
     let endpoint = announcement.endpoint.clone();
     let sequence = announcement.sequence;
     if control.table.borrow_mut().announce(gw.now(), announcement) {
@@ -47,10 +50,34 @@
             "capacity" => %endpoint.capacity,
             "software" => endpoint.software.as_ref().map(ToString::to_string));
         control.changed.notify();
+        if endpoint.state != ServingState::Ready {
+            wait_for_subscribers(gw, control, &endpoint.id).await;
+        }
     }
     ControlReply::Acknowledged
 }
 
+/// Waits until all subscribers in touch know of the last change, which is the departure of an endpoint. One that does not
+/// answer delays the acknowledgement by `CONFIRMATION_WAIT` at most.
+async fn wait_for_subscribers(gw: &Gateway, control: &ControlHost, endpoint: &EndpointId) {
+    let position = control.table.borrow().position();
+    let until = gw.now().plus(CONFIRMATION_WAIT);
+    loop {
+        let now = gw.now();
+        let behind = control.listing_confirmations.borrow().count_behind(now, position);
+        if behind == 0 {
+            return;
+        }
+        let left = until.since(now);
+        if left.is_zero() {
+            info!(gw.log, "departure acknowledged before all subscribers know of it";
+                "endpoint" => %endpoint, "subscribers" => behind);
+            return;
+        }
+        control.confirmed.notified(left).await;
+    }
+}
+
 /// Records that an endpoint leaves. An endpoint that announced itself to another control host may not be
 /// listed here yet, so its listing is awaited: acknowledging a departure without recording it would leave the
 /// endpoint with work.
@@ -71,6 +98,7 @@
         info!(gw.log, "endpoint left"; "endpoint" => %id,
             "incarnation" => incarnation.map(|i| i.get()));
         control.changed.notify();
+        wait_for_subscribers(gw, control, id).await;
     } else {
         info!(gw.log, "departure of an unlisted endpoint ignored"; "endpoint" => %id,
             "known" => is_known(), "waited_ms" => gw.now().since(arrived).as_millis() as u64);
--- a/crates/gateway/src/control/answer_subscribe.rs
+++ b/crates/gateway/src/control/answer_subscribe.rs
@@ -24,6 +24,7 @@
     let arrived = gw.now();
     control.record_catalog(arrived, &gw.catalog);
     record_confirmation(gw, control, from, &request);
+    record_listing(gw, control, from, &request);
     let was_stopping = gw.is_stopping();
     let until = arrived.plus(request.wait.duration().min(MAX_WAIT));
     loop {
@@ -50,6 +51,13 @@
     }
 }
 
+fn record_listing(gw: &Gateway, control: &ControlHost, from: &HostId, request: &SubscribeRequest) {
+    let is_own = request.incarnation == gw.incarnation;
+    let position = if is_own { request.position } else { 0 };
+    control.listing_confirmations.borrow_mut().record(gw.now(), from, position);
+    control.confirmed.notify();
+}
+
 /// Returns when a subscriber is to be told of a newer catalog; none while there is none.
 fn catalog_due(
     control: &ControlHost,
--- a/crates/gateway/src/control/control_host.rs
+++ b/crates/gateway/src/control/control_host.rs
@@ -4,6 +4,7 @@
 
 use super::CatalogStore;
 use super::catalog_confirmations::CatalogConfirmations;
+use super::listing_confirmations::ListingConfirmations;
 use super::recent_catalogs::RecentCatalogs;
 use crate::{CatalogInForce, Notify};
 
@@ -19,6 +20,9 @@
     pub(crate) store: CatalogStore,
     /// How far the subscribers are behind.
     pub(crate) confirmations: RefCell<CatalogConfirmations>,
+    pub(crate) listing_confirmations: RefCell<ListingConfirmations>,
+    /// Notified when a subscriber confirms a part of the listing.
+    pub(crate) confirmed: Notify,
     pub(crate) recent: RefCell<RecentCatalogs>,
 }
 
@@ -37,6 +41,8 @@
             changed: Notify::default(),
             store,
             confirmations: RefCell::default(),
+            listing_confirmations: RefCell::default(),
+            confirmed: Notify::default(),
             recent: RefCell::default(),
         }
     }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod catalog_confirmations;
 mod catalog_store;
 mod control_host;
+mod listing_confirmations;
 mod recent_catalogs;
 mod store_error;
 
