Record departures of endpoints that a control host does not list

An endpoint kept getting all requests after its departure had been acknowledged by a control host that did not list it: the control host waited for the listing, logged "departure of an unlisted endpoint ignored" and acknowledged. It is so after a restart of the control hosts, and while one of them is cut off from the others. Where an earlier process of the endpoint was listed, that one was listed as gone, and a late announcement could list the later one again.

The process that leaves names its start, so the departure needs no listing: the control host records it like one that an answer states, and all hosts learn of it through their exchange of findings. Without a start the departure of an unknown endpoint is still acknowledged and ignored. A later process is listed as gone with its own start.

--- a/crates/gateway/src/control/answer_control.rs
+++ b/crates/gateway/src/control/answer_control.rs
@@ -79,8 +79,7 @@
 }
 
 /// Records that an endpoint leaves. An endpoint that announced itself to another control host may not be
-/// listed here yet, so its listing is awaited: acknowledging a departure without recording it would leave the
-/// endpoint with work.
+/// listed here yet, so its listing is awaited. A departure that cannot be listed is told to the hosts by itself.
 async fn leave(
     gw: &Gateway,
     control: &ControlHost,
@@ -99,6 +98,10 @@
             "incarnation" => incarnation.map(|i| i.get()));
         control.changed.notify();
         wait_for_subscribers(gw, control, id).await;
+    } else if let (Some(incarnation), false) = (incarnation, is_known()) {
+        gw.record_departure(id, incarnation);
+        info!(gw.log, "unlisted endpoint left"; "endpoint" => %id, "incarnation" => %incarnation,
+            "waited_ms" => gw.now().since(arrived).as_millis() as u64);
     } else {
         info!(gw.log, "departure of an unlisted endpoint ignored"; "endpoint" => %id,
             "known" => is_known(), "waited_ms" => gw.now().since(arrived).as_millis() as u64);
--- a/crates/gateway/src/gateway_findings.rs
+++ b/crates/gateway/src/gateway_findings.rs
@@ -14,8 +14,9 @@
     /// Records what any answer of an endpoint says of the endpoint, whichever request it belongs to.
     pub(crate) fn record_answer(&self, endpoint: &ServingEndpoint, meta: &AnswerMeta) {
         self.liveness.borrow_mut().record_answer(self.now(), &endpoint.id);
-        if meta.leaving {
-            self.record_departure(endpoint);
+        if meta.leaving && self.record_departure(&endpoint.id, endpoint.incarnation) {
+            info!(self.log, "endpoint states that it is leaving"; "endpoint" => %endpoint.id,
+                "incarnation" => %endpoint.incarnation, "service" => %endpoint.service);
         }
     }
 
@@ -42,16 +43,15 @@
         }
     }
 
-    /// Records that an endpoint stated in an answer that it is leaving, so that it gets no more work from this host.
-    /// Its announcements may reach the control hosts later, or not at all.
-    fn record_departure(&self, endpoint: &ServingEndpoint) {
-        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
-        if self.directory.borrow_mut().record_departure(self.now(), id, incarnation) {
+    /// Records that an endpoint told this host that it leaves, so that it gets no more work from any host; returns whether
+    /// that was new. Its announcements may reach the control hosts later, or not at all.
+    pub(crate) fn record_departure(&self, id: &EndpointId, incarnation: Incarnation) -> bool {
+        let is_new = self.directory.borrow_mut().record_departure(self.now(), id, incarnation);
+        if is_new {
             self.findings_changed.notify();
-            info!(self.log, "endpoint states that it is leaving"; "endpoint" => %id,
-                "incarnation" => %incarnation, "service" => %endpoint.service);
             self.metrics.endpoints.set(self.directory.borrow().ready_count() as i64);
         }
+        is_new
     }
 
     /// Merges what other hosts know of leaving endpoints.
--- a/crates/policy/src/directory/announcement_table.rs
+++ b/crates/policy/src/directory/announcement_table.rs
@@ -100,11 +100,13 @@
             (local, _) => local,
         };
         let Some((endpoint, sequence)) = known else { return false };
-        let is_earlier_incarnation = incarnation.is_some_and(|i| i < endpoint.incarnation);
-        if is_earlier_incarnation || endpoint.state == ServingState::Gone {
+        let incarnation = incarnation.unwrap_or(endpoint.incarnation);
+        let is_listed = endpoint.state == ServingState::Gone && incarnation == endpoint.incarnation;
+        if incarnation < endpoint.incarnation || is_listed {
             return false;
         }
-        let endpoint = ServingEndpoint { state: ServingState::Gone, ..endpoint.clone() };
+        let endpoint =
+            ServingEndpoint { state: ServingState::Gone, incarnation, ..endpoint.clone() };
         self.endpoints.insert(id.clone(), Entry { endpoint, sequence, last_seen: now });
         self.record_change(id.clone());
         true
--- a/crates/policy/tests/directory.rs
+++ b/crates/policy/tests/directory.rs
@@ -193,6 +193,12 @@
             incarnation: Some(4),
             recorded: false,
         },
+        Case {
+            name: "a later incarnation left",
+            remote: listed(5),
+            incarnation: Some(6),
+            recorded: true,
+        },
     ];
     for case in cases {
         let mut table = table();
@@ -200,6 +206,9 @@
         let id = "e".parse().unwrap();
         let recorded = table.leave(at(10), &id, incarnation, case.remote.as_ref());
         assert_eq!(recorded, case.recorded, "{}", case.name);
+        let gone = table.endpoints().map(|e| e.incarnation.get()).next();
+        let expected = case.recorded.then_some(case.incarnation.unwrap_or(5));
+        assert_eq!(gone, expected, "{}: a late announcement may list it again", case.name);
     }
 }
 
