Do not count the wait of a control host as age of the catalog

A host on links of 300 ms in each direction answered 503 in place of 404 for moments, though it was never cut off, and in calm the line of a request stated 500 to 1,000 ms since the last news ("news_ms") while changes took some milliseconds.

Cause: a reply confirmed the catalog as of the time at which it was asked for, but a control host without news answers 500 ms later, and names what it holds then.

A reply now tells how long the control host has held it back; the catalog is confirmed as of then. A reply of an earlier build states 0, which is as before. A reply counts as late by the time that it travelled.

--- a/crates/gateway/src/control/answer_subscribe.rs
+++ b/crates/gateway/src/control/answer_subscribe.rs
@@ -1,5 +1,5 @@
 use masticstair_core::id::HostId;
-use masticstair_core::unit::Timestamp;
+use masticstair_core::unit::{Millis, Timestamp};
 use slog::{error, info};
 use std::time::Duration;
 
@@ -41,6 +41,7 @@
                 feed: update,
                 catalog_version: gw.catalog.version(),
                 loads: stage_loads(gw),
+                held: Millis::new(now.since(arrived).as_millis() as u64),
                 ..SubscribeReply::default()
             };
             let reply = if is_due { add_catalog(gw, control, &request, reply) } else { reply };
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -26,9 +26,9 @@
 /// milliseconds.
 const ANSWER_MARGIN: Duration = Duration::from_millis(1_500);
 
-/// A reply that takes longer, or does not come, leaves this host without confirmation for so long that the next one must not
-/// wait for an update.
-const LATE_REPLY: Duration = Duration::from_millis(750);
+/// A reply that travels for longer, or does not come, leaves this host without confirmation for so long that the next one
+/// must not wait for an update.
+const LATE_REPLY: Duration = Duration::from_millis(250);
 
 /// How often the set of control hosts is checked for new ones.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(100);
@@ -135,7 +135,8 @@
         };
         let is_backup = catalog.mode == CatalogMode::Version;
         let fetched = fetch_updates(gw, &peer, catalog, wait).await;
-        let is_late = fetched.is_err() || gw.now().since(asked_at) > LATE_REPLY;
+        let held = fetched.as_ref().map(|reply| reply.held.duration()).unwrap_or_default();
+        let is_late = fetched.is_err() || gw.now().since(asked_at) > held + LATE_REPLY;
         wait = if is_late { Duration::ZERO } else { UPDATE_WAIT };
         match fetched {
             Ok(reply) => {
@@ -143,15 +144,15 @@
                 if std::mem::take(&mut disconnected) {
                     info!(gw.log, "control host reachable again"; "peer" => %host);
                 }
-                let held = reply.catalog_version;
+                let version = reply.catalog_version;
                 let (before, _) = gw.directory.borrow().position(host);
                 if before != Incarnation::default() && before != reply.feed.incarnation {
                     restore_records(gw, &peer);
                 }
                 is_unreadable = apply_updates(gw, host, reply, confirmed).is_err();
                 let now_in_force = gw.catalog.version();
-                is_overdue = is_backup && held > now_in_force && now_in_force == in_force;
-                record_news(gw, host, asked_at, held);
+                is_overdue = is_backup && version > now_in_force && now_in_force == in_force;
+                record_news(gw, host, asked_at.plus(held), version);
                 if is_unreadable {
                     monoio::time::sleep(RETRY_DELAY).await;
                 }
@@ -167,10 +168,10 @@
     }
 }
 
-/// Records which catalog a control host named in the reply to a request of `asked_at`.
-fn record_news(gw: &Gateway, host: &HostId, asked_at: Timestamp, held: CatalogVersion) {
+/// Records which catalog a control host held, not before `held_at`.
+fn record_news(gw: &Gateway, host: &HostId, held_at: Timestamp, version: CatalogVersion) {
     let mut news = gw.control_news.borrow_mut();
-    news.entry(host.clone()).or_default().record(asked_at, held, gw.catalog.version());
+    news.entry(host.clone()).or_default().record(held_at, version, gw.catalog.version());
 }
 
 async fn fetch_updates(
--- a/crates/gateway/src/messages/subscribe_reply.rs
+++ b/crates/gateway/src/messages/subscribe_reply.rs
@@ -19,4 +19,6 @@
     pub catalog_update: Option<CatalogUpdate>,
     /// The software of the endpoints in `feed`.
     pub software: Vec<SoftwareNotice>,
+    /// How long the control host waited for an update; it held nothing else at the end of that time.
+    pub held: Millis,
 }
