--- a/crates/gateway/src/entry/answer_request.rs
+++ b/crates/gateway/src/entry/answer_request.rs
@@ -124,7 +124,7 @@
         let refusal = Refusal::not_run(RefusalReason::NoCatalog, "this host has just started");
         return Err(refusal.with_retry_after(NO_CATALOG_RETRY_AFTER));
     };
-    timeline.catalog = catalog.version;
+    timeline.record_catalog(gw, catalog.version);
     timeline.record_news_age(gw);
     let Some(route) = catalog.route(&meta.host, &meta.path).cloned() else {
         let detail =
--- a/crates/gateway/src/telemetry/request_timeline.rs
+++ b/crates/gateway/src/telemetry/request_timeline.rs
@@ -27,6 +27,8 @@
     resumes: Option<CallId>,
     /// The last event that the client has of such a stream.
     resume_after: Option<u64>,
+    /// How long the catalog had been in force here when the request arrived.
+    catalog_age: Duration,
     /// The longest time for which this host may have lacked changes when it decided on the request.
     news_age: Duration,
     timeout: Option<Millis>,
@@ -46,11 +48,18 @@
             software: None,
             resumes: meta.resumes.clone(),
             resume_after: meta.resume_after,
+            catalog_age: Duration::ZERO,
             news_age: Duration::ZERO,
             timeout: meta.timeout,
         }
     }
 
+    /// Records the catalog that decides on the request.
+    pub(crate) fn record_catalog(&mut self, gw: &Gateway, version: CatalogVersion) {
+        self.catalog = version;
+        self.catalog_age = gw.now().since(gw.catalog.since());
+    }
+
     /// Records the age of what this host acts by, where it decides on the request.
     pub(crate) fn record_news_age(&mut self, gw: &Gateway) {
         self.news_age = self.news_age.max(gw.news_age());
@@ -72,8 +81,9 @@
         info!(gw.log, "request finished"; "request" => %self.call, "outcome" => outcome,
             "route" => self.route.as_ref().map(ToString::to_string),
             "service" => self.service.as_ref().map(ToString::to_string),
-            "catalog" => %self.catalog,
-            "news_ms" => self.news_age.as_millis() as u64, "budget_ms" => self.timeout.map(|timeout| timeout.get()),
+            "catalog" => %self.catalog, "catalog_ms" => self.catalog_age.as_millis() as u64,
+            "news_ms" => self.news_age.as_millis() as u64,
+            "budget_ms" => self.timeout.map(|timeout| timeout.get()),
             "staged_ms" => self.staged_at.map(since), "first_ms" => self.first_answer_at.map(since),
             "end_ms" => since(now), "attempts" => &self.attempts, "detail" => detail,
             "software" => self.software.as_ref().map(ToString::to_string),
