Count the wait for the next event of a stream from the last one

A long stream that broke off was given up at once, although its client would have waited: after 2 s, or four times the objective, or eight times the longest gap, whichever is longest, from the arrival of the request no engine was asked any more.

Cause: the limit for the first event was applied to later ones.

The limit now counts from the last event that was forwarded.

--- a/crates/gateway/src/entry/answer_request.rs
+++ b/crates/gateway/src/entry/answer_request.rs
@@ -156,7 +156,7 @@
         account,
         service,
         writer: None,
-        arrived: now,
+        waits_since: now,
         deadline: now.plus(timeout.duration().max(Duration::from_millis(1))),
         content: OnceCell::new(),
         meta,
--- a/crates/gateway/src/entry/client_request.rs
+++ b/crates/gateway/src/entry/client_request.rs
@@ -27,7 +27,8 @@
     pub(crate) writer: Option<StreamWriter>,
     /// 0 is the most urgent.
     pub(crate) priority: u8,
-    pub(crate) arrived: Timestamp,
+    /// Since when the client waits for the answer, or for the next event of a stream.
+    pub(crate) waits_since: Timestamp,
     /// The hard limit for the answer: the earlier of the client's timeout and the route's.
     pub(crate) deadline: Timestamp,
     /// Computed when it is needed first.
@@ -35,9 +36,9 @@
 }
 
 impl ClientRequest {
-    /// Returns the limit for the first event of a stream: clients abandon a request before its deadline
+    /// Returns the limit for the next event of a stream: clients abandon a request before its deadline
     /// when they receive nothing.
-    pub(crate) fn first_event_by(&self) -> Timestamp {
+    pub(crate) fn next_event_by(&self) -> Timestamp {
         self.timing().client_leaves()
     }
 
@@ -48,7 +49,7 @@
 
     fn timing(&self) -> StreamTiming {
         StreamTiming {
-            arrived: self.arrived,
+            waits_since: self.waits_since,
             deadline: self.deadline,
             objective: self.route.objective.duration(),
             max_event_gap: self.route.max_event_gap.map(Millis::duration),
--- a/crates/gateway/src/entry/open_stream.rs
+++ b/crates/gateway/src/entry/open_stream.rs
@@ -63,7 +63,7 @@
                 Err(_) => None,
             },
         };
-        let left = req.first_event_by().since(gw.now());
+        let left = req.next_event_by().since(gw.now());
         let is_first = tried.is_empty() && *runs == 0;
         // A run that may have crashed an engine is not followed by another one.
         let may_run_again =
--- a/crates/gateway/src/entry/stage_plan.rs
+++ b/crates/gateway/src/entry/stage_plan.rs
@@ -201,7 +201,7 @@
     let due = req.due().since(now).saturating_sub(remaining);
     // The later stages take time even when they run fast, and a result that just misses the deadline is
     // wasted work.
-    let left = req.first_event_by().since(now).saturating_sub(remaining / 2);
+    let left = req.next_event_by().since(now).saturating_sub(remaining / 2);
     StageRequest {
         call: req.meta.call.clone(),
         stage: stage as u32,
--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -193,6 +193,7 @@
         out.extend_from_slice(&event.bytes);
     }
     if !out.is_empty() {
+        state.req.waits_since = state.gw.now();
         if let Some(opened) = &mut state.opened
             && !std::mem::replace(&mut opened.has_events, true)
         {
--- a/crates/policy/tests/stream_timing.rs
+++ b/crates/policy/tests/stream_timing.rs
@@ -26,7 +26,7 @@
     for case in cases {
         let at = |ms: u64| Timestamp::new((5_000 + ms) * 1_000);
         let timing = StreamTiming {
-            arrived: at(0),
+            waits_since: at(0),
             deadline: at(case.deadline_ms),
             objective: Duration::from_millis(case.objective_ms),
             max_event_gap: case.gap_ms.map(Duration::from_millis),
