Split the loop of a subscription

What the last request to a control host means for the next one is a type of its own, and one exchange is a function of its own; the loop was a function of 55 lines with four flags. Behaviour is unchanged.

--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -34,6 +34,7 @@
 mod stream_event;
 mod stream_state;
 mod subscribe;
+mod subscription_progress;
 mod take_up;
 mod tried_endpoints;
 mod waiting_call;
--- a/crates/gateway/src/entry/subscribe.rs
+++ b/crates/gateway/src/entry/subscribe.rs
@@ -10,6 +10,7 @@
 use super::catalog_request::CatalogRequest;
 use super::exchange_findings::exchange_findings;
 use super::stream_copies::restore_records;
+use super::subscription_progress::{SubscriptionProgress, UPDATE_WAIT};
 use crate::control::ControlHost;
 use crate::install_catalog::install_catalog;
 use crate::maintenance::on_endpoints_changed;
@@ -18,18 +19,10 @@
 };
 use crate::{Gateway, PeerHost};
 
-/// How long a control host may wait for an update. A connection that is dead without an error is detected
-/// after this time plus `ANSWER_MARGIN`.
-const UPDATE_WAIT: Duration = Duration::from_millis(500);
-
 /// Time allowed for the reply beyond the wait. On a link that requests fill, each direction may take some hundred
 /// milliseconds.
 const ANSWER_MARGIN: Duration = Duration::from_millis(1_500);
 
-/// A reply that travels for longer, or does not come, leaves this host without confirmation for so long that the next one
-/// must not wait for an update.
-const LATE_REPLY: Duration = Duration::from_millis(250);
-
 /// How often the set of control hosts is checked for new ones.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -115,9 +108,8 @@
 
 /// Keeps a subscription to one control host until the host leaves or is forgotten.
 async fn subscribe(gw: &Rc<Gateway>, host: &HostId, confirmed: &Confirmed) {
-    let (mut disconnected, mut is_overdue, mut is_unreadable) = (false, false, false);
-    let mut wait = UPDATE_WAIT;
     info!(gw.log, "subscribing to control host"; "peer" => %host);
+    let mut progress = SubscriptionProgress::default();
     loop {
         let (hosts, _) = gw.control_hosts();
         let Some(peer) = hosts.into_iter().find(|h| h.host == *host) else {
@@ -127,47 +119,44 @@
                 "peer" => %host, "catalog" => %gw.catalog.version());
             return;
         };
-        let asked_at = gw.now();
-        let in_force = gw.catalog.version();
-        let catalog = match is_unreadable {
-            true => CatalogRequest::whole(),
-            false => CatalogRequest::next(gw, host, is_overdue),
-        };
-        let is_backup = catalog.mode == CatalogMode::Version;
-        let fetched = fetch_updates(gw, &peer, catalog, wait).await;
-        let held = fetched.as_ref().map(|reply| reply.held.duration()).unwrap_or_default();
-        let is_late = fetched.is_err() || gw.now().since(asked_at) > held + LATE_REPLY;
-        wait = if is_late { Duration::ZERO } else { UPDATE_WAIT };
-        match fetched {
-            Ok(reply) => {
-                gw.last_contacts.borrow_mut().insert(host.clone(), gw.now());
-                if std::mem::take(&mut disconnected) {
-                    info!(gw.log, "control host reachable again"; "peer" => %host);
-                }
-                let version = reply.catalog_version;
-                let (before, _) = gw.directory.borrow().position(host);
-                if before != Incarnation::default() && before != reply.feed.incarnation {
-                    restore_records(gw, &peer);
-                }
-                is_unreadable = apply_updates(gw, host, reply, confirmed).is_err();
-                let now_in_force = gw.catalog.version();
-                is_overdue = is_backup && version > now_in_force && now_in_force == in_force;
-                record_news(gw, host, asked_at.plus(held), version);
-                if is_unreadable {
-                    monoio::time::sleep(RETRY_DELAY).await;
-                }
-            }
-            Err(reason) => {
-                if !std::mem::replace(&mut disconnected, true) {
-                    warn!(gw.log, "control host unreachable; retrying"; "peer" => %host,
-                        "reason" => reason.as_ref());
-                }
-                monoio::time::sleep(RETRY_DELAY).await;
-            }
+        request_updates(gw, &peer, confirmed, &mut progress).await;
+        if progress.is_disconnected || progress.is_unreadable {
+            monoio::time::sleep(RETRY_DELAY).await;
         }
     }
 }
 
+/// Requests updates once and applies the reply.
+async fn request_updates(
+    gw: &Rc<Gateway>,
+    peer: &PeerHost,
+    confirmed: &Confirmed,
+    progress: &mut SubscriptionProgress,
+) {
+    let host = &peer.host;
+    let (asked_at, in_force) = (gw.now(), gw.catalog.version());
+    let catalog = match progress.is_unreadable {
+        true => CatalogRequest::whole(),
+        false => CatalogRequest::next(gw, host, progress.is_overdue),
+    };
+    let is_backup = catalog.mode == CatalogMode::Version;
+    let reply = match fetch_updates(gw, peer, catalog, progress.wait).await {
+        Ok(reply) => reply,
+        Err(reason) => return progress.record_failure(gw, host, &reason),
+    };
+    gw.last_contacts.borrow_mut().insert(host.clone(), gw.now());
+    let (held_at, version) = (asked_at.plus(reply.held.duration()), reply.catalog_version);
+    progress.record_reply(gw, host, held_at);
+    let (before, _) = gw.directory.borrow().position(host);
+    if before != Incarnation::default() && before != reply.feed.incarnation {
+        restore_records(gw, peer);
+    }
+    progress.is_unreadable = apply_updates(gw, host, reply, confirmed).is_err();
+    let now_in_force = gw.catalog.version();
+    progress.is_overdue = is_backup && version > now_in_force && now_in_force == in_force;
+    record_news(gw, host, held_at, version);
+}
+
 /// Records which catalog a control host held, not before `held_at`.
 fn record_news(gw: &Gateway, host: &HostId, held_at: Timestamp, version: CatalogVersion) {
     let mut news = gw.control_news.borrow_mut();
