--- a/crates/gateway/src/control/answer_control.rs
+++ b/crates/gateway/src/control/answer_control.rs
@@ -79,7 +79,8 @@
 }
 
 /// Records that an endpoint leaves. An endpoint that announced itself to another control host may not be
-/// listed here yet, so its listing is awaited. A departure that cannot be listed is told to the hosts by itself.
+/// listed here yet, so its listing is awaited. If it does not come, the departure spreads like one that an endpoint
+/// states in an answer.
 async fn leave(
     gw: &Gateway,
     control: &ControlHost,
--- a/crates/gateway/src/entry/subscription_progress.rs
+++ b/crates/gateway/src/entry/subscription_progress.rs
@@ -8,8 +8,8 @@
 /// it.
 pub(super) const UPDATE_WAIT: Duration = Duration::from_millis(500);
 
-/// A reply that travels for longer, or does not come, leaves this host without confirmation for so long that the next one
-/// must not wait for an update.
+/// After a reply that travelled for longer, or none, the next request is answered at once: what this host has confirmed is
+/// too old by then to wait for an update.
 const LATE_REPLY: Duration = Duration::from_millis(250);
 
 /// What the last request to a control host means for the next one.
