--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -9,6 +9,7 @@
 mod late_extra_answer;
 mod record;
 mod replica;
+mod restarted_engine;
 
 use std::process::exit;
 
@@ -25,6 +26,7 @@
         "endless-body" => endless_body::run(trouble, endless_body::Tail::ChunkSize),
         "endless-head" => endless_body::run(trouble, endless_body::Tail::InterimResponses),
         "late-extra-answer" => late_extra_answer::run(trouble),
+        "restarted-engine" => restarted_engine::run(trouble),
         _ => Err(format!("unknown scenario {scenario}")),
     };
     let status = match outcome {
--- a/review/harness/replica.rs
+++ b/review/harness/replica.rs
@@ -57,7 +57,7 @@
     }
 }
 
-/// Sends a check-in every 1,200 ms, to the next control host after a failure.
+/// Sends a check-in every 1,200 ms, sooner after a failure.
 fn check_in(
     id: &str,
     service: &str,
@@ -66,34 +66,42 @@
     capacity: u32,
     control: &[SocketAddr],
 ) {
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
-    let mut at = 0;
-    for sequence in 1.. {
-        let body = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\
-             \"version\":\"v1\",\"capacity\":{capacity},\"state\":\"ready\",\
-             \"cold-remaining-ms\":0,\"sequence\":{sequence},\"born\":{born}}}"
-        );
-        let path = format!("POST /v1/Replicas.Heartbeat/{id}");
-        let headers = [("Host", "control"), ("Content-Type", "application/json")];
-        let mut is_acknowledged = false;
-        for _ in 0..control.len() {
-            let answer = http::call(
-                control[at % control.len()],
-                &path,
-                &headers,
-                &body,
-                Duration::from_secs(1),
-            );
-            is_acknowledged = answer.is_ok_and(|m| m.status() == 200);
-            if is_acknowledged {
-                break;
-            }
-            at += 1;
-        }
-        if sequence == 1 || !is_acknowledged {
-            record::line(&format!("check-in of {id} at {addr}: acknowledged {is_acknowledged}"));
+    let born = unix_ms();
+    for n in 1.. {
+        let taken = send_check_in(id, service, zone, "v1", addr, capacity, n, born, control);
+        if n == 1 || !taken {
+            record::line(&format!("check-in of {id} at {addr}: acknowledged {taken}"));
         }
-        thread::sleep(Duration::from_millis(if is_acknowledged { 1_200 } else { 200 }));
+        thread::sleep(Duration::from_millis(if taken { 1_200 } else { 200 }));
     }
 }
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// Sends one check-in to the first control host that acknowledges it; returns whether one did.
+#[allow(clippy::too_many_arguments)]
+pub fn send_check_in(
+    id: &str,
+    service: &str,
+    zone: &str,
+    version: &str,
+    addr: SocketAddr,
+    capacity: u32,
+    sequence: u64,
+    born: u64,
+    control: &[SocketAddr],
+) -> bool {
+    let body = format!(
+        "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\
+         \"version\":\"{version}\",\"capacity\":{capacity},\"state\":\"ready\",\
+         \"cold-remaining-ms\":0,\"sequence\":{sequence},\"born\":{born}}}"
+    );
+    let path = format!("POST /v1/Replicas.Heartbeat/{id}");
+    let headers = [("Host", "control"), ("Content-Type", "application/json")];
+    control.iter().any(|addr| {
+        let answer = http::call(*addr, &path, &headers, &body, Duration::from_secs(1));
+        answer.is_ok_and(|m| m.status() == 200)
+    })
+}
