--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -10,7 +10,7 @@
 mod record;
 mod replica;
 mod restarted_engine;
-mod silent_engines;
+mod silent_engine;
 
 use std::process::exit;
 
@@ -28,7 +28,7 @@
         "endless-head" => endless_body::run(trouble, endless_body::Tail::InterimResponses),
         "late-extra-answer" => late_extra_answer::run(trouble),
         "restarted-engine" => restarted_engine::run(trouble),
-        "silent-engines" => silent_engines::run(trouble),
+        "silent-engine" => silent_engine::run(trouble),
         _ => Err(format!("unknown scenario {scenario}")),
     };
     let status = match outcome {
--- a/review/harness/silent_engines.rs
+++ b/review/harness/silent_engine.rs
@@ -1,11 +1,11 @@
-//! A host is told to stop while it forwards streams, and the engines send nothing for two seconds. All streams are to be
-//! forwarded to their end all the same.
+//! A host is told to stop while it forwards streams, and one of two engines sends nothing for two seconds. All streams are
+//! to be forwarded to their end all the same.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
@@ -14,15 +14,15 @@
 use crate::record;
 use crate::replica::{Handler, Replica};
 
-const ENTRY_HOSTS: usize = 2;
-const ENGINES: usize = 3;
-const CLIENTS: usize = 60;
+const ENTRY_HOSTS: usize = 4;
+const ENGINES: usize = 2;
+const CLIENTS: usize = 120;
 
 /// Events of a stream, and the time between them.
 const EVENTS: u64 = 30;
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// After the streams have begun: when the host is told to stop, and when the engines send nothing.
+/// After the streams have begun: when the host is told to stop, and when the engine sends nothing.
 const STOP_AT: Duration = Duration::from_millis(500);
 const SILENT_FROM: Duration = Duration::from_millis(1_000);
 const SILENT_UNTIL: Duration = Duration::from_millis(3_000);
@@ -34,6 +34,10 @@
     /// When the streams began.
     begun: Mutex<Option<Instant>>,
     runs: AtomicUsize,
+    /// The streams that began at each engine.
+    streams: [AtomicUsize; ENGINES],
+    /// The engine that is silent: the one with more streams.
+    silent: OnceLock<usize>,
     complete: AtomicUsize,
     cut: AtomicUsize,
     refused: AtomicUsize,
@@ -47,7 +51,7 @@
         let ip = deployment.new_ip();
         let id = format!("i-engine-{n}");
         let zone = ["z-a", "z-b", "z-c"][n];
-        let handler = engine_handler(id.clone(), shared.clone(), trouble);
+        let handler = engine_handler(n, id.clone(), shared.clone());
         Replica::start(&id, "pool", zone, ip, 128, &deployment.control, handler)?;
     }
     deployment.wait_ready()?;
@@ -67,6 +71,15 @@
         return Err("no SIGTERM could be sent".into());
     }
     record::line("SIGTERM to the entry host of the clients");
+    let streams = |n: &usize| shared.streams[*n].load(Ordering::SeqCst);
+    if let (true, Some(silent)) = (trouble, (0..ENGINES).max_by_key(streams)) {
+        let _ = shared.silent.set(silent);
+        let (from, until) = (SILENT_FROM.as_millis(), SILENT_UNTIL.as_millis());
+        record::line(&format!(
+            "i-engine-{silent} has {} streams, and is silent from {from} to {until} ms after they began",
+            streams(&silent)
+        ));
+    }
     for client in clients {
         let _ = client.join();
     }
@@ -99,12 +112,13 @@
         .to_owned()
 }
 
-/// Streams events; between `SILENT_FROM` and `SILENT_UNTIL` it makes none.
-fn engine_handler(id: String, shared: Arc<Shared>, trouble: bool) -> Handler {
+/// Streams events; a silent engine makes none between `SILENT_FROM` and `SILENT_UNTIL`.
+fn engine_handler(number: usize, id: String, shared: Arc<Shared>) -> Handler {
     Arc::new(move |req: &Message, stream: &mut TcpStream| {
         let attempt = req.header("attempt-id").unwrap_or("").to_owned();
         let last = req.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
         shared.runs.fetch_add(1, Ordering::SeqCst);
+        shared.streams[number].fetch_add(1, Ordering::SeqCst);
         record::line(&format!("{id} runs {attempt} after event {last:?}"));
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: s.{id}\r\n\
@@ -116,7 +130,8 @@
         for n in last.map_or(1, |last| last + 1)..=EVENTS {
             let begun = *shared.begun.lock().unwrap();
             let elapsed = begun.map(|begun| begun.elapsed()).unwrap_or_default();
-            if trouble && elapsed >= SILENT_FROM && elapsed < SILENT_UNTIL {
+            let is_silent = shared.silent.get() == Some(&number);
+            if is_silent && elapsed >= SILENT_FROM && elapsed < SILENT_UNTIL {
                 sleep(SILENT_UNTIL - elapsed);
             }
             let event = format!("id: {n}\ndata: {attempt}\n\n");
