--- a/review/harness/late_extra_answer.rs
+++ b/review/harness/late_extra_answer.rs
@@ -5,7 +5,7 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
@@ -32,6 +32,8 @@
 const BURSTS: usize = 8;
 /// Bursts before the first extra answer.
 const CALM_BURSTS: usize = 2;
+/// How long the slow replica is slow, and within that sends its extra answers.
+const SLOW_TIME: Duration = Duration::from_millis(6_500);
 /// Extra answers in the whole run, of some 30 answers of the replica.
 const MAX_EXTRA: usize = 1;
 
@@ -43,7 +45,8 @@
     /// What each result was made for.
     made_for: Mutex<HashMap<String, Piece>>,
     extra: AtomicUsize,
-    burst: AtomicUsize,
+    /// Since when the slow replica is slow.
+    slow_since: OnceLock<Instant>,
     mixed: AtomicUsize,
     run: AtomicUsize,
     answered: AtomicUsize,
@@ -70,7 +73,9 @@
     sleep(Duration::from_secs(2));
     let mut clients = Vec::new();
     for burst in 0..BURSTS {
-        shared.burst.store(burst, Ordering::SeqCst);
+        if burst == CALM_BURSTS {
+            let _ = shared.slow_since.set(Instant::now());
+        }
         for n in 0..BURST {
             let (addr, shared) = (deployment.entry[n % ENTRY_HOSTS], shared.clone());
             clients.push(thread::spawn(move || send_request(addr, &shared)));
@@ -133,8 +138,9 @@
         let pieces = read_pieces(&req.text());
         let names: Vec<_> = pieces.iter().map(|(call, _, n)| format!("{call}/{n}")).collect();
         let earlier = last.lock().unwrap().get(&peer).cloned();
-        let is_calm = shared.burst.load(Ordering::SeqCst) < CALM_BURSTS;
-        if let (true, false, Some(earlier)) = (is_faulty, is_calm, earlier)
+        let is_slow =
+            is_faulty && shared.slow_since.get().is_some_and(|at| at.elapsed() < SLOW_TIME);
+        if let (true, Some(earlier)) = (is_slow, earlier)
             && shared.extra.load(Ordering::SeqCst) < MAX_EXTRA
         {
             shared.extra.fetch_add(1, Ordering::SeqCst);
@@ -147,7 +153,7 @@
         let work = CALL_MS + ITEM_MS * pieces.len() as u64;
         {
             let _turn = turn.lock().unwrap();
-            sleep(Duration::from_millis(if is_faulty { work * SLOW_FACTOR } else { work }));
+            sleep(Duration::from_millis(if is_slow { work * SLOW_FACTOR } else { work }));
         }
         let mut items = Vec::new();
         for piece in &pieces {
--- a/review/harness/restarted_engine.rs
+++ b/review/harness/restarted_engine.rs
@@ -106,7 +106,8 @@
         Ok::<_, String>(Arc::new(Engine { id, addr, version, connections }))
     };
     // The release has replaced all engines but the last one.
-    let (last, next) = (engine("i-last")?, engine("i-next")?);
+    let last = engine("i-last")?;
+    let next = ["i-next-0", "i-next-1", "i-next-2"].map(&mut engine);
     last.start("v1")?;
     let control = deployment.control.clone();
     let sequence = Arc::new(AtomicU64::new(0));
@@ -136,15 +137,19 @@
         .collect();
     // New streams have begun; from now on engines of the next version serve beside the last one.
     sleep(Duration::from_millis(700));
-    next.start("v2")?;
-    let (addr, other) = (next.addr, control.clone());
-    thread::spawn(move || {
-        let born = unix_ms();
-        for n in 1.. {
-            send_check_in("i-next", "pool", "z-a", "v2", addr, 128, n, born, &other);
-            sleep(Duration::from_millis(1_200));
-        }
-    });
+    for next in next {
+        let next = next?;
+        next.start("v2")?;
+        let control = control.clone();
+        thread::spawn(move || {
+            let born = unix_ms();
+            for n in 1.. {
+                let (id, addr) = (next.id, next.addr);
+                send_check_in(id, "pool", "z-a", "v2", addr, 128, n, born, &control);
+                sleep(Duration::from_millis(1_200));
+            }
+        });
+    }
     sleep(END_AT.saturating_sub(begun.elapsed()));
     if trouble {
         has_ended.store(true, Ordering::SeqCst);
