--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -33,8 +33,7 @@
         let folder = std::env::temp_dir().join(format!("review-{id}"));
         fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
         let addr = |n: usize, offset: u16| SocketAddr::new(ip(n), port + offset);
-        let seeds: Vec<_> =
-            (0..CONTROL_HOSTS).map(|n| format!("\"{}\"", addr(n, 20))).collect();
+        let seeds: Vec<_> = (0..CONTROL_HOSTS).map(|n| format!("\"{}\"", addr(n, 20))).collect();
         let mut deployment = Self {
             control: (0..CONTROL_HOSTS).map(|n| addr(n, 20)).collect(),
             entry: (CONTROL_HOSTS..count).map(|n| addr(n, 21)).collect(),
@@ -72,7 +71,8 @@
             );
             let path = folder.join(format!("{name}.toml"));
             fs::write(&path, settings).map_err(|e| e.to_string())?;
-            let log = File::create(folder.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
+            let log =
+                File::create(folder.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
             let child = Command::new("target/release/masticstaird")
                 .args(["run", "--config"])
                 .arg(&path)
--- a/review/harness/endless_body.rs
+++ b/review/harness/endless_body.rs
@@ -48,7 +48,7 @@
     let mut deployment = Deployment::start(ENTRY_HOSTS)?;
     deployment.replace(&manifest())?;
     let is_due = Arc::new(AtomicBool::new(false));
-    
+
     for n in 0..REPLICAS {
         let ip = deployment.new_ip();
         let id = format!("i-{n}");
@@ -145,9 +145,8 @@
 /// Sends until the caller closes; returns the number of bytes. Several threads send, so that one that has to wait for the
 /// processor leaves no gap.
 fn send_endlessly(stream: &mut TcpStream, attempt: &str, tail: Tail) -> u64 {
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
+    let head =
+        format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nTransfer-Encoding: chunked\r\n\r\n");
     let (head, tail, threads) = match tail {
         Tail::ChunkSize => (head.as_str(), "0".repeat(1 << 18), 3),
         // The bytes of two threads would mix.
@@ -219,7 +218,10 @@
     while begun.elapsed() < LENGTH - CLIENT_TIMEOUT {
         let stream = match connection.take() {
             Some(stream) => stream,
-            None => match TcpStream::connect_timeout(&balancer.choose(preferred), Duration::from_secs(1)) {
+            None => match TcpStream::connect_timeout(
+                &balancer.choose(preferred),
+                Duration::from_secs(1),
+            ) {
                 Ok(stream) => BufReader::new(stream),
                 Err(e) => {
                     record::line(&format!("{name}: no connection: {e}"));
--- a/review/harness/late_extra_answer.rs
+++ b/review/harness/late_extra_answer.rs
@@ -132,7 +132,8 @@
     Arc::new(move |req: &Message, stream: &mut TcpStream| {
         let (Ok(peer), Ok(local)) = (stream.peer_addr(), stream.local_addr()) else { return false };
         if req.path() != "/v1/stage-run" {
-            let answer = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
+            let answer =
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
             return stream.write_all(answer.as_bytes()).is_ok();
         }
         let pieces = read_pieces(&req.text());
@@ -145,7 +146,9 @@
         {
             shared.extra.fetch_add(1, Ordering::SeqCst);
             last.lock().unwrap().remove(&peer);
-            record::line(&format!("{id} gets a call for {names:?} and first repeats its last answer to {peer}"));
+            record::line(&format!(
+                "{id} gets a call for {names:?} and first repeats its last answer to {peer}"
+            ));
             if stream.write_all(earlier.as_bytes()).is_err() {
                 return false;
             }
@@ -157,7 +160,8 @@
         }
         let mut items = Vec::new();
         for piece in &pieces {
-            let handle = format!("{local}/{:x}", RESULT.fetch_add(1, Ordering::SeqCst) + 0x91bd_0000);
+            let handle =
+                format!("{local}/{:x}", RESULT.fetch_add(1, Ordering::SeqCst) + 0x91bd_0000);
             items.push(format!("{{\"kv-handle\":\"{handle}\"}}"));
             shared.made_for.lock().unwrap().insert(handle, piece.clone());
         }
--- a/review/harness/replica.rs
+++ b/review/harness/replica.rs
@@ -47,7 +47,8 @@
     while let Ok(Some(req)) = read_message(&mut reader) {
         let is_other = req.header("expected-replica").is_some_and(|id| id != own_id);
         if is_other {
-            let answer = "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            let answer =
+                "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             if std::io::Write::write_all(&mut stream, answer.as_bytes()).is_err() {
                 return;
             }
