Start a replica again from its data folder after a storage fault

Cause: after a failed write the storage thread rightly refuses all work, but nothing opened the folder again or ended the process. Each replica could fail once, until a quorum was missing.

In crates/host/tests/full_disks.rs the leader has no answer from a voter 5 s after its disk took writes again; the test failed before this change.

Change: store::replica stops node and storage after a storage fault, opens the folder again on a thread of its own with jittered delays of at most 1 s, and starts a new node from what is recovered. Recovery copies the end of the log into a new file before anything counts, so nothing that the operating system returns after a failed sync is believed. A disk that fails at the start of the process is treated in the same way, the formation waits for a committed entry, and a host without a running replica says that nothing was proposed. Metrics, log lines and the status tell the loss and the return.

--- a/crates/host/src/control/control_parts.rs
+++ b/crates/host/src/control/control_parts.rs
@@ -1,13 +1,12 @@
 use futures_channel::mpsc;
 use masticstair_net::peer::{PeerHandlers, PeerIdentity, PeerServer, ProtocolVersion};
-use masticstair_store::storage::StorageHandle;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use super::control_context::ControlContext;
 use super::control_job::ControlJob;
-use super::{ControlHandle, ControlStartError, bundles, handlers, node_start};
+use super::{ControlHandle, ControlStartError, bundles, handlers, replica_start};
 use crate::membership::{
     BundleHooks, Membership, MembershipConfig, PeerPool, RevisionSurvey, install_handlers,
 };
@@ -18,7 +17,6 @@
     pub(super) cx: ControlContext,
     pub(super) server: PeerServer,
     pub(super) peer_addr: SocketAddr,
-    pub(super) storage: Option<StorageHandle>,
     pub(super) jobs: mpsc::UnboundedReceiver<ControlJob>,
     pub(super) hooks: Rc<BundleHooks>,
 }
@@ -49,11 +47,11 @@
     let hooks = bundles::bundle_hooks(state);
     let mut peer_handlers = PeerHandlers::refusing();
     install_handlers(&mut peer_handlers, &membership, &peers, &hooks, &state.log);
-    let (mut node, mut storage) = (None, None);
+    let mut replica = None;
     if let Some(folder) = &state.cfg.data_folder {
-        let (started, handle) = node_start::start_node(state, &membership, &peers, folder)?;
+        let started = replica_start::start_replica(state, &membership, &peers, folder)?;
         handlers::install_replica(&mut peer_handlers, &started);
-        (node, storage) = (Some(started), Some(handle));
+        replica = Some(started);
     } else {
         handlers::install_without_replica(&mut peer_handlers);
     }
@@ -68,6 +66,6 @@
     let survey =
         RevisionSurvey::new(survey_membership, survey_peers, hooks.clone(), state.log.clone());
     let survey = Rc::new(survey);
-    let cx = ControlContext { state: state.clone(), membership, peers, node, leader, survey };
-    Ok(ControlParts { cx, server, peer_addr: addr, storage, jobs, hooks })
+    let cx = ControlContext { state: state.clone(), membership, peers, replica, leader, survey };
+    Ok(ControlParts { cx, server, peer_addr: addr, jobs, hooks })
 }
--- a/crates/host/src/control/control_start_error.rs
+++ b/crates/host/src/control/control_start_error.rs
@@ -1,5 +1,4 @@
-use masticstair_store::consensus::StartError;
-use masticstair_store::storage::StorageError;
+use masticstair_store::replica::ReplicaError;
 use std::io;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -15,12 +14,9 @@
         /// The cause.
         source: io::Error,
     },
-    /// The data folder cannot be opened or repaired.
+    /// The replica cannot be started from the data folder.
     #[error(transparent)]
-    Storage(#[from] StorageError),
-    /// The replica cannot be restored from the content of the data folder.
-    #[error(transparent)]
-    Node(#[from] StartError),
+    Replica(#[from] ReplicaError),
     /// The thread or its async runtime cannot be started.
     #[error("cannot start the control thread: {0}")]
     Thread(#[from] io::Error),
--- a/crates/host/src/control/control_thread.rs
+++ b/crates/host/src/control/control_thread.rs
@@ -1,7 +1,6 @@
 use futures_channel::{mpsc, oneshot};
 use futures_util::{FutureExt, StreamExt};
 use masticstair_net::runtime::block_on;
-use slog::info;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
@@ -77,16 +76,16 @@
             return;
         }
     };
-    let ControlParts { cx, server, peer_addr, storage, jobs, hooks } = parts;
+    let ControlParts { cx, server, peer_addr, jobs, hooks } = parts;
     let _ = started.send(Ok(peer_addr));
     let (leave_tx, leave_rx) = oneshot::channel::<()>();
     let (close_tx, close_rx) = oneshot::channel::<()>();
     monoio::spawn(server.run(close_rx.map(|_| ())));
     monoio::spawn(answer_jobs(cx.clone(), jobs));
-    if let Some(node) = &cx.node {
-        monoio::spawn(formation::form_group(cx.clone(), node.clone()));
-        monoio::spawn(discovery::discover_replicas(cx.clone(), node.clone()));
-        monoio::spawn(maintenance::raise_floor(cx.clone(), node.clone()));
+    if cx.replica.is_some() {
+        monoio::spawn(formation::form_group(cx.clone()));
+        monoio::spawn(discovery::discover_replicas(cx.clone()));
+        monoio::spawn(maintenance::raise_floor(cx.clone()));
     }
     let membership = monoio::spawn(run_membership(MembershipContext {
         membership: cx.membership.clone(),
@@ -97,19 +96,12 @@
     }));
     // A dropped sender also means shutdown.
     let _ = stopped.await;
-    if let Some(node) = &cx.node {
-        if let Err(e) = node.transfer_leadership(TRANSFER_TIMEOUT).await {
-            info!(state.log, "stopping without a leadership transfer"; "reason" => %e);
-        }
-        node.stop();
+    if let Some(replica) = &cx.replica {
+        replica.stop(TRANSFER_TIMEOUT).await;
     }
     let _ = leave_tx.send(());
     membership.await;
     let _ = close_tx.send(());
-    if let Some(storage) = storage {
-        // The storage may have failed earlier; the process ends either way.
-        let _ = storage.close().await;
-    }
 }
 
 /// Serves the requests of the other threads, each in its own task.
@@ -141,7 +133,12 @@
 }
 
 fn status(cx: &ControlContext) -> ControlStatus {
-    let node = cx.node.as_ref().map(|node| node.status());
+    let node = cx.node().map(|node| node.status());
+    let replica_fault = cx.replica.as_ref().and_then(|replica| replica.fault());
     let leader = node.as_ref().and_then(|n| n.leader.as_ref()).map(|l| l.host.clone());
-    ControlStatus { node, leader: leader.or_else(|| cx.leader.host.borrow().clone()) }
+    ControlStatus {
+        node,
+        replica_fault,
+        leader: leader.or_else(|| cx.leader.host.borrow().clone()),
+    }
 }
--- a/crates/host/src/control/discovery.rs
+++ b/crates/host/src/control/discovery.rs
@@ -2,7 +2,7 @@
 
 use masticstair_core::message::Replica;
 use masticstair_net::peer::GroupId;
-use masticstair_store::consensus::{Node, Role};
+use masticstair_store::consensus::Role;
 use std::time::Duration;
 
 use super::control_context::ControlContext;
@@ -13,12 +13,12 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Asks the live hosts that have a data folder for the identity of their replica, while the local one leads.
-pub(super) async fn discover_replicas(cx: ControlContext, node: Node) {
+pub(super) async fn discover_replicas(cx: ControlContext) {
     loop {
         monoio::time::sleep(DISCOVERY_INTERVAL).await;
-        if node.status().role != Role::Leader {
+        let Some(node) = cx.node().filter(|node| node.status().role == Role::Leader) else {
             continue;
-        }
+        };
         let snapshot = cx.membership.snapshot();
         for host in snapshot.hosts.iter().filter(|h| h.record.durable) {
             let Some(peer) = &host.peer else { continue };
--- a/crates/host/src/control/formation.rs
+++ b/crates/host/src/control/formation.rs
@@ -1,9 +1,10 @@
 //! Forms the first group of voters. This happens once, when the data folders of all initial voters are empty.
 
+use masticstair_core::id::LogIndex;
 use masticstair_core::message::Replica;
 use masticstair_core::prelude::*;
 use masticstair_net::peer::GroupId;
-use masticstair_store::consensus::{FormationAnswer, FormationDecision, Node, decide_formation};
+use masticstair_store::consensus::{FormationAnswer, FormationDecision, decide_formation};
 use slog::{info, warn};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,17 +16,22 @@
 /// Timeout of the request to one initial voter.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Runs until the local replica has a log, or an existing group is found whose leader will send it one.
-pub(super) async fn form_group(cx: ControlContext, node: Node) {
+/// Runs until the local replica has a committed entry, or an existing group is found whose leader will send it a
+/// log. An entry that is not committed does not count, because a storage fault may drop it.
+pub(super) async fn form_group(cx: ControlContext) {
     loop {
+        let (Some(node), Some(initial)) = (cx.node(), initial_voters(&cx)) else {
+            monoio::time::sleep(ATTEMPT_INTERVAL).await;
+            continue;
+        };
         let local = node.formation_answer();
         if !local.log_is_empty {
-            return;
-        }
-        let Some(initial) = initial_voters(&cx) else {
+            if node.status().commit_index > LogIndex::default() {
+                return;
+            }
             monoio::time::sleep(ATTEMPT_INTERVAL).await;
             continue;
-        };
+        }
         let local_replica = local.replica.clone();
         let mut answers = vec![local];
         for host in initial.iter().filter(|h| **h != local_replica.host) {
--- a/crates/host/src/control/handlers.rs
+++ b/crates/host/src/control/handlers.rs
@@ -10,6 +10,7 @@
     Proposal, ProposeReply, ReadQuery, ReadReply,
 };
 use masticstair_store::consensus::{Node, ProposeError, ReadError, Refusal};
+use masticstair_store::replica::LocalReplica;
 use std::fmt::Display;
 use std::future::Future;
 use std::sync::Arc;
@@ -17,32 +18,40 @@
 use super::leader_read::leader_read;
 use crate::state::HostState;
 
-/// Installs the handlers of the replicated log on a host with a replica.
-pub(super) fn install_replica(handlers: &mut PeerHandlers, node: &Node) {
-    handlers.vote =
-        handler(
-            node,
-            |node, req: InGroup<VoteRequest>| async move { node.vote(req.message).await },
-        );
-    handlers.append =
-        handler(
-            node,
-            |node, req: InGroup<AppendRequest>| async move { node.append(req.message).await },
-        );
-    handlers.snapshot = handler(node, |node, req: InGroup<SnapshotChunk>| async move {
-        node.snapshot(req.message).await
+/// The answer to calls while the replica does not run.
+const NOT_RUNNING: &str = "the data folder of this host cannot be used at present";
+
+/// Installs the handlers of the replicated log on a host with a replica. While its data folder cannot be used,
+/// proposals and reads are answered, because their callers must know that nothing was proposed.
+pub(super) fn install_replica(handlers: &mut PeerHandlers, replica: &LocalReplica) {
+    handlers.vote = handler(replica, refuse, |node, req: InGroup<VoteRequest>| async move {
+        node.vote(req.message).await
     });
-    handlers.propose = handler(node, |node, req: InGroup<Proposal>| async move {
-        let proposal = req.message;
-        let reply = node.propose(proposal.command, proposal.budget).await;
-        Ok::<_, CallRefused>(propose_reply(reply))
+    handlers.append = handler(replica, refuse, |node, req: InGroup<AppendRequest>| async move {
+        node.append(req.message).await
     });
-    handlers.read = handler(node, |node, req: InGroup<ReadQuery>| async move {
-        let query = req.message;
-        let answer = leader_read(&node, &query.query, query.budget).await;
-        Ok::<_, CallRefused>(read_reply(answer))
+    handlers.snapshot = handler(replica, refuse, |node, req: InGroup<SnapshotChunk>| async move {
+        node.snapshot(req.message).await
     });
-    handlers.formation = handler(node, |node, _group: GroupId| async move {
+    handlers.propose = handler(
+        replica,
+        || Ok(ProposeReply::NotProposed(NOT_RUNNING.into())),
+        |node, req: InGroup<Proposal>| async move {
+            let proposal = req.message;
+            let reply = node.propose(proposal.command, proposal.budget).await;
+            Ok::<_, CallRefused>(propose_reply(reply))
+        },
+    );
+    handlers.read = handler(
+        replica,
+        || Ok(ReadReply::Failed(NOT_RUNNING.into())),
+        |node, req: InGroup<ReadQuery>| async move {
+            let query = req.message;
+            let answer = leader_read(&node, &query.query, query.budget).await;
+            Ok::<_, CallRefused>(read_reply(answer))
+        },
+    );
+    handlers.formation = handler(replica, refuse, |node, _group: GroupId| async move {
         let answer = node.formation_answer();
         Ok::<_, CallRefused>(FormationAnswer {
             new: answer.log_is_empty,
@@ -84,17 +93,26 @@
     });
 }
 
-/// Creates a handler that answers a call with the local replica. An error refuses the call with its text.
+fn refuse<Reply>() -> Result<Reply, CallRefused> {
+    Err(CallRefused::new(NOT_RUNNING))
+}
+
+/// Creates a handler that answers a call with the node of the local replica, or by `not_running` while there is
+/// none. An error refuses the call with its text.
 fn handler<Request: 'static, Reply: 'static, F, E: Display>(
-    node: &Node,
+    replica: &LocalReplica,
+    not_running: impl Fn() -> Result<Reply, CallRefused> + 'static,
     answer: impl Fn(Node, Request) -> F + 'static,
 ) -> Handler<Request, Reply>
 where
     F: Future<Output = Result<Reply, E>> + 'static,
 {
-    let node = node.clone();
+    let replica = replica.clone();
     Box::new(move |_caller, req| {
-        let answer = answer(node.clone(), req);
+        let Some(node) = replica.node() else {
+            return std::future::ready(not_running()).boxed_local();
+        };
+        let answer = answer(node, req);
         async move { answer.await.map_err(|e| CallRefused::new(e.to_string())) }.boxed_local()
     })
 }
--- a/crates/host/src/control/mod.rs
+++ b/crates/host/src/control/mod.rs
@@ -18,10 +18,9 @@
 mod leader_read;
 mod leader_status;
 mod maintenance;
-mod node_start;
 mod peer_links;
+mod replica_start;
 mod route;
-mod storage_adapter;
 mod voter_progress;
 
 pub use control_error::ControlError;
--- a/crates/host/src/control/node_start.rs
+++ b/crates/host/src/control/replica_start.rs
@@ -1,66 +1,80 @@
-//! Starts the replica of a host that has a data folder.
+//! Starts the replica of a host that has a data folder, and puts what it applies in force.
 
 use masticstair_core::message::Replica;
 use masticstair_core::prelude::*;
 use masticstair_gateway::GatewayEvent;
 use masticstair_store::consensus::{Config, Node, NodeParts, RestoreError, StateMachine};
+use masticstair_store::replica::{LocalReplica, ReplicaError, ReplicaParts};
 use masticstair_store::state::{ReplicatedState, StateClosures};
 use masticstair_store::storage::{self, StorageError, StorageHandle};
-use slog::warn;
+use slog::{Logger, warn};
 use std::cell::RefCell;
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use super::bundles::install_committed;
-use super::{ControlStartError, peer_links, storage_adapter};
+use super::peer_links;
 use crate::membership::{Membership, PeerPool};
 use crate::state::HostState;
 
 /// Opens the data folder and starts the replica from its content.
-pub(super) fn start_node(
+pub(super) fn start_replica(
     state: &Arc<HostState>,
     membership: &Arc<Membership>,
     peers: &Rc<PeerPool>,
     folder: &Path,
-) -> Result<(Node, StorageHandle), ControlStartError> {
-    let (handle, recovered) = open_or_repair(state, folder)?;
-    let cfg = Config {
-        replace_after: state.cfg.replace_voter_after,
-        target_voters: Slots::new(2 * state.cfg.disk_losses as u32 + 1),
-        ..Config::default()
-    };
-    let local_replica = Replica {
-        id: recovered.identity,
-        host: state.cfg.host.clone(),
-        data_centre: state.cfg.data_centre.clone(),
-    };
-    let node = Node::start(NodeParts {
-        local_replica,
-        connect: peer_links::connect(membership.clone(), peers.clone(), &cfg),
-        cfg,
-        recovered: storage_adapter::recovered_state(recovered),
-        storage: storage_adapter::storage(handle.clone()),
-        state_machine: state_machine(state, membership),
+) -> Result<LocalReplica, ReplicaError> {
+    let (folder, open_log): (Box<Path>, _) = (folder.into(), state.log.clone());
+    let (host, counting) = (state.clone(), state.clone());
+    let (membership, peers) = (membership.clone(), peers.clone());
+    LocalReplica::start(ReplicaParts {
+        open: Arc::new(move || open_or_repair(&open_log, &folder)),
+        start: Box::new(move |identity, recovered, storage| {
+            let cfg = Config {
+                replace_after: host.cfg.replace_voter_after,
+                target_voters: Slots::new(2 * host.cfg.disk_losses as u32 + 1),
+                ..Config::default()
+            };
+            Node::start(NodeParts {
+                local_replica: Replica {
+                    id: identity,
+                    host: host.cfg.host.clone(),
+                    data_centre: host.cfg.data_centre.clone(),
+                },
+                connect: peer_links::connect(membership.clone(), peers.clone(), &cfg),
+                cfg,
+                recovered,
+                storage,
+                state_machine: state_machine(&host, &membership),
+                log: host.log.clone(),
+            })
+        }),
+        changed: Box::new(move |node| {
+            let metrics = &counting.metrics;
+            metrics.replica_running.set(i64::from(node.is_some()));
+            if node.is_none() {
+                metrics.storage_faults.inc();
+            }
+        }),
         log: state.log.clone(),
-    })?;
-    Ok((node, handle))
+    })
 }
 
 /// Opens the data folder. A damaged folder is moved aside, and the host rejoins as a new replica, to which
 /// the leader sends the log.
 fn open_or_repair(
-    state: &HostState,
+    log: &Logger,
     folder: &Path,
-) -> Result<(StorageHandle, storage::Recovered), ControlStartError> {
+) -> Result<(StorageHandle, storage::Recovered), StorageError> {
     match storage::open(folder) {
         Err(e @ (StorageError::Damaged { .. } | StorageError::Missing { .. })) => {
             let kept = storage::repair(folder)?;
-            warn!(state.log, "data folder is damaged; moved it aside and rejoining as a new replica";
+            warn!(log, "data folder is damaged; moved it aside and rejoining as a new replica";
                 "reason" => %e, "kept" => %kept.display());
-            Ok(storage::open(folder)?)
+            storage::open(folder)
         }
-        opened => Ok(opened?),
+        opened => opened,
     }
 }
 
--- a/crates/host/src/control/route.rs
+++ b/crates/host/src/control/route.rs
@@ -108,7 +108,7 @@
         return (Some(host), CallTarget::Remote(peer.clone()));
     }
     let others: Vec<_> = snapshot.hosts.iter().filter(|h| h.peer.is_some()).collect();
-    let local_replicas = usize::from(cx.node.is_some());
+    let local_replicas = usize::from(cx.node().is_some());
     let position = attempts % (others.len() + local_replicas).max(1);
     if local_replicas == 1 && position == 0 {
         return (Some(local.clone()), CallTarget::Local);
@@ -121,7 +121,7 @@
 }
 
 async fn propose_local(cx: &ControlContext, command: &[u8], remaining: Duration) -> CallOutcome {
-    let Some(node) = &cx.node else { return CallOutcome::Retry(None, "no replica here".into()) };
+    let Some(node) = cx.node() else { return CallOutcome::Retry(None, "no replica here".into()) };
     match node.propose(command.into(), remaining).await {
         Ok(reply) => CallOutcome::Done(reply),
         Err(ProposeError::NotProposed(refusal)) => refusal_outcome(refusal),
@@ -154,8 +154,8 @@
 }
 
 async fn read_local(cx: &ControlContext, query: &[u8], remaining: Duration) -> CallOutcome {
-    let Some(node) = &cx.node else { return CallOutcome::Retry(None, "no replica here".into()) };
-    match leader_read(node, query, remaining).await {
+    let Some(node) = cx.node() else { return CallOutcome::Retry(None, "no replica here".into()) };
+    match leader_read(&node, query, remaining).await {
         Ok(answer) => CallOutcome::Done(answer),
         Err(e) => {
             let reason = e.to_string().into();
--- a/crates/host/src/http_api/admin/local_host_status.rs
+++ b/crates/host/src/http_api/admin/local_host_status.rs
@@ -23,6 +23,6 @@
     pub in_flight: Slots,
     /// Connections that its workers hold open.
     pub connections: Slots,
-    /// The storage fault that made its replica stop acknowledging entries; `None` without one.
+    /// Why its replica acknowledges no entries, such as a full disk; `None` while it does.
     pub storage_fault: Option<Box<str>>,
 }
--- a/crates/host/src/http_api/admin/status.rs
+++ b/crates/host/src/http_api/admin/status.rs
@@ -95,7 +95,6 @@
 }
 
 fn local_host_status(state: &HostState, local: Option<&ControlStatus>) -> LocalHostStatus {
-    let fault = local.and_then(|local| local.node.as_ref()).and_then(|node| node.fault.as_ref());
     LocalHostStatus {
         host: state.cfg.host.clone(),
         region: state.cfg.region.clone(),
@@ -106,7 +105,7 @@
         waiting: Slots::new(u32::try_from(state.traffic.waiting()).unwrap_or(u32::MAX)),
         in_flight: Slots::new(state.drain.in_flight()),
         connections: state.connections.open(),
-        storage_fault: fault.map(|fault| fault.0.clone()),
+        storage_fault: local.and_then(|local| local.replica_fault.clone()),
     }
 }
 
--- a/crates/host/src/telemetry/metrics.rs
+++ b/crates/host/src/telemetry/metrics.rs
@@ -37,6 +37,10 @@
     pub revision: Gauge,
     /// Requests that are in flight on this host.
     pub in_flight: Gauge,
+    /// 1 while the replica of this host runs; 0 while its data folder cannot be used, and without one.
+    pub replica_running: Gauge,
+    /// Storage faults after which the replica is started again.
+    pub storage_faults: Counter,
     /// The metrics of the gateway, exported with the sub-prefix `gateway`; zero on hosts without one.
     pub gateway: GatewayMetrics,
 }
@@ -55,6 +59,8 @@
             endpoints: Gauge::default(),
             revision: Gauge::default(),
             in_flight: Gauge::default(),
+            replica_running: Gauge::default(),
+            storage_faults: Counter::default(),
             gateway: GatewayMetrics::default(),
             registry: Registry::default(),
         };
@@ -72,6 +78,10 @@
         registry.register("endpoints", "Endpoints that are ready", metrics.endpoints.clone());
         registry.register("revision", "Revision in force", metrics.revision.clone());
         registry.register("requests_in_flight", "Requests in flight", metrics.in_flight.clone());
+        let help = "Whether the replica of this host runs";
+        registry.register("replica_running", help, metrics.replica_running.clone());
+        let help = "Storage faults after which the replica is started again";
+        registry.register("storage_faults", help, metrics.storage_faults.clone());
         metrics.gateway.register(&mut registry);
         Self { registry, ..metrics }
     }
--- a/crates/host/tests/support/cluster.rs
+++ b/crates/host/tests/support/cluster.rs
@@ -1,9 +1,11 @@
 //! A cluster of host processes, with endpoints and an operator in the test process.
 
-use masticstair_host::control::{ControlThread, start_control};
+use masticstair_core::id::ReplicaId;
+use masticstair_host::control::{ControlThread, LeaderStatus, VoterProgress, start_control};
 use masticstair_host::settings::Settings;
 use masticstair_host::state::HostState;
 use masticstair_standins::CallLog;
+use rustix::process::{Pid, Resource, Rlimit, prlimit};
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -89,9 +91,75 @@
 
     /// Starts a host process.
     pub fn start_host(&mut self, i: usize) {
-        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_masticstaird"));
-        command.arg("run").arg("--config").arg(&self.hosts[i].settings);
-        self.hosts[i].child = Some(command.stderr(Stdio::inherit()).spawn().unwrap());
+        self.start_after(i, "");
+    }
+
+    /// Starts a host process whose disk is full.
+    pub fn start_with_full_disk(&mut self, i: usize) {
+        self.start_after(i, "ulimit -S -f 0;");
+    }
+
+    /// Starts a host process after a shell command. Writes beyond the file size limit fail, as on a full disk,
+    /// because the signal that would end the process is ignored.
+    fn start_after(&mut self, i: usize, command: &str) {
+        let script = format!("trap '' XFSZ; {command} exec \"$0\" run --config \"$1\"");
+        let mut shell = std::process::Command::new("sh");
+        shell.arg("-c").arg(script).arg(env!("CARGO_BIN_EXE_masticstaird"));
+        shell.arg(&self.hosts[i].settings);
+        self.hosts[i].child = Some(shell.stderr(Stdio::inherit()).spawn().unwrap());
+    }
+
+    /// Makes all writes of a host process to files fail, as on a full disk, or succeed again.
+    pub fn set_disk_full(&self, i: usize, is_full: bool) {
+        let pid = Pid::from_child(self.hosts[i].child.as_ref().unwrap());
+        let current = is_full.then_some(0);
+        prlimit(Some(pid), Resource::Fsize, Rlimit { current, maximum: None }).unwrap();
+    }
+
+    /// Returns whether a host process still runs.
+    pub fn is_running(&mut self, i: usize) -> bool {
+        self.hosts[i].child.as_mut().unwrap().try_wait().unwrap().is_none()
+    }
+
+    /// Returns the replica of a voter.
+    pub fn replica(&self, i: usize) -> ReplicaId {
+        let host = format!("h{i}");
+        let status = self.leader_status().unwrap();
+        status.voters.iter().find(|v| v.host.as_str() == host).unwrap().replica
+    }
+
+    /// Waits until all replicas vote and have every entry of the leader, without the replica that was lost with
+    /// its disk; panics after `limit`.
+    pub fn wait_replicated(&self, lost: Option<ReplicaId>, limit: Duration) {
+        let started = Instant::now();
+        let mut last = None;
+        while started.elapsed() < limit {
+            last = self.leader_status();
+            let is_replicated = |status: &LeaderStatus| {
+                let is_current = |v: &VoterProgress| {
+                    v.voter && v.matched == Some(status.last) && Some(v.replica) != lost
+                };
+                status.voters.len() == VOTERS
+                    && !status.changing
+                    && status.voters.iter().all(is_current)
+            };
+            if last.as_ref().is_some_and(is_replicated) {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        panic!("not every voter has every entry after {limit:?}: {last:?}");
+    }
+
+    fn leader_status(&self) -> Option<LeaderStatus> {
+        let control = self.observer.control.get().unwrap().clone();
+        let status = async { control.leader_status(Duration::from_secs(1)).await };
+        masticstair_net::runtime::block_on(status).unwrap().ok()
+    }
+
+    /// Deletes the data folder of a host that does not run.
+    pub fn remove_data(&self, i: usize) {
+        std::fs::remove_dir_all(self._folder.path().join(format!("data{i}"))).unwrap();
     }
 
     /// Sends a signal to a host process; `signal` is a name such as `TERM`.
--- a/crates/store/src/consensus/handlers/append.rs
+++ b/crates/store/src/consensus/handlers/append.rs
@@ -5,7 +5,7 @@
 use crate::consensus::replica_state::ReplicaState;
 use crate::consensus::rules::{AppendDecision, AppendView, check_append};
 use crate::consensus::shared::Shared;
-use crate::consensus::{RequestError, StorageFault};
+use crate::consensus::{ReplicaFault, RequestError};
 
 /// Handles an append or a heartbeat. Entries are acknowledged after the sync. A heartbeat waits only for
 /// the hard state and reports the synced index, so that a slow disk is not mistaken for a lost host.
@@ -72,7 +72,7 @@
 }
 
 fn report_divergence(shared: &Shared, at: LogIndex) -> RequestError {
-    let fault = StorageFault(format!("committed entry {at} differs from the leader's").into());
+    let fault = ReplicaFault::Diverged(at);
     shared.handle_fault(fault.clone());
     fault.into()
 }
--- a/crates/store/src/consensus/handlers/install_snapshot.rs
+++ b/crates/store/src/consensus/handlers/install_snapshot.rs
@@ -1,9 +1,9 @@
 use masticstair_core::message::SnapshotMeta;
 use std::rc::Rc;
 
+use crate::consensus::RestoreError;
 use crate::consensus::shared::Shared;
 use crate::consensus::snapshot::Snapshot;
-use crate::consensus::{RestoreError, StorageFault};
 
 /// Replaces the replicated state and the log up to the snapshot's index. Later entries are kept when the
 /// log's term at that index matches the snapshot.
@@ -14,7 +14,7 @@
 ) -> Result<(), RestoreError> {
     if let Err(e) = (shared.state_machine.borrow_mut().restore)(&data) {
         // A partly restored state must neither answer reads nor vote.
-        shared.handle_fault(StorageFault(e.to_string().into()));
+        shared.handle_fault(e.clone().into());
         return Err(e);
     }
     let mut state = shared.state.borrow_mut();
--- a/crates/store/src/consensus/node.rs
+++ b/crates/store/src/consensus/node.rs
@@ -16,7 +16,7 @@
 use super::snapshot::Snapshot;
 use super::{
     ChangeError, Config, FormationAnswer, NodeParts, NodeStatus, ProposeError, ReadError,
-    RequestError, StartError, TransferError, handlers, requests, tasks,
+    ReplicaFault, RequestError, StartError, TransferError, handlers, requests, tasks,
 };
 
 /// A replica of the log. Its tasks run on the thread that started it; clones are handles to the same
@@ -149,6 +149,26 @@
         }
     }
 
+    /// Waits for the first fault; returns `None` if the node is stopped without one.
+    pub async fn wait_fault(&self) -> Option<ReplicaFault> {
+        loop {
+            let seen = self.shared.signals.role_changed.version();
+            let (fault, is_stopped) = {
+                let state = self.shared.state.borrow();
+                (state.fault.clone(), state.stopped)
+            };
+            if fault.is_some() || is_stopped {
+                return fault;
+            }
+            self.shared.signals.role_changed.changed_since(seen).await;
+        }
+    }
+
+    /// Returns whether the node was stopped.
+    pub fn is_stopped(&self) -> bool {
+        self.shared.is_stopped()
+    }
+
     /// Handles a vote request.
     ///
     /// # Errors
--- a/crates/store/src/consensus/node_status.rs
+++ b/crates/store/src/consensus/node_status.rs
@@ -1,7 +1,7 @@
 use masticstair_core::id::{LogIndex, Term};
 use masticstair_core::message::Replica;
 
-use super::{MemberStatus, Role, StorageFault};
+use super::{MemberStatus, ReplicaFault, Role};
 
 /// A copy of a node's state for status pages and metrics.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -27,5 +27,5 @@
     /// Whether the members in force are committed; false while a membership change is in progress.
     pub members_committed: bool,
     /// The fault after which the node stopped acknowledging; `None` while it works.
-    pub fault: Option<StorageFault>,
+    pub fault: Option<ReplicaFault>,
 }
--- a/crates/store/src/consensus/refusal.rs
+++ b/crates/store/src/consensus/refusal.rs
@@ -2,7 +2,7 @@
 use masticstair_core::unit::ByteCount;
 use thiserror::Error;
 
-use super::StorageFault;
+use super::ReplicaFault;
 
 /// Why a command was not appended to the log.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -32,9 +32,9 @@
         /// The maximum size of uncommitted entries.
         limit: ByteCount,
     },
-    /// Storage failed earlier; the node acknowledges nothing after the first fault.
+    /// The node acknowledges nothing after its first fault.
     #[error(transparent)]
-    Storage(StorageFault),
+    Fault(ReplicaFault),
     /// The node was stopped.
     #[error("the node was stopped")]
     Stopped,
--- a/crates/store/src/consensus/replica_state.rs
+++ b/crates/store/src/consensus/replica_state.rs
@@ -9,7 +9,7 @@
 use super::rules::VoteView;
 use super::snapshot::Snapshot;
 use super::unsaved_state::UnsavedState;
-use super::{Role, StorageFault};
+use super::{ReplicaFault, Role};
 
 /// The state of a replica in memory. The persist task writes it to storage; nothing is acknowledged
 /// before it is synced.
@@ -44,7 +44,7 @@
     /// Whether the leader asked this replica to start an election for a leadership transfer.
     pub(crate) transfer_requested: bool,
     /// The first fault; nothing is acknowledged after it.
-    pub(crate) fault: Option<StorageFault>,
+    pub(crate) fault: Option<ReplicaFault>,
     pub(crate) stopped: bool,
 }
 
--- a/crates/store/src/consensus/request_error.rs
+++ b/crates/store/src/consensus/request_error.rs
@@ -2,14 +2,14 @@
 use masticstair_core::unit::ByteCount;
 use thiserror::Error;
 
-use super::{RestoreError, StorageFault};
+use super::{ReplicaFault, RestoreError};
 
 /// Why a message of another replica was not answered.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum RequestError {
-    /// Storage failed; the node acknowledges nothing after the first fault.
+    /// The node acknowledges nothing after its first fault.
     #[error(transparent)]
-    Storage(#[from] StorageFault),
+    Fault(#[from] ReplicaFault),
     /// The state machine could not restore the received snapshot.
     #[error(transparent)]
     Restore(#[from] RestoreError),
--- a/crates/store/src/consensus/requests/propose.rs
+++ b/crates/store/src/consensus/requests/propose.rs
@@ -32,7 +32,7 @@
         return Err(Refusal::Stopped);
     }
     if let Some(fault) = &state.fault {
-        return Err(Refusal::Storage(fault.clone()));
+        return Err(Refusal::Fault(fault.clone()));
     }
     let Some(leader_state) = &state.leader_state else {
         return Err(Refusal::NotLeader { leader: state.leader_replica() });
--- a/crates/store/src/consensus/shared.rs
+++ b/crates/store/src/consensus/shared.rs
@@ -10,7 +10,7 @@
 use super::replica_state::ReplicaState;
 use super::rules::new_commit_index;
 use super::signals::Signals;
-use super::{Config, PeerLink, RequestError, Role, StateMachine, Storage, StorageFault};
+use super::{Config, PeerLink, ReplicaFault, RequestError, Role, StateMachine, Storage};
 
 /// The state shared by the tasks of a node. No borrow of a cell is held across an await.
 pub(crate) struct Shared {
@@ -70,17 +70,16 @@
         self.signals.notify_all();
     }
 
-    /// Stops acknowledging after a storage fault and steps down.
-    pub(crate) fn handle_fault(&self, fault: StorageFault) {
-        warn!(self.log, "unrecoverable fault; node stops acknowledging and steps down";
-            "fault" => %fault);
+    /// Stops acknowledging after a fault and steps down.
+    pub(crate) fn handle_fault(&self, fault: ReplicaFault) {
+        warn!(self.log, "fault; node stops acknowledging and steps down"; "fault" => %fault);
         let mut state = self.state.borrow_mut();
         let term = state.hard_state.term;
         state.fault.get_or_insert(fault);
         drop(state);
         // The node accepts no more entries, so it cannot learn the outcome of these proposals.
         self.pending_proposals.borrow_mut().clear();
-        self.step_down(term, "unrecoverable fault");
+        self.step_down(term, "fault");
     }
 
     /// Commits the entries that a quorum has synced. A leader that was removed from the voters steps
--- a/crates/store/src/consensus/tasks/persist.rs
+++ b/crates/store/src/consensus/tasks/persist.rs
@@ -14,7 +14,7 @@
             continue;
         }
         if let Err(fault) = write(&shared, &unsaved).await {
-            shared.handle_fault(fault);
+            shared.handle_fault(fault.into());
             return;
         }
         shared.state.borrow_mut().record_saved(&unsaved);
--- a/crates/host/src/control/storage_adapter.rs
+++ b/crates/store/src/replica/storage_adapter.rs
@@ -1,12 +1,13 @@
 //! Adapts the storage thread to the interface that the replica expects.
 
-use masticstair_store::consensus::{RecoveredState, Storage, StorageFault};
-use masticstair_store::storage::{self, StorageHandle};
 use std::future::Future;
 use std::rc::Rc;
 
+use crate::consensus::{RecoveredState, Storage, StorageFault};
+use crate::storage::{self, StorageHandle};
+
 /// Converts the state recovered by the storage into the initial state of the replica.
-pub(super) fn recovered_state(recovered_log: storage::Recovered) -> RecoveredState {
+pub(crate) fn recovered_state(recovered_log: storage::Recovered) -> RecoveredState {
     RecoveredState {
         hard_state: recovered_log.hard_state,
         snapshot: recovered_log.snapshot,
@@ -15,7 +16,7 @@
 }
 
 /// Creates the storage of a replica; each operation completes once the storage thread has finished it.
-pub(super) fn storage(handle: StorageHandle) -> Storage {
+pub(crate) fn storage(handle: StorageHandle) -> Storage {
     let handle = Rc::new(handle);
     let [append_handle, hard_state_handle, snapshot_handle] =
         [handle.clone(), handle.clone(), handle];
--- a/crates/store/src/storage/storage_error.rs
+++ b/crates/store/src/storage/storage_error.rs
@@ -114,12 +114,34 @@
         /// The data folder.
         folder: Box<Path>,
     },
+    /// The thread that opens the folder cannot be started.
+    #[error("cannot start a thread to open the data folder: {message}")]
+    Thread {
+        /// The message of the operating system error.
+        message: Box<str>,
+    },
     /// The storage thread has stopped.
     #[error("storage is closed")]
     Closed,
 }
 
 impl StorageError {
+    /// Returns whether the cause may pass without a change of the settings, as a full disk does.
+    pub(crate) fn may_pass(&self) -> bool {
+        let Self::Io { kind, .. } = self else { return false };
+        !matches!(
+            kind,
+            io::ErrorKind::AlreadyExists
+                | io::ErrorKind::InvalidInput
+                | io::ErrorKind::IsADirectory
+                | io::ErrorKind::NotADirectory
+                | io::ErrorKind::NotFound
+                | io::ErrorKind::PermissionDenied
+                | io::ErrorKind::ReadOnlyFilesystem
+                | io::ErrorKind::Unsupported
+        )
+    }
+
     pub(crate) fn io(operation: &'static str, path: &Path, e: &io::Error) -> Self {
         Self::Io { operation, path: path.into(), kind: e.kind(), message: e.to_string().into() }
     }
--- a/crates/store/tests/consensus_storage.rs
+++ b/crates/store/tests/consensus_storage.rs
@@ -8,7 +8,7 @@
 use consensus_common::{eventually, fast_config};
 use masticstair_core::id::{LogIndex, ReplicaId, Term};
 use masticstair_core::message::VoteRequest;
-use masticstair_store::consensus::{ProposeError, Refusal, Role};
+use masticstair_store::consensus::{ProposeError, Refusal, ReplicaFault, Role};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -79,7 +79,10 @@
     eventually("the faulty leader steps down", || node.status().role != Role::Leader).await;
     assert!(node.status().fault.is_some());
     let refused = c.propose(old, 2).await;
-    assert!(matches!(refused, Err(ProposeError::NotProposed(Refusal::Storage(_)))));
+    assert!(matches!(
+        refused,
+        Err(ProposeError::NotProposed(Refusal::Fault(ReplicaFault::Storage(_))))
+    ));
     eventually("another host leads", || c.leader().is_some_and(|h| h != old)).await;
     c.propose_until_acked(3).await;
     assert_eq!(c.applied_log.count(2), 0);
--- a/crates/store/tests/storage_support/mod.rs
+++ b/crates/store/tests/storage_support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
+pub mod faulty_disk;
+
 use masticstair_core::id::{LogIndex, ReplicaId, Term};
 use masticstair_core::message::{EntryPayload, HardState, LogEntry, SnapshotMeta, VoterSet};
 use masticstair_core::unit::ByteCount;
