Give the other connections of a thread a turn beside a peer that sends without a pause

Cause: hyper reads on within one poll while bytes are there, and all time limits and connections of a gateway share one thread. No limit of the response counted such bytes.

A task that wakes itself in each poll kept a timer of its runtime from firing within 100 s, so a plain yield would not help.

Change: each connection to an endpoint, a client, an operator or another host pauses for 1 ms after 64 KiB, or 32 writes, without a wait (net::turns). A response has at most 256 KiB between two usable parts, and read buffers are bounded by 64 KiB or the limit on heads.

The client of the product's own interface has no turns yet.

--- a/crates/net/src/http/relay/relay_body.rs
+++ b/crates/net/src/http/relay/relay_body.rs
@@ -39,7 +39,12 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
-                    Ok(data) => return Ok(Some(data)),
+                    Ok(data) => {
+                        if let Some(connection) = &self.connection {
+                            connection.progress.record_progress();
+                        }
+                        return Ok(Some(data));
+                    }
                     // Trailers are not relayed.
                     Err(_) => {}
                 },
--- a/crates/net/src/http/relay/relay_connection.rs
+++ b/crates/net/src/http/relay/relay_connection.rs
@@ -1,8 +1,8 @@
 use bytes::Bytes;
 use futures_util::future::{AbortHandle, Abortable};
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
-use masticstair_core::unit::Millis;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use masticstair_core::unit::{ByteCount, Millis};
 use monoio::io::IntoPollIo;
 use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
@@ -10,6 +10,14 @@
 use std::time::{Duration, Instant};
 
 use super::RelayError;
+use crate::turns::{Progress, TurnStream};
+
+/// The bytes of a response that are read before a part of it is used; a larger head is refused.
+const MAX_BUFFERED_BYTES: usize = 64 << 10;
+
+/// The bytes that an endpoint may send without a response head or a piece of a body, as interim responses do, or a chunk
+/// size without end.
+const MAX_UNUSED: ByteCount = ByteCount::new(4 * MAX_BUFFERED_BYTES as u64);
 
 /// A connection to an endpoint. Dropping it closes the connection, which cancels the request on it.
 pub(super) struct RelayConnection {
@@ -17,6 +25,8 @@
     pub(super) sender: SendRequest<Full<Bytes>>,
     /// When the last response on this connection was complete, or when it was opened.
     pub(super) last_response: Instant,
+    /// The response that is being read.
+    pub(super) progress: Progress,
     task: AbortHandle,
 }
 
@@ -37,13 +47,17 @@
                 return Err(RelayError::ConnectTimeout(addr, timeout));
             }
         };
-        let (sender, connection) = handshake(MonoioIo::new(stream))
+        let progress = Progress::new(MAX_UNUSED);
+        let stream = TurnStream::new(stream, Some(progress.clone()));
+        let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_BUFFERED_BYTES)
+            .handshake(MonoioIo::new(stream))
             .await
             .map_err(|e| RelayError::Connect { addr, source: std::io::Error::other(e) })?;
         let (task, registration) = AbortHandle::new_pair();
         // Connection errors are reported through the pending request, so the result is not used.
         monoio::spawn(Abortable::new(connection, registration));
-        Ok(Self { addr, sender, last_response: Instant::now(), task })
+        Ok(Self { addr, sender, last_response: Instant::now(), progress, task })
     }
 }
 
--- a/crates/net/src/http/relay/relay_pool.rs
+++ b/crates/net/src/http/relay/relay_pool.rs
@@ -50,6 +50,7 @@
             };
             match connection.sender.try_send_request(req).await {
                 Ok(response) => {
+                    connection.progress.record_progress();
                     let (head, body) = response.into_parts();
                     let keep_alive = !is_closing(&head.headers);
                     let body = RelayBody::new(self.clone(), body, connection, keep_alive);
--- a/crates/net/src/http/server/connection.rs
+++ b/crates/net/src/http/server/connection.rs
@@ -17,6 +17,7 @@
 use super::read_body::read_body;
 use super::response_body::ResponseBody;
 use super::{ConnectionCount, Handler, Request, Response, ResponseContent, ServerLimits, Stop};
+use crate::turns::TurnStream;
 
 /// Serves one connection until it closes. Once `stop` completes, the request in progress is still
 /// answered and the connection is then closed.
@@ -30,11 +31,14 @@
     let Ok(stream) = stream.into_poll_io() else { return };
     let served = Rc::new(Cell::new(0));
     let service = service_fn(|req| serve_request(req, &limits, &handler, &served, &large_bodies));
+    let head_limit = usize::try_from(limits.head.get()).unwrap_or(usize::MAX);
     let mut connection = http1::Builder::new()
         .timer(MonoioTimer)
         .header_read_timeout(limits.head_timeout.duration())
-        .max_header_size(usize::try_from(limits.head.get()).unwrap_or(usize::MAX))
-        .serve_connection(MonoioIo::new(stream), service);
+        .max_header_size(head_limit)
+        // All requests in the buffer are answered in one turn.
+        .max_buf_size(head_limit)
+        .serve_connection(MonoioIo::new(TurnStream::new(stream, None)), service);
     let serving = async {
         let result = match select(&mut connection, stop).await {
             Either::Left((result, _)) => Some(result),
@@ -51,7 +55,7 @@
     let result = AssertUnwindSafe(serving).catch_unwind().await;
     let Ok(Err(error)) = result else { return };
     if error.is_timeout() {
-        let stream = connection.into_parts().io.inner();
+        let stream = connection.into_parts().io.inner().into_inner();
         let detail = format!("the head took longer than {} ms", limits.head_timeout);
         let problem = Problem::not_run(408, "head-timeout", detail);
         if let Ok(stream) = monoio::io::IntoCompIo::into_comp_io(stream) {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod http;
 pub mod peer;
 pub mod runtime;
+mod turns;
--- a/crates/net/src/peer/transport.rs
+++ b/crates/net/src/peer/transport.rs
@@ -6,6 +6,7 @@
 use super::limits::{
     KEEPALIVE_INTERVAL, NESTING_LIMIT, STREAM_BUFFER_BYTES, TRAVERSAL_LIMIT_WORDS,
 };
+use crate::turns::TurnStream;
 use capnp::message::ReaderOptions;
 use capnp_rpc::VatNetwork;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -29,7 +30,7 @@
     )?;
     let stream =
         TcpStreamCompat::new_with_buffer_size(stream, STREAM_BUFFER_BYTES, STREAM_BUFFER_BYTES);
-    let (reader, writer) = CountedStream(stream.compat()).split();
+    let (reader, writer) = CountedStream(TurnStream::new(stream, None).compat()).split();
     let writer = BufWriter::with_capacity(STREAM_BUFFER_BYTES, writer);
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(TRAVERSAL_LIMIT_WORDS)).nesting_limit(NESTING_LIMIT);
