Bound the memory of all answers that a host keeps

Here each answer was bounded by 16 MiB, in a buffer that doubled, but nothing bounded how many of them a host keeps at the same time.

Change: policy::answer_room decides whether an answer may grow; plain answers, answers to stage calls and releases, and events that have not ended take 48 MiB together, of which 16 MiB are for small answers. The memory counts until the client has the answer or has left.

--- a/crates/gateway/src/entry/answer_plain.rs
+++ b/crates/gateway/src/entry/answer_plain.rs
@@ -152,7 +152,8 @@
     let options = AttemptOptions { priority: None, inputs: None, resume_after: None, timeout };
     let (head, body) = attempt(gw, req, endpoint, &options).await?;
     let left = req.deadline.since(gw.now());
-    let failure = match monoio::time::timeout(left, body.read_all(MAX_ANSWER_BYTES)).await {
+    let read = body.read_all(MAX_ANSWER_BYTES, &gw.answer_room);
+    let failure = match monoio::time::timeout(left, read).await {
         Ok(Ok(body)) => return Ok((head, body)),
         Ok(Err(e)) => AttemptFailure::Unknown(e.to_string().into()),
         Err(_) => AttemptFailure::TimedOut("the answer did not end in time".into()),
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -87,7 +87,8 @@
     if !status.is_success() {
         let OpenedStream { body, endpoint, sent_at, .. } = opened;
         let left = req.deadline.since(gw.now());
-        let read = monoio::time::timeout(left, body.read_all(MAX_ANSWER_BYTES)).await;
+        let read = body.read_all(MAX_ANSWER_BYTES, &gw.answer_room);
+        let read = monoio::time::timeout(left, read).await;
         if status.is_server_error() {
             gw.with_health(&endpoint.id, |health| health.record_answer(Duration::ZERO, true));
         }
--- a/crates/gateway/src/entry/event_splitter.rs
+++ b/crates/gateway/src/entry/event_splitter.rs
@@ -1,4 +1,6 @@
 use bytes::BytesMut;
+use masticstair_core::prelude::*;
+use masticstair_net::http::relay::{AnswerRoom, RoomShare};
 
 use super::stream_event::StreamEvent;
 
@@ -8,16 +10,27 @@
 const MAX_BLANK_LINE_BYTES: usize = 4;
 
 /// Splits a stream into events, so that only complete events are forwarded.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct EventSplitter {
     buf: BytesMut,
+    /// Covers `buf`.
+    share: RoomShare,
     /// No event ends within so many bytes.
     scanned: usize,
 }
 
 impl EventSplitter {
-    pub(super) fn push(&mut self, chunk: &[u8]) {
-        self.buf.extend_from_slice(chunk);
+    pub(super) fn new(room: &AnswerRoom) -> Self {
+        Self { buf: BytesMut::new(), share: room.share(), scanned: 0 }
+    }
+
+    /// Appends a chunk. Returns false if there is no room for it.
+    pub(super) fn push(&mut self, chunk: &[u8]) -> bool {
+        let has_room = self.share.resize(ByteCount::new((self.buf.len() + chunk.len()) as u64));
+        if has_room {
+            self.buf.extend_from_slice(chunk);
+        }
+        has_room
     }
 
     /// Takes the next complete event.
@@ -26,6 +39,8 @@
         let from = self.scanned.saturating_sub(MAX_BLANK_LINE_BYTES - 1);
         let Some(end) = find_blank_line(&self.buf[from..]) else {
             self.scanned = self.buf.len();
+            // A smaller share always fits.
+            self.share.resize(ByteCount::new(self.buf.len() as u64));
             return None;
         };
         self.scanned = 0;
--- a/crates/gateway/src/entry/stream_state.rs
+++ b/crates/gateway/src/entry/stream_state.rs
@@ -64,6 +64,7 @@
         opened: OpenedStream,
     ) -> Self {
         let last_event_id = req.meta.resume_after;
+        let splitter = EventSplitter::new(&gw.answer_room);
         Self {
             gw,
             req,
@@ -71,7 +72,7 @@
             inputs,
             held,
             opened: Some(opened),
-            splitter: EventSplitter::default(),
+            splitter,
             last_event_id,
             runs: 1,
             events: 0,
@@ -123,7 +124,9 @@
         }
         match next_chunk(state).await {
             EngineOutput::Chunk(chunk) => {
-                state.splitter.push(&chunk);
+                if !state.splitter.push(&chunk) {
+                    return Err(abort(state, "no room for the event"));
+                }
                 let events = take_complete_events(state);
                 if !events.is_empty() {
                     return Ok(Some(events));
@@ -248,7 +251,7 @@
             false => check_endpoint_end(&state.gw, call).await,
         }
     }
-    state.splitter = EventSplitter::default();
+    state.splitter = EventSplitter::new(&state.gw.answer_room);
     if !can_resume(state) {
         return Err(abort(state, reason));
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use http::header::HOST;
 use masticstair_core::catalog::BatchLimits;
 use masticstair_core::prelude::*;
-use masticstair_net::http::relay::{RelayCall, RelayPool};
+use masticstair_net::http::relay::{AnswerRoom, RelayCall, RelayPool};
 use masticstair_policy::directory::Directory;
 use masticstair_policy::endpoint_limits::EndpointLimits;
 use masticstair_policy::endpoint_liveness::EndpointLiveness;
@@ -49,6 +49,8 @@
     pub(crate) health: RefCell<HashMap<EndpointId, EndpointHealth>>,
     pub(crate) reachability: RefCell<HashMap<DataCentreId, DataCentreReachability>>,
     pub(crate) pool: RelayPool,
+    /// The memory of the answers that are read whole, and of events that have not ended.
+    pub(crate) answer_room: AnswerRoom,
     pub(crate) stages: StageRegistry,
     pub(crate) owners: Owners,
     /// Apart from `owners`, because a host that gives a permit late may still form the calls of its stages.
@@ -111,6 +113,7 @@
             health: RefCell::default(),
             reachability: RefCell::default(),
             pool: RelayPool::default(),
+            answer_room: AnswerRoom::default(),
             stages: StageRegistry::default(),
             owners: Owners::default(),
             permit_owners: Owners::default(),
--- a/crates/gateway/src/stages/batch_call.rs
+++ b/crates/gateway/src/stages/batch_call.rs
@@ -155,7 +155,7 @@
                 if meta.is_other_endpoint { WRONG_ENDPOINT_BACKOFF } else { FULL_ENDPOINT_BACKOFF };
             return CallOutcome::NotRun(backoff, format!("status {}", head.status).into());
         }
-        let bytes = match body.read_all(MAX_ANSWER_BYTES).await {
+        let bytes = match body.read_all(MAX_ANSWER_BYTES, &gw.answer_room).await {
             Ok(bytes) => bytes,
             Err(e) => return CallOutcome::Lost(CallLoss::Broken, e.to_string().into()),
         };
--- a/crates/gateway/src/stages/release_results.rs
+++ b/crates/gateway/src/stages/release_results.rs
@@ -86,7 +86,7 @@
         let call = gw.relay_call(call, address, RELEASE_TIMEOUT, MAX_CONNECTION_IDLE);
         let send = async {
             let (_, body) = gw.pool.send(call).await?;
-            body.read_all(4_096).await
+            body.read_all(4_096, &gw.answer_room).await
         };
         match monoio::time::timeout(RELEASE_TIMEOUT, send).await {
             // The endpoint's capacity is free only after its answer.
--- a/crates/net/src/http/relay/mod.rs
+++ b/crates/net/src/http/relay/mod.rs
@@ -4,6 +4,8 @@
 //! cannot read the last kind, so this client uses `hyper`. `hyper` also distinguishes endpoints that respond
 //! before the request is complete, respond twice, or send more than the announced length.
 
+mod answer_buffer;
+mod answer_room;
 mod probe_outcome;
 mod relay_body;
 mod relay_call;
@@ -12,6 +14,7 @@
 mod relay_head;
 mod relay_pool;
 
+pub use answer_room::{AnswerRoom, RoomShare};
 pub use probe_outcome::ProbeOutcome;
 pub use relay_body::RelayBody;
 pub use relay_call::RelayCall;
--- a/crates/net/src/http/relay/relay_body.rs
+++ b/crates/net/src/http/relay/relay_body.rs
@@ -2,9 +2,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use super::RelayError;
+use super::answer_buffer::AnswerBuffer;
 use super::relay_connection::RelayConnection;
 use super::relay_pool::RelayPool;
+use super::{AnswerRoom, RelayError};
 
 /// The body of a response. Dropping it before it is complete closes the connection, which cancels the
 /// request.
@@ -60,21 +61,26 @@
         }
     }
 
-    /// Reads the rest of the body.
+    /// Reads the rest of the body. Its memory counts until the returned bytes are dropped.
     ///
     /// # Errors
     ///
-    /// See `next`; also returns `Broken` if the body exceeds `limit` bytes.
-    pub async fn read_all(mut self, limit: usize) -> Result<Bytes, RelayError> {
-        let mut chunks = Vec::new();
+    /// See `next`; also returns `Broken` if the body exceeds `limit` bytes or there is no room for it.
+    pub async fn read_all(mut self, limit: usize, room: &AnswerRoom) -> Result<Bytes, RelayError> {
+        let mut buf = AnswerBuffer::new(room.share());
         while let Some(chunk) = self.next().await? {
-            chunks.extend_from_slice(&chunk);
-            if chunks.len() > limit {
-                let message = format!("the body has more than {limit} bytes");
-                return Err(RelayError::Broken(self.addr, message.into()));
+            let broken = |message: String| Err(RelayError::Broken(self.addr, message.into()));
+            if buf.len() + chunk.len() > limit {
+                return broken(format!("the body has more than {limit} bytes"));
+            }
+            if !buf.push(&chunk) {
+                let (read, held) = (buf.len(), room.held());
+                return broken(format!(
+                    "no room after {read} bytes ({held} bytes of answers are held)"
+                ));
             }
         }
-        Ok(chunks.into())
+        Ok(buf.freeze())
     }
 
     fn release(&mut self) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decision functions of masticstair: no input or output, no clock reads, no encoding.
 
 pub mod admission;
+pub mod answer_room;
 pub mod breaker;
 pub mod bundle_history;
 pub mod catalog_register;
