Ask all control hosts again before a stream goes on at the only known version

Callers of another operator got streams with events of two software versions: a host that was out of step for some seconds took up streams that had begun at a new version elsewhere (ORDER).

Cause: a take-up whose writer is not known goes to the only version that can have written it. That no other version joined was derived from replies of the last 1.5 s; a host that was cut off or stood still for less knew only the earlier version. A lookup that had failed because the control hosts were silent did not prevent it.

Change: the host asks all control hosts, after the take-up came in, for what they have listed since their last reply. The stream began at a listed endpoint before its client came, so a question from then on finds the version. Without all answers the take-up is refused with Retry-After.

--- a/crates/gateway/src/entry/mod.rs
+++ b/crates/gateway/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod opened_stream;
 mod pause_refusal;
 mod permitted_endpoint;
+mod refresh_software;
 mod refuse;
 mod stage_plan;
 mod stage_results;
--- a/crates/gateway/src/entry/take_up.rs
+++ b/crates/gateway/src/entry/take_up.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::client_request::ClientRequest;
+use super::refresh_software::refresh_software;
 use super::stream_copies::{holders, retention};
 use crate::front_end::{Refusal, RefusalReason};
 use crate::messages::{Message, Reply};
@@ -35,7 +36,10 @@
             "the request names no attempt that began the stream; begin it anew",
         )),
     };
-    let writer = found.or_else(|refusal| sole_writer(gw, req).ok_or(refusal))?;
+    let writer = match found {
+        Ok(writer) => writer,
+        Err(refusal) => confirmed_sole_writer(gw, req, refusal).await?,
+    };
     if !req.route.targets.iter().any(|target| target.service == writer.service) {
         let detail = format!("service {} no longer answers this route", writer.service);
         return Err(Refusal::not_run(RefusalReason::UnknownStream, detail));
@@ -61,6 +65,21 @@
     gw.software.borrow().sole_writer(now, &target.service, span)
 }
 
+/// Returns the sole writer, if no control host has listed another one by now. What this host knew before may be old: it may
+/// have been cut off, or have stood still, while a stream began at a new version elsewhere. That version was listed before
+/// the client came here, so a question from now on finds it.
+async fn confirmed_sole_writer(
+    gw: &Gateway,
+    req: &ClientRequest,
+    refusal: Refusal,
+) -> Result<StreamWriter, Refusal> {
+    let Some(before) = sole_writer(gw, req) else { return Err(refusal) };
+    if !refresh_software(gw).await {
+        return Err(refusal.with_retry_after(LOOKUP_RETRY_AFTER));
+    }
+    sole_writer(gw, req).filter(|writer| *writer == before).ok_or(refusal)
+}
+
 /// Returns whether an endpoint that may go on with a stream takes work.
 pub(super) fn has_endpoint(gw: &Gateway, req: &ClientRequest) -> bool {
     gw.endpoints(&req.service).iter().any(|e| req.may_use(e))
