Close the connection of a response that was not believed

Cause: a response that was read to its end returned its connection to the pool before its reader could judge it. The repeated answer was detected by its handles and the call counted as lost, but the answer still due on that connection was taken for that of a later call. Its handles were new, and stage answers name no call.

Change: RelayBody::read_all also returns the connection, which is closed unless the reader keeps it once it believes the response. The client of the product's own interface closes its idle connections to an endpoint whose answer has other ids, for the same reason.

--- a/crates/gateway/src/entry/answer_plain.rs
+++ b/crates/gateway/src/entry/answer_plain.rs
@@ -154,7 +154,10 @@
     let left = req.deadline.since(gw.now());
     let read = body.read_all(MAX_ANSWER_BYTES, &gw.answer_room);
     let failure = match monoio::time::timeout(left, read).await {
-        Ok(Ok(body)) => return Ok((head, body)),
+        Ok(Ok((body, connection))) => {
+            connection.keep();
+            return Ok((head, body));
+        }
         Ok(Err(e)) => AttemptFailure::Unknown(e.to_string().into()),
         Err(_) => AttemptFailure::TimedOut("the answer did not end in time".into()),
     };
--- a/crates/gateway/src/entry/answer_stream.rs
+++ b/crates/gateway/src/entry/answer_stream.rs
@@ -93,7 +93,8 @@
             gw.with_health(&endpoint.id, |health| health.record_answer(Duration::ZERO, true));
         }
         return match read {
-            Ok(Ok(body)) => {
+            Ok(Ok((body, connection))) => {
+                connection.keep();
                 record_request_answer(&gw, &req, sent_at);
                 timeline.finish(&gw, "answered", status.as_str());
                 Response { status, headers, body: ResponseContent::Full(body) }
--- a/crates/gateway/src/stages/batch_call.rs
+++ b/crates/gateway/src/stages/batch_call.rs
@@ -155,8 +155,8 @@
                 if meta.is_other_endpoint { WRONG_ENDPOINT_BACKOFF } else { FULL_ENDPOINT_BACKOFF };
             return CallOutcome::NotRun(backoff, format!("status {}", head.status).into());
         }
-        let bytes = match body.read_all(MAX_ANSWER_BYTES, &gw.answer_room).await {
-            Ok(bytes) => bytes,
+        let (bytes, connection) = match body.read_all(MAX_ANSWER_BYTES, &gw.answer_room).await {
+            Ok(read) => read,
             Err(e) => return CallOutcome::Lost(CallLoss::Broken, e.to_string().into()),
         };
         if !head.status.is_success() {
@@ -166,6 +166,7 @@
             Some(outcomes)
                 if outcomes.len() == items.len() && has_only_new_results(stages, &outcomes) =>
             {
+                connection.keep();
                 CallOutcome::Answered(outcomes)
             }
             _ => {
--- a/crates/gateway/src/stages/release_results.rs
+++ b/crates/gateway/src/stages/release_results.rs
@@ -1,4 +1,5 @@
 use masticstair_core::prelude::*;
+use masticstair_net::http::relay::RelayError;
 use masticstair_policy::stage_queue::JobNumber;
 use slog::{debug, info};
 use std::net::SocketAddr;
@@ -86,7 +87,10 @@
         let call = gw.relay_call(call, address, RELEASE_TIMEOUT, MAX_CONNECTION_IDLE);
         let send = async {
             let (_, body) = gw.pool.send(call).await?;
-            body.read_all(4_096, &gw.answer_room).await
+            let (_, connection) = body.read_all(4_096, &gw.answer_room).await?;
+            // All answers to such calls are alike.
+            connection.keep();
+            Ok::<_, RelayError>(())
         };
         match monoio::time::timeout(RELEASE_TIMEOUT, send).await {
             // The endpoint's capacity is free only after its answer.
--- a/crates/host/src/request/attempt.rs
+++ b/crates/host/src/request/attempt.rs
@@ -94,6 +94,8 @@
 /// Counts an answer that has the ids of another call or cannot be parsed, and returns its error.
 pub(super) fn mismatched_answer(cx: &StageContext<'_>, target: &AttemptTarget) -> AttemptError {
     cx.worker.state.metrics.mismatched_answers.inc();
+    // The right answer may still be due on the connection, which the next call would get.
+    cx.worker.pool.evict(target.addr);
     AttemptError::MismatchedAnswer(target.id.clone())
 }
 
--- a/crates/net/src/http/relay/mod.rs
+++ b/crates/net/src/http/relay/mod.rs
@@ -7,6 +7,7 @@
 mod answer_buffer;
 mod answer_room;
 mod probe_outcome;
+mod read_connection;
 mod relay_body;
 mod relay_call;
 mod relay_connection;
@@ -16,6 +17,7 @@
 
 pub use answer_room::{AnswerRoom, RoomShare};
 pub use probe_outcome::ProbeOutcome;
+pub use read_connection::ReadConnection;
 pub use relay_body::RelayBody;
 pub use relay_call::RelayCall;
 pub use relay_error::RelayError;
--- a/crates/net/src/http/relay/relay_body.rs
+++ b/crates/net/src/http/relay/relay_body.rs
@@ -5,7 +5,7 @@
 use super::answer_buffer::AnswerBuffer;
 use super::relay_connection::RelayConnection;
 use super::relay_pool::RelayPool;
-use super::{AnswerRoom, RelayError};
+use super::{AnswerRoom, ReadConnection, RelayError};
 
 /// The body of a response. Dropping it before it is complete closes the connection, which cancels the
 /// request.
@@ -30,12 +30,20 @@
         Self { pool, body, connection: Some(connection), keep_alive, addr }
     }
 
-    /// Reads the next chunk, which is not empty; returns `None` at the end of the body.
+    /// Reads the next chunk, which is not empty; returns `None` at the end of the body, and the connection to the pool.
     ///
     /// # Errors
     ///
     /// Returns `Broken` if the connection closes before the body is complete.
     pub async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
+        let chunk = self.next_chunk().await?;
+        if chunk.is_none() {
+            self.take_connection().keep();
+        }
+        Ok(chunk)
+    }
+
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
         loop {
             match self.body.frame().await {
                 Some(Ok(frame)) => match frame.into_data() {
@@ -53,22 +61,24 @@
                     self.connection = None;
                     return Err(RelayError::Broken(self.addr, e.to_string().into()));
                 }
-                None => {
-                    self.release();
-                    return Ok(None);
-                }
+                None => return Ok(None),
             }
         }
     }
 
-    /// Reads the rest of the body. Its memory counts until the returned bytes are dropped.
+    /// Reads the rest of the body. Its memory counts until the returned bytes are dropped. The caller keeps the connection
+    /// once it knows that the response is the one to its request.
     ///
     /// # Errors
     ///
     /// See `next`; also returns `Broken` if the body exceeds `limit` bytes or there is no room for it.
-    pub async fn read_all(mut self, limit: usize, room: &AnswerRoom) -> Result<Bytes, RelayError> {
+    pub async fn read_all(
+        mut self,
+        limit: usize,
+        room: &AnswerRoom,
+    ) -> Result<(Bytes, ReadConnection), RelayError> {
         let mut buf = AnswerBuffer::new(room.share());
-        while let Some(chunk) = self.next().await? {
+        while let Some(chunk) = self.next_chunk().await? {
             let broken = |message: String| Err(RelayError::Broken(self.addr, message.into()));
             if buf.len() + chunk.len() > limit {
                 return broken(format!("the body has more than {limit} bytes"));
@@ -80,12 +90,11 @@
                 ));
             }
         }
-        Ok(buf.freeze())
+        Ok((buf.freeze(), self.take_connection()))
     }
 
-    fn release(&mut self) {
-        if let Some(connection) = self.connection.take().filter(|_| self.keep_alive) {
-            self.pool.put_back(connection);
-        }
+    fn take_connection(&mut self) -> ReadConnection {
+        let connection = self.connection.take().filter(|_| self.keep_alive);
+        ReadConnection::new(self.pool.clone(), connection)
     }
 }
