Scan the bytes of an event once

A peer that sends an event without an end in small pieces cost a host of the product's own interface the square of the event limit, because SseParser searched its whole buffer for each piece. Nobody reported it; it was found while looking for what bytes without end cost.

Evidence: an_event_without_end_is_scanned_once (crates/net/tests/sse.rs) took more than its 5 s for 256 KiB in single bytes and failed.

Change: the parser remembers how far no event ends, as the splitter of the gateway does, and looks back for the length of a blank line only.

Measured: the test takes 0.1 s. Events are found in pieces of any size.

--- a/crates/net/src/http/sse/sse_parser.rs
+++ b/crates/net/src/http/sse/sse_parser.rs
@@ -9,13 +9,18 @@
 pub struct SseParser {
     /// Bytes that were not returned as events yet; at most `limit`.
     buf: Vec<u8>,
+    /// No event ends within so many bytes of `buf`.
+    scanned: usize,
     limit: ByteCount,
 }
 
+/// The length of CRLF CRLF, the longest end of an event.
+const MAX_END_BYTES: usize = 4;
+
 impl SseParser {
     /// Creates a parser that buffers at most `limit` bytes.
     pub fn new(limit: ByteCount) -> Self {
-        Self { buf: Vec::new(), limit }
+        Self { buf: Vec::new(), scanned: 0, limit }
     }
 
     /// Appends a chunk of the stream. Call `next_event` until it returns `None` before the next chunk.
@@ -37,20 +42,26 @@
     ///
     /// Returns `Encoding` if the event is not UTF-8.
     pub fn next_event(&mut self) -> Result<Option<SseEvent>, SseError> {
-        while let Some((len, rest)) = find_event_end(&self.buf) {
+        // The end may have begun in the bytes that were scanned before.
+        while let Some((len, rest)) =
+            find_event_end(&self.buf, self.scanned.saturating_sub(MAX_END_BYTES - 1))
+        {
+            self.scanned = 0;
             let block: Vec<u8> = self.buf.drain(..rest).collect();
             let text = std::str::from_utf8(&block[..len]).map_err(|_| SseError::Encoding)?;
             if let Some(event) = parse_event(text) {
                 return Ok(Some(event));
             }
         }
+        self.scanned = self.buf.len();
         Ok(None)
     }
 }
 
-/// Returns the length of the first event and the offset of the bytes after its terminating empty line.
-fn find_event_end(buf: &[u8]) -> Option<(usize, usize)> {
-    (0..buf.len()).find_map(|i| {
+/// Returns the length of the first event and the offset of the bytes after its terminating empty line, which does not
+/// begin before `from`.
+fn find_event_end(buf: &[u8], from: usize) -> Option<(usize, usize)> {
+    (from..buf.len()).find_map(|i| {
         let tail = &buf[i..];
         if tail.starts_with(b"\n\n") {
             Some((i, i + 2))
