Remove an unused method, and correct two comments on fields

Node::is_stopped was not called by anything. The comment on the running replica left out that a stop keeps the stopped node, and that on the memory of answers gave the wrong reason for the atomic number.

--- a/crates/net/src/http/relay/answer_room.rs
+++ b/crates/net/src/http/relay/answer_room.rs
@@ -6,7 +6,7 @@
 /// The memory that the answers which a worker keeps take together. Clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct AnswerRoom {
-    /// The sum of all shares. Changed by one thread; shares may be dropped by others.
+    /// The sum of all shares. Atomic because the owner of `Bytes` must be `Send`.
     held: Arc<AtomicU64>,
 }
 
--- a/crates/store/src/consensus/node.rs
+++ b/crates/store/src/consensus/node.rs
@@ -164,11 +164,6 @@
         }
     }
 
-    /// Returns whether the node was stopped.
-    pub fn is_stopped(&self) -> bool {
-        self.shared.is_stopped()
-    }
-
     /// Handles a vote request.
     ///
     /// # Errors
--- a/crates/store/src/replica/local_replica.rs
+++ b/crates/store/src/replica/local_replica.rs
@@ -17,7 +17,7 @@
 
 struct Inner {
     parts: ReplicaParts,
-    /// `None` from a storage fault until the data folder is open again, and after a stop.
+    /// `None` from a storage fault until the data folder is open again. A stop of the replica leaves the stopped node.
     running: RefCell<Option<RunningReplica>>,
     /// Why no node runs; `None` while one does.
     reason: RefCell<Option<Box<str>>>,
