Count lost voters before a history loses another disk

Cause: the test loses a disk only while the group is repaired, and took it for repaired once three present replicas voted. A spare that was voted in beside the lost replica makes four voters, of which one is lost already; without a second disk two of four are left, which is no quorum. The group need not bear that.

Change: is_repaired also asks that no other replica votes.

--- a/crates/store/tests/consensus_common/cluster.rs
+++ b/crates/store/tests/consensus_common/cluster.rs
@@ -151,11 +151,15 @@
         (0..self.hosts()).filter(votes).collect()
     }
 
-    /// Returns whether the current replica of every host votes and the set is committed, so that the
-    /// group tolerates another failure.
+    /// Returns whether the current replica of every host votes, no other one does, and the set is committed, so
+    /// that the group tolerates another failure.
     pub fn is_repaired(&self, voters: usize) -> bool {
         let Some(leader) = self.leader().and_then(|h| self.node(h)) else { return false };
-        leader.status().members_committed && self.voting_hosts().len() == voters
+        let status = leader.status();
+        // A lost replica that still votes counts for the quorum.
+        let all_voters = status.members.iter().filter(|m| m.is_voter).count();
+        let present = self.voting_hosts().len();
+        status.members_committed && present == voters && all_voters == voters
     }
 
     /// Returns the running host that leads in the highest term.
