--- a/crates/gateway/src/entry/choose_engine.rs
+++ b/crates/gateway/src/entry/choose_engine.rs
@@ -1,6 +1,8 @@
 use masticstair_core::prelude::*;
 use masticstair_policy::directory::ServingEndpoint;
-use masticstair_policy::engine_choice::{EngineCandidate, pick_engine, rendezvous_weight};
+use masticstair_policy::engine_choice::{
+    EngineCandidate, PREFILL_TOKENS_PER_MS, pick_engine, rendezvous_weight,
+};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,9 +13,6 @@
 /// Time to the first event of an idle engine, without the time to read the prompt.
 const IDLE_FIRST_EVENT_TIME: Duration = Duration::from_millis(90);
 
-/// Prompt tokens that a typical engine reads per millisecond; the reference for relative latency.
-const PREFILL_TOKENS_PER_MS: f64 = 30.0;
-
 /// Wait limit for the first event of the engine that holds the prompt in its cache, as a fraction of the
 /// objective.
 const CACHE_HOLDER_OBJECTIVE_FRACTION: f64 = 0.45;
--- a/crates/policy/src/engine_choice/mod.rs
+++ b/crates/policy/src/engine_choice/mod.rs
@@ -8,3 +8,6 @@
 pub use engine_candidate::EngineCandidate;
 pub use pick_engine::pick_engine;
 pub use rendezvous::{rendezvous_order, rendezvous_weight};
+
+/// Prompt tokens that a typical engine prefills per millisecond.
+pub const PREFILL_TOKENS_PER_MS: f64 = 30.0;
--- a/crates/policy/tests/choices.rs
+++ b/crates/policy/tests/choices.rs
@@ -67,6 +67,72 @@
     }
 }
 
+/// Guards against a long prefix that is prefilled again on an idle engine although its cache holder would return the first
+/// token earlier, as in a burst of long prompts.
+#[test]
+fn busy_cache_holder_is_chosen_if_the_prefix_takes_longer() {
+    struct Case {
+        name: &'static str,
+        prefix: u64,
+        /// The prompt tokens that wait at the first cache holder, the second one and the other engine.
+        backlogs: [u64; 3],
+        hosts: usize,
+        chosen: usize,
+    }
+    let cases = [
+        Case {
+            name: "long prefix",
+            prefix: 30_000,
+            backlogs: [12_000, 90_000, 0],
+            hosts: 4,
+            chosen: 0,
+        },
+        Case {
+            name: "long prefix, second is idle",
+            prefix: 30_000,
+            backlogs: [90_000, 0, 0],
+            hosts: 4,
+            chosen: 1,
+        },
+        Case {
+            name: "short prefix",
+            prefix: 3_000,
+            backlogs: [24_000, 24_000, 0],
+            hosts: 4,
+            chosen: 2,
+        },
+        Case {
+            name: "medium fleet",
+            prefix: 30_000,
+            backlogs: [3_000, 15_000, 0],
+            hosts: 76,
+            chosen: 0,
+        },
+        Case {
+            name: "large fleet",
+            prefix: 30_000,
+            backlogs: [2_000, 8_000, 0],
+            hosts: 300,
+            chosen: 0,
+        },
+    ];
+    for case in cases {
+        let engines: Vec<_> = [9, 5, 1]
+            .into_iter()
+            .zip(case.backlogs)
+            .map(|(affinity, prompt_backlog)| EngineCandidate {
+                prompt_backlog,
+                ..engine(affinity)
+            })
+            .collect();
+        let (prefix, suffix) = (TokenCount::new(case.prefix), TokenCount::new(2_000));
+        let wait_limit = Duration::from_millis(600);
+        let draw = || Draw::new(0);
+        let chosen = pick_engine(&engines, prefix, suffix, case.hosts, wait_limit, draw).unwrap();
+        assert_eq!(chosen, case.chosen, "{}", case.name);
+    }
+}
+
 /// Guards against a transfer of inputs between data centres that takes longer than the prefill that it saves.
 #[test]
 fn short_prompt_goes_where_its_inputs_are() {
