Give an engine that reads a long prompt the time to finish

The timeout is now at least three times what a typical engine takes to read the prompts that it has from this host. An engine with little to read is given up as early as before.

--- a/crates/gateway/src/entry/open_stream.rs
+++ b/crates/gateway/src/entry/open_stream.rs
@@ -1,4 +1,5 @@
 use masticstair_core::prelude::*;
+use masticstair_policy::engine_choice::first_event_timeout;
 use masticstair_policy::poison::Standing;
 use masticstair_policy::request_crashes::RequestStanding;
 use std::rc::Rc;
@@ -25,10 +26,6 @@
 
 const FULL_RETRY_AFTER: Millis = Millis::new(500);
 
-/// Timeout for the first event of a request that can still be sent to another engine, as a fraction of the
-/// objective.
-const FIRST_EVENT_OBJECTIVE_FRACTION: f64 = 0.8;
-
 /// With less time left the request is not sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -81,7 +78,9 @@
         timeline.record_news_age(gw);
         let timeout = match *runs + 1 < max_runs {
             true => {
-                req.route.objective.duration().mul_f64(FIRST_EVENT_OBJECTIVE_FRACTION).min(left)
+                let backlog = gw.with_health(&endpoint.id, |health| health.prompt_backlog);
+                let unread = TokenCount::new(backlog + prompt_tokens(req));
+                first_event_timeout(unread, req.route.objective.duration()).min(left)
             }
             false => left,
         };
--- a/crates/policy/tests/choices.rs
+++ b/crates/policy/tests/choices.rs
@@ -3,7 +3,9 @@
 #![allow(clippy::unwrap_used)]
 
 use masticstair_core::prelude::*;
-use masticstair_policy::engine_choice::{EngineCandidate, pick_engine, rendezvous_order};
+use masticstair_policy::engine_choice::{
+    EngineCandidate, first_event_timeout, pick_engine, rendezvous_order,
+};
 use masticstair_policy::service_choice::{
     Candidate, DataCentreReachability, EndpointHealth, pick_endpoint,
 };
@@ -161,6 +163,25 @@
     }
 }
 
+/// Guards against prompts that are read from the start on a second engine because the first is still reading.
+#[test]
+fn engine_with_much_to_read_has_more_time_for_the_first_event() {
+    struct Case {
+        name: &'static str,
+        unread: u64,
+        timeout_ms: u128,
+    }
+    let cases = [
+        Case { name: "nothing to read", unread: 0, timeout_ms: 800 },
+        Case { name: "short prompt", unread: 3_000, timeout_ms: 800 },
+        Case { name: "long prompt", unread: 30_000, timeout_ms: 3_000 },
+    ];
+    for case in cases {
+        let timeout = first_event_timeout(TokenCount::new(case.unread), Duration::from_secs(1));
+        assert_eq!(timeout.as_millis(), case.timeout_ms, "{}", case.name);
+    }
+}
+
 /// Guards against a hash function that changes the owner of most keys when one host leaves.
 #[test]
 fn few_keys_move_when_a_holder_leaves() {
