Resume a stream whose engine sends bytes but no events

Callers of a stream whose engine had stalled saw nothing more until the deadline (7.5 s in the test) if the engine sent a byte, a comment or an empty event now and then: each of them began the time for the next event anew. Before the first event there was no limit but the deadline.

The next event is now awaited for three gaps from when the client has taken the last one, and the first one for as long as that of a request that is not answered at all. Only events with a field count. Slow streams with gaps of twice the target, whole or in pieces, still come whole and run once.

--- a/crates/gateway/src/entry/event_splitter.rs
+++ b/crates/gateway/src/entry/event_splitter.rs
@@ -45,8 +45,8 @@
         };
         self.scanned = 0;
         let bytes = self.buf.split_to(from + end).freeze();
-        let id = event_id(&bytes);
-        Some(StreamEvent { bytes, id })
+        let (id, has_fields) = (event_id(&bytes), has_fields(&bytes));
+        Some(StreamEvent { bytes, id, has_fields })
     }
 
     /// Returns the bytes after the last complete event.
@@ -79,3 +79,8 @@
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     std::str::from_utf8(ids.next()?).ok()?.trim().parse().ok()
 }
+
+fn has_fields(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n' || *byte == b'\r');
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
--- a/crates/gateway/src/entry/open_stream.rs
+++ b/crates/gateway/src/entry/open_stream.rs
@@ -105,7 +105,9 @@
                     in_flight_call,
                     sent_at,
                     last_output: gw.now(),
+                    first_event_by: sent_at.plus(timeout),
                     has_events: false,
+                    awaited_since: None,
                 });
             }
             Err(AttemptFailure::NotRun(meta, _)) if meta.inputs_gone => {
--- a/crates/gateway/src/entry/stream_event.rs
+++ b/crates/gateway/src/entry/stream_event.rs
@@ -7,4 +7,6 @@
     pub(super) bytes: Bytes,
     /// The number in the event's `id` field.
     pub(super) id: Option<u64>,
+    /// Whether it has a line other than comments; an event without one is no progress of the stream.
+    pub(super) has_fields: bool,
 }
