Answer the requests that are on their way when a stopping host closes

Callers lost requests without an answer at the end of a planned stop. A host that stops closes its listeners after 2.5 s; it then waited only for requests whose handler ran. A connection that had been accepted and had sent nothing yet was closed at once, connections in the backlog were reset, and the process could end while a body was still read or an answer still written to a client that reads late.

A connection without a request now stays open for 500 ms after the close, the backlog is accepted first, and the process waits for every connection on which a request has begun until its answer has been sent whole, up to the end of the grace.

--- a/crates/gateway/src/listeners.rs
+++ b/crates/gateway/src/listeners.rs
@@ -4,6 +4,7 @@
 use masticstair_core::catalog::ClientLimits;
 use masticstair_core::prelude::*;
 use masticstair_net::http::server::{ConnectionCount, Handler, ServerLimits, bind, serve};
+use smallvec::SmallVec;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,34 +26,38 @@
 /// Unlimited: clients may keep connections open as long as they like.
 const MAX_REQUESTS_PER_CONNECTION: Slots = Slots::new(u32::MAX);
 
+/// The connections of each listener.
+pub(crate) type ListenerCounts = SmallVec<[ConnectionCount; 3]>;
+
 /// Completes when the listeners are to close.
 pub(crate) type Closed = Shared<LocalBoxFuture<'static, ()>>;
 
-/// Starts the configured listeners.
+/// Starts the configured listeners and returns the counts of their connections.
 pub(crate) fn start_listeners(
     gw: &Rc<Gateway>,
     control: Option<&Rc<ControlHost>>,
     closed: &Closed,
-) -> io::Result<()> {
+) -> io::Result<ListenerCounts> {
+    let mut counts = ListenerCounts::new();
     if let Some(addr) = gw.cfg.listen {
         let entry = gw.clone();
         let handler: Handler = Rc::new(move |req| answer_request(entry.clone(), req).boxed_local());
         let entry = gw.clone();
-        listen(addr, move || client_limits(&entry), handler, closed)?;
+        counts.push(listen(addr, move || client_limits(&entry), handler, closed)?);
     }
     if let Some(addr) = gw.cfg.ready_listen.filter(|addr| gw.cfg.listen != Some(*addr)) {
         let entry = gw.clone();
         let handler: Handler =
             Rc::new(move |req| std::future::ready(answer_ready(&entry, &req)).boxed_local());
-        listen(addr, default_limits, handler, closed)?;
+        counts.push(listen(addr, default_limits, handler, closed)?);
     }
     if let (Some(addr), Some(control)) = (gw.cfg.control_listen, control) {
         let (gw, control) = (gw.clone(), control.clone());
         let handler: Handler =
             Rc::new(move |req| answer_control(gw.clone(), control.clone(), req).boxed_local());
-        listen(addr, control_limits, handler, closed)?;
+        counts.push(listen(addr, control_limits, handler, closed)?);
     }
-    Ok(())
+    Ok(counts)
 }
 
 fn listen(
@@ -60,11 +65,11 @@
     limits: impl Fn() -> ServerLimits + 'static,
     handler: Handler,
     closed: &Closed,
-) -> io::Result<()> {
+) -> io::Result<ConnectionCount> {
     let listener = bind(addr)?;
-    let serving = serve(listener, limits, ConnectionCount::default(), handler, closed.clone());
-    monoio::spawn(serving);
-    Ok(())
+    let count = ConnectionCount::default();
+    monoio::spawn(serve(listener, limits, count.clone(), handler, closed.clone()));
+    Ok(count)
 }
 
 /// Limits on clients, from the catalog in force.
--- a/crates/gateway/src/run_gateway.rs
+++ b/crates/gateway/src/run_gateway.rs
@@ -28,7 +28,7 @@
     });
     let (close_tx, close_rx) = futures_channel::oneshot::channel::<()>();
     let closed = close_rx.map(|_| ()).boxed_local().shared();
-    start_listeners(&gw, control.as_ref(), &closed)?;
+    let counts = start_listeners(&gw, control.as_ref(), &closed)?;
     monoio::spawn(handle_events(gw.clone(), control.clone(), events));
     monoio::spawn(run_maintenance(gw.clone(), control.clone()));
     if let Some(control) = &control {
@@ -36,6 +36,6 @@
     }
     monoio::spawn(subscribe_to_control_hosts(gw.clone()));
     stop.await;
-    stop_gateway(&gw, control.as_deref(), close_tx).await;
+    stop_gateway(&gw, control.as_deref(), close_tx, &counts).await;
     Ok(())
 }
--- a/crates/net/src/http/server/connection.rs
+++ b/crates/net/src/http/server/connection.rs
@@ -8,29 +8,39 @@
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, IntoPollIo};
 use monoio::net::TcpStream;
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::convert::Infallible;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::read_body::read_body;
 use super::response_body::ResponseBody;
 use super::{ConnectionCount, Handler, Request, Response, ResponseContent, ServerLimits, Stop};
 use crate::turns::TurnStream;
 
+/// How long a connection without a request stays open after the server was asked to stop: its first request may be on
+/// its way.
+const FIRST_HEAD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Serves one connection until it closes. Once `stop` completes, the request in progress is still
 /// answered and the connection is then closed.
 pub(super) async fn serve_connection(
     stream: TcpStream,
     limits: Rc<ServerLimits>,
     handler: Handler,
+    count: &ConnectionCount,
     large_bodies: ConnectionCount,
     stop: Stop,
 ) {
     let Ok(stream) = stream.into_poll_io() else { return };
     let served = Rc::new(Cell::new(0));
-    let service = service_fn(|req| serve_request(req, &limits, &handler, &served, &large_bodies));
+    let used = OnceCell::new();
+    let service = service_fn(|req| {
+        used.get_or_init(|| count.count_used());
+        serve_request(req, &limits, &handler, &served, &large_bodies)
+    });
     let head_limit = usize::try_from(limits.head.get()).unwrap_or(usize::MAX);
     let mut connection = http1::Builder::new()
         .timer(MonoioTimer)
@@ -47,8 +57,15 @@
         match result {
             Some(result) => result,
             None => {
-                Pin::new(&mut connection).graceful_shutdown();
-                (&mut connection).await
+                let timeout =
+                    if used.get().is_none() { FIRST_HEAD_TIMEOUT } else { Duration::ZERO };
+                match monoio::time::timeout(timeout, &mut connection).await {
+                    Ok(result) => result,
+                    Err(_) => {
+                        Pin::new(&mut connection).graceful_shutdown();
+                        (&mut connection).await
+                    }
+                }
             }
         }
     };
--- a/crates/net/src/http/server/listen.rs
+++ b/crates/net/src/http/server/listen.rs
@@ -16,6 +16,9 @@
 /// Delay after a failed accept; the usual cause is that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long a listener that closes awaits the next connection of its backlog. Those that it leaves there are reset.
+const BACKLOG_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Binds a listener with `SO_REUSEPORT`, so that several workers can bind the same address.
 ///
 /// # Errors
@@ -26,7 +29,8 @@
 }
 
 /// Accepts and serves connections until `stop` completes; requests in progress are still answered after
-/// that. A connection keeps the limits that are in force when it is accepted.
+/// that, also those on connections that the operating system has accepted already. A connection keeps the limits
+/// that are in force when it is accepted.
 pub async fn serve(
     listener: TcpListener,
     limits: impl Fn() -> ServerLimits + 'static,
@@ -36,10 +40,18 @@
 ) {
     let large_bodies = ConnectionCount::default();
     let stop: Stop = stop.boxed_local().shared();
+    let mut is_stopped = false;
     loop {
-        match select(stop.clone(), pin!(listener.accept())).await {
-            Either::Left(_) => return,
-            Either::Right((Ok((stream, _)), _)) => {
+        let stop_asked = stop.clone();
+        let backlog_timeout = if is_stopped { BACKLOG_TIMEOUT } else { Duration::ZERO };
+        let stopped = async {
+            stop_asked.await;
+            monoio::time::sleep(backlog_timeout).await;
+        };
+        match select(pin!(listener.accept()), pin!(stopped)).await {
+            Either::Right(_) if is_stopped => return,
+            Either::Right(_) => is_stopped = true,
+            Either::Left((Ok((stream, _)), _)) => {
                 let (handler, count) = (handler.clone(), count.clone());
                 let limits = Rc::new(limits());
                 let (large_bodies, stop) = (large_bodies.clone(), stop.clone());
@@ -48,13 +60,15 @@
                     let _ = stream.set_nodelay(true);
                     match count.try_acquire(limits.connections) {
                         Some(_counted) => {
-                            serve_connection(stream, limits, handler, large_bodies, stop).await
+                            serve_connection(stream, limits, handler, &count, large_bodies, stop)
+                                .await
                         }
                         None => send_and_close(stream, &too_many(&limits)).await,
                     }
                 });
             }
-            Either::Right((Err(_), _)) => monoio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            Either::Left((Err(_), _)) if is_stopped => return,
+            Either::Left((Err(_), _)) => monoio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
