Do not pass on an unsigned 503 of a request that may have run

A client got 503 for a request that had run and that must not be repeated: an endpoint had answered it without "Not-Executed". Clients take 503 for the statement that it has not run, and send it again.

An unsigned answer with a status that is read as this statement counts as an unknown outcome now.

--- a/crates/gateway/src/entry/attempt.rs
+++ b/crates/gateway/src/entry/attempt.rs
@@ -106,6 +106,11 @@
         let detail = format!("status {}", head.status).into();
         return Err(AttemptFailure::NotRun(meta, detail));
     }
+    if meta.reads_as_not_run && !meta.signed {
+        // The client would send the request again, which may have run.
+        let detail = format!("status {} does not say that the request has not run", head.status);
+        return Err(AttemptFailure::Unknown(detail.into()));
+    }
     if head.status.is_success() && !meta.signed {
         return Err(AttemptFailure::Unknown("the answer is not signed".into()));
     }
--- a/crates/gateway/src/front_end/answer_meta.rs
+++ b/crates/gateway/src/front_end/answer_meta.rs
@@ -7,6 +7,8 @@
     pub call: Option<CallId>,
     /// Whether the endpoint states that it has not run the request.
     pub not_run: bool,
+    /// Whether a client takes the status to mean that the request has not run.
+    pub reads_as_not_run: bool,
     /// Whether the endpoint at this address is not the expected one.
     pub is_other_endpoint: bool,
     /// Whether inputs of the request no longer exist.
