Name the whole time that a stalled stream was awaited in its log line

The line for a stalled stream named the time since its last bytes, although bytes without an event are no progress: with a byte every 100 ms an operator would have read of at most 100 ms. It now names the time since the event was awaited.

--- a/crates/gateway/src/entry/next_chunk.rs
+++ b/crates/gateway/src/entry/next_chunk.rs
@@ -24,6 +24,7 @@
     let now = state.gw.now();
     let stalls_in = opened.stalls_at(now, gap * STALL_GAP_FACTOR).since(now);
     let limit = if can_resume { left.min(stalls_in) } else { left };
+    let awaited_since = opened.awaited_since.unwrap_or(now);
     match monoio::time::timeout(limit, opened.body.next()).await {
         Ok(Ok(Some(chunk))) => {
             opened.last_output = state.gw.now();
@@ -31,6 +32,9 @@
         }
         Ok(Ok(None)) => EngineOutput::End,
         Ok(Err(e)) => EngineOutput::Broken(e.to_string().into()),
-        Err(_) => EngineOutput::Silent(format!("no event within {} ms", limit.as_millis()).into()),
+        Err(_) => {
+            let waited = state.gw.now().since(awaited_since).as_millis();
+            EngineOutput::Silent(format!("no event within {waited} ms").into())
+        }
     }
 }
