--- a/review/lab-2/extra_answer.rs
+++ b/review/lab-2/extra_answer.rs
@@ -1,5 +1,5 @@
 //! A stage replica sends an extra answer late, at the point where the next answer is expected. The extra answer repeats
-//! one whose only piece failed. Checks whether engines get results of another request as inputs (MIXED).
+//! one all of whose pieces failed. Checks whether engines get results of another request as inputs (MIXED).
 
 #[path = "lab.rs"]
 mod lab;
@@ -15,14 +15,16 @@
 use std::time::{Duration, Instant};
 
 const RUN_TIME: Duration = Duration::from_secs(85);
-/// Requests in progress at a time; each has one piece.
-const CLIENTS: usize = 4;
+/// Requests in progress at a time.
+const CLIENTS: usize = 8;
+/// The pieces of each request, as many as a call may have.
+const PIECES: &str = "8";
 const STAGE_REPLICAS: usize = 4;
 const ENGINES: usize = 4;
 const CALL_TIME: Duration = Duration::from_millis(150);
 const ITEM_TIME: Duration = Duration::from_millis(16);
-/// A piece fails once in so many; the replica says so with `error`.
-const FAILED_PIECE: u64 = 20;
+/// One call in so many fails; the replica says so with `error` for each of its pieces.
+const FAILED_CALL: u64 = 20;
 /// The replicas of the service that send extra answers: the first ones that have run so many calls.
 const GARBLED_REPLICAS: usize = 2;
 const GARBLED_AFTER_CALLS: u64 = 10;
@@ -52,7 +54,6 @@
     addr: String,
     work: Mutex<()>,
     handles: AtomicU64,
-    pieces: AtomicU64,
     answers: AtomicU64,
     extras: AtomicU64,
 }
@@ -109,13 +110,12 @@
             thread::sleep(CALL_TIME + ITEM_TIME * ids.len() as u32);
         }
         self.world.calls.fetch_add(1, Ordering::Relaxed);
-        self.answers.fetch_add(1, Ordering::Relaxed);
-        let mut failed = 0;
+        let has_failed =
+            self.answers.fetch_add(1, Ordering::Relaxed) % FAILED_CALL == FAILED_CALL - 1;
         let items: Vec<_> = ids
             .iter()
             .map(|id| {
-                if self.pieces.fetch_add(1, Ordering::Relaxed) % FAILED_PIECE == FAILED_PIECE - 1 {
-                    failed += 1;
+                if has_failed {
                     return r#"{"reason":"error"}"#.to_owned();
                 }
                 let number = self.handles.fetch_add(1, Ordering::Relaxed);
@@ -127,7 +127,7 @@
         let body = format!("{{\"items\":[{}]}}", items.join(","));
         self.world.record.line(&format!("{} ran {ids:?}: {body}", self.id));
         let headers = [("Content-Type", "application/json"), ("Replica-Load", "0,0,1")];
-        (answer(200, &headers, &body), failed == ids.len())
+        (answer(200, &headers, &body), has_failed)
     }
 }
 
@@ -180,7 +180,7 @@
             ("Attempt-Id", id.as_str()),
             ("Model", "m"),
             ("Token-Usage", "200,9"),
-            ("Chunk-Count", "1"),
+            ("Chunk-Count", PIECES),
             ("Chunk-Key", id.as_str()),
             ("Deadline-Ms", "8000"),
             ("Api-Key", API_KEY),
@@ -221,7 +221,6 @@
             addr: addr.to_string(),
             work: Mutex::new(()),
             handles: AtomicU64::new(1),
-            pieces: AtomicU64::new(0),
             answers: AtomicU64::new(0),
             extras: AtomicU64::new(0),
         });
--- a/review/lab-2/lab.rs
+++ b/review/lab-2/lab.rs
@@ -296,10 +296,6 @@
             deployment.write_settings(n, &seeds, true);
             deployment.start_host(n);
         }
-        // At a later start the system is not new.
-        for n in 0..deployment.hosts.len() {
-            deployment.write_settings(n, &seeds, false);
-        }
         deployment
     }
 
@@ -379,7 +375,12 @@
                 Duration::from_secs(1),
             );
             match sent.map_or(0, |m| m.status()) {
-                200 => return,
+                200 => {
+                    // At a later start the system is not new.
+                    let seeds: Vec<_> = controls.iter().take(3).copied().collect();
+                    (0..self.hosts.len()).for_each(|n| self.write_settings(n, &seeds, false));
+                    return;
+                }
                 400..=428 => cannot_run("the manifest was refused"),
                 _ => thread::sleep(Duration::from_millis(200)),
             }
