--- a/crates/gateway/src/stages/send_call.rs
+++ b/crates/gateway/src/stages/send_call.rs
@@ -3,6 +3,7 @@
 use masticstair_net::http::relay::RelayCall;
 use masticstair_policy::directory::ServingEndpoint;
 use masticstair_policy::stage_queue::StageItem;
+use slog::debug;
 use std::time::Duration;
 
 use super::batch_call::LOST_CALL_BACKOFF;
@@ -68,6 +69,9 @@
             Some(outcomes)
                 if outcomes.len() == items.len() && has_only_new_results(stages, &outcomes) =>
             {
+                debug!(gw.log, "stage answer read"; "service" => %stages.service,
+                    "endpoint" => %endpoint.id, "connection" => %head.connection,
+                    "items" => items.len(), "results" => result_count(&outcomes));
                 connection.keep();
                 CallOutcome::Answered(outcomes)
             }
@@ -90,6 +94,10 @@
     }
 }
 
+fn result_count(outcomes: &[PieceOutcome]) -> usize {
+    outcomes.iter().filter(|o| matches!(o, PieceOutcome::Done(_))).count()
+}
+
 /// Returns whether all results are new; an endpoint may send the same answer twice.
 fn has_only_new_results(stages: &ServiceStages, outcomes: &[PieceOutcome]) -> bool {
     let retained = stages.retained.borrow();
--- a/crates/net/src/http/relay/relay_connection.rs
+++ b/crates/net/src/http/relay/relay_connection.rs
@@ -2,6 +2,7 @@
 use futures_util::future::{AbortHandle, Abortable};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use masticstair_core::id::ConnectionNumber;
 use masticstair_core::unit::{ByteCount, Millis};
 use masticstair_policy::memory_account::MemoryKind;
 use monoio::io::IntoPollIo;
@@ -26,6 +27,7 @@
 
 /// A connection to an endpoint. Dropping it closes the connection, which cancels the request on it.
 pub(super) struct RelayConnection {
+    pub(super) number: ConnectionNumber,
     pub(super) addr: SocketAddr,
     pub(super) sender: SendRequest<Full<Bytes>>,
     /// When the last response on this connection was complete, or when it was opened.
@@ -38,6 +40,7 @@
 impl RelayConnection {
     /// Connects; fails with `ConnectTimeout` after `timeout`.
     pub(super) async fn open(
+        number: ConnectionNumber,
         addr: SocketAddr,
         timeout: Duration,
         account: &MemoryAccount,
@@ -66,7 +69,7 @@
         let (task, registration) = AbortHandle::new_pair();
         // Connection errors are reported through the pending request, so the result is not used.
         monoio::spawn(Abortable::new(connection, registration));
-        Ok(Self { addr, sender, last_response: Instant::now(), progress, task })
+        Ok(Self { number, addr, sender, last_response: Instant::now(), progress, task })
     }
 }
 
--- a/crates/net/src/http/relay/relay_pool.rs
+++ b/crates/net/src/http/relay/relay_pool.rs
@@ -1,6 +1,7 @@
 use http::header::CONNECTION;
 use http::{HeaderMap, Request, Uri};
 use http_body_util::Full;
+use masticstair_core::id::ConnectionNumber;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -50,20 +51,20 @@
             let new_connection = reused.is_none();
             let mut connection = match reused {
                 Some(connection) => connection,
-                None => {
-                    self.0.connections_opened.set(self.0.connections_opened.get() + 1);
-                    RelayConnection::open(addr, connect_timeout, &self.0.account).await?
-                }
+                None => self.open(addr, connect_timeout).await?,
             };
             match connection.sender.try_send_request(req).await {
                 Ok(response) => {
                     connection.progress.record_progress();
                     let (head, body) = response.into_parts();
                     let keep_alive = !is_closing(&head.headers);
-                    let body = RelayBody::new(self.clone(), body, connection, keep_alive);
-                    let head =
-                        RelayHead { status: head.status, headers: head.headers, new_connection };
-                    return Ok((head, body));
+                    let head = RelayHead {
+                        status: head.status,
+                        headers: head.headers,
+                        connection: connection.number,
+                        new_connection,
+                    };
+                    return Ok((head, RelayBody::new(self.clone(), body, connection, keep_alive)));
                 }
                 Err(mut e) => match e.take_message() {
                     // The endpoint had closed the idle connection; nothing was sent, so retry.
@@ -81,8 +82,7 @@
 
     /// Opens a connection to an endpoint. One that it accepts is kept for the next request.
     pub async fn probe(&self, addr: SocketAddr, timeout: Duration) -> ProbeOutcome {
-        self.0.connections_opened.set(self.0.connections_opened.get() + 1);
-        match RelayConnection::open(addr, timeout, &self.0.account).await {
+        match self.open(addr, timeout).await {
             Ok(connection) => {
                 self.put_back(connection);
                 ProbeOutcome::Accepted
@@ -110,6 +110,17 @@
         self.0.connections_opened.get()
     }
 
+    async fn open(
+        &self,
+        addr: SocketAddr,
+        timeout: Duration,
+    ) -> Result<RelayConnection, RelayError> {
+        let opened = self.0.connections_opened.get() + 1;
+        self.0.connections_opened.set(opened);
+        let number = ConnectionNumber::new(opened);
+        RelayConnection::open(number, addr, timeout, &self.0.account).await
+    }
+
     fn take_idle(&self, addr: SocketAddr, max_idle: Duration) -> Option<RelayConnection> {
         let mut idle = self.0.idle.borrow_mut();
         let connections = idle.get_mut(&addr)?;
