Don't take an answer without results for the answer to a stage call

Callers saw: a success made from the results of another request (MIXED). Cause: answers of stage endpoints name no call, and are told apart by the handles of their results. An answer in which all pieces failed has none, passed as new, and its connection was kept with the answer to the call still due on it. Evidence: with the connections logged, all calls to the endpoint were on connection 2 and all 61 releases on connection 6; the second answer without results came 0 ms after its call, and from then on each call got the results of the call before. Why this works: an answer without results shows nothing of its call, so its connection is closed, and no answer that is due there reaches another call. What it says is believed only as far as it can be true of the items. Test: case 'earlier failure, slow' failed on with 'data: 127.0.0.1:9/a4-0.3' in the answer to a4-1; it passes now.

--- a/crates/gateway/src/stages/batch_call.rs
+++ b/crates/gateway/src/stages/batch_call.rs
@@ -9,6 +9,7 @@
 
 use super::call_outcome::CallOutcome;
 use super::check_call_end::{LostCall, check_call_end};
+use super::credible_outcome::credible_outcome;
 use super::dispatch::dispatch_soon;
 use super::handle_outcomes::{handle_outcomes, items_in_progress, retry_item};
 use super::send_call::send_call;
@@ -61,6 +62,7 @@
     stages.usage.borrow_mut().record_end(took);
     let result = match &outcome {
         CallOutcome::Answered(_) => "answered",
+        CallOutcome::Unidentified(_) => "unidentified",
         CallOutcome::NotRun(..) => "not-run",
         CallOutcome::Lost(..) => "lost",
     };
@@ -76,6 +78,16 @@
             stages.record_call_time(gw.now(), took);
             handle_outcomes(&gw, &stages, &endpoint, &limits, items, outcomes);
         }
+        CallOutcome::Unidentified(outcomes) => {
+            info!(gw.log, "stage answer without results may be to another call";
+                "service" => %stages.service, "endpoint" => %endpoint.id,
+                "items" => items.len(), "first_outcome" => ?outcomes.first(),
+                "took_ms" => took.as_millis() as u64);
+            let now = gw.now();
+            let credible = |(item, outcome)| credible_outcome(item, outcome, now);
+            let outcomes = items.iter().zip(outcomes).map(credible).collect();
+            handle_outcomes(&gw, &stages, &endpoint, &limits, items, outcomes);
+        }
         CallOutcome::NotRun(backoff, reason) => {
             info!(gw.log, "stage call not run; requeueing its items";
                 "service" => %stages.service, "endpoint" => %endpoint.id,
--- a/crates/gateway/src/stages/call_outcome.rs
+++ b/crates/gateway/src/stages/call_outcome.rs
@@ -7,6 +7,8 @@
 pub(super) enum CallOutcome {
     /// One outcome per item.
     Answered(Vec<PieceOutcome>),
+    /// One outcome per item, all of them failures, from an answer that may be to another call.
+    Unidentified(Vec<PieceOutcome>),
     /// Nothing was run; carries the backoff of the endpoint and the reason.
     NotRun(Duration, Box<str>),
     /// The items may have been completed; carries the reason.
--- a/crates/gateway/src/stages/mod.rs
+++ b/crates/gateway/src/stages/mod.rs
@@ -1,10 +1,12 @@
 //! Stages of requests. One host forms the calls of a stage service for all hosts, so that the calls are full.
 
+mod answer_origin;
 mod batch_call;
 mod call_loss;
 mod call_outcome;
 mod cancel_guard;
 mod check_call_end;
+mod credible_outcome;
 mod dispatch;
 mod handle_outcomes;
 mod job;
--- a/crates/gateway/src/stages/send_call.rs
+++ b/crates/gateway/src/stages/send_call.rs
@@ -6,12 +6,13 @@
 use slog::debug;
 use std::time::Duration;
 
+use super::answer_origin::AnswerOrigin;
 use super::batch_call::LOST_CALL_BACKOFF;
 use super::call_loss::CallLoss;
 use super::call_outcome::CallOutcome;
 use super::service_stages::ServiceStages;
 use crate::Gateway;
-use crate::front_end::{PieceOutcome, StageCall, StageCallItem};
+use crate::front_end::{StageCall, StageCallItem};
 
 /// How long an endpoint that refused a call as full gets no calls.
 const FULL_ENDPOINT_BACKOFF: Duration = Duration::from_millis(120);
@@ -65,22 +66,29 @@
         if !head.status.is_success() {
             return CallOutcome::Lost(CallLoss::Invalid, format!("status {}", head.status).into());
         }
-        match (gw.front_end.read_stage_answer)(&bytes) {
-            Some(outcomes)
-                if outcomes.len() == items.len() && has_only_new_results(stages, &outcomes) =>
-            {
-                debug!(gw.log, "stage answer read"; "service" => %stages.service,
-                    "endpoint" => %endpoint.id, "connection" => %head.connection,
-                    "items" => items.len(), "results" => result_count(&outcomes));
+        let outcomes = (gw.front_end.read_stage_answer)(&bytes);
+        let Some(outcomes) = outcomes.filter(|outcomes| outcomes.len() == items.len()) else {
+            gw.pool.evict(endpoint.address);
+            return CallOutcome::Lost(CallLoss::Invalid, "answer is malformed".into());
+        };
+        let origin = {
+            let retained = stages.retained.borrow();
+            AnswerOrigin::of(&outcomes, |handle| retained.contains(handle))
+        };
+        debug!(gw.log, "stage answer read"; "service" => %stages.service,
+            "endpoint" => %endpoint.id, "connection" => %head.connection,
+            "items" => items.len(), "origin" => ?origin);
+        match origin {
+            AnswerOrigin::ThisCall => {
                 connection.keep();
                 CallOutcome::Answered(outcomes)
             }
-            _ => {
+            // The connection is closed: the answer to this call may still be due on it.
+            AnswerOrigin::Unknown => CallOutcome::Unidentified(outcomes),
+            AnswerOrigin::EarlierCall => {
                 gw.pool.evict(endpoint.address);
-                CallOutcome::Lost(
-                    CallLoss::Invalid,
-                    "answer is malformed or repeats results of an earlier call".into(),
-                )
+                let reason = "answer repeats results of an earlier call".into();
+                CallOutcome::Lost(CallLoss::Invalid, reason)
             }
         }
     };
@@ -94,16 +102,6 @@
     }
 }
 
-fn result_count(outcomes: &[PieceOutcome]) -> usize {
-    outcomes.iter().filter(|o| matches!(o, PieceOutcome::Done(_))).count()
-}
-
-/// Returns whether all results are new; an endpoint may send the same answer twice.
-fn has_only_new_results(stages: &ServiceStages, outcomes: &[PieceOutcome]) -> bool {
-    let retained = stages.retained.borrow();
-    outcomes.iter().all(|o| !matches!(o, PieceOutcome::Done(handle) if retained.contains(handle)))
-}
-
 /// Encodes a call; none if the stage of one of its items has ended.
 fn encode_call(
     gw: &Gateway,
