Release results on connections of their own

Cause: nothing tells answers to releases apart, so the connection was kept with the right answer still due, and the next stage call got that, counted as lost and ran again. Why this works: what is still due on a connection for releases can only come to a release.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -60,6 +60,9 @@
     pub(crate) health: RefCell<HashMap<EndpointId, EndpointHealth>>,
     pub(crate) reachability: RefCell<HashMap<DataCentreId, DataCentreReachability>>,
     pub(crate) pool: RelayPool,
+    /// Connections for releases of results. Answers to releases are all alike, so one may still be due on such a connection,
+    /// and no other call may get it.
+    pub(crate) release_pool: RelayPool,
     /// The memory that the process spends on its clients.
     pub(crate) memory: MemoryAccount,
     /// The descriptors that the process may open.
@@ -137,6 +140,7 @@
             health: RefCell::default(),
             reachability: RefCell::default(),
             pool: RelayPool::new(parts.memory.clone()),
+            release_pool: RelayPool::new(parts.memory.clone()),
             answer_room: AnswerRoom::new(parts.memory.clone()),
             memory: parts.memory,
             descriptors: parts.descriptors,
--- a/crates/gateway/src/maintenance.rs
+++ b/crates/gateway/src/maintenance.rs
@@ -33,6 +33,7 @@
         let (answering, silent) = gw.control_contacts();
         gw.software.borrow_mut().record_contact(gw.now(), silent.is_empty());
         gw.pool.close_idle(CONNECTION_IDLE_TIMEOUT);
+        gw.release_pool.close_idle(CONNECTION_IDLE_TIMEOUT);
         gw.limits.borrow_mut().expire(gw.now());
         gw.pauses.borrow_mut().expire(gw.now());
         gw.maintain_warmups();
@@ -45,7 +46,8 @@
         let memory = gw.memory.counts();
         gw.metrics.record_memory(&memory);
         refusals.record(&gw.log, gw.now(), &memory);
-        gw.metrics.connections.set(gw.pool.connections_opened() as i64);
+        let opened = gw.pool.connections_opened() + gw.release_pool.connections_opened();
+        gw.metrics.connections.set(opened as i64);
         if let Some(control) = &control {
             let expired = control.table.borrow_mut().expire(gw.now());
             for id in &expired {
--- a/crates/gateway/src/stages/release_results.rs
+++ b/crates/gateway/src/stages/release_results.rs
@@ -86,12 +86,11 @@
         let call = (gw.front_end.release_call)(&results);
         let call = gw.relay_call(call, address, RELEASE_TIMEOUT, MAX_CONNECTION_IDLE);
         let send = async {
-            let (head, body) = gw.pool.send(call).await?;
+            let (head, body) = gw.release_pool.send(call).await?;
             let (_, connection) = body.read_all(4_096, &gw.answer_room).await?;
             debug!(gw.log, "results released"; "service" => %stages.service,
                 "address" => %address, "connection" => %head.connection,
                 "results" => results.len());
-            // All answers to such calls are alike.
             connection.keep();
             Ok::<_, RelayError>(())
         };
