Take only statuses of final responses from endpoints

Callers saw: 101 with the signature of the endpoint and without a body, or a status from 600 to 999, as the answer to their request, when an endpoint wrote such a status line. Cause: the parsers accept three digits from 100 on, and skip interim responses except 101, or none; neither client of endpoints checked that a status is final. Why this works: both clients take 200 to 599 only, and any other status counts as a broken connection, whose outcome is unknown; the client of the product's own interface skips interim responses as the relay does.

--- a/crates/net/src/http/client/connection.rs
+++ b/crates/net/src/http/client/connection.rs
@@ -14,10 +14,14 @@
 use std::net::SocketAddr;
 
 use super::ClientError;
+use crate::http::final_status::{is_final_status, is_interim_status};
 
 /// The `monoio-http` decoder for the body of a response: none, fixed length or chunked.
 pub(super) type ResponseDecoder = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
 
+/// The interim responses that an endpoint may send before a final one.
+const MAX_INTERIM_RESPONSES: usize = 8;
+
 /// One open connection to an endpoint.
 pub(super) struct Connection {
     pub(super) addr: SocketAddr,
@@ -65,11 +69,20 @@
         });
         let exchange = async {
             self.codec.send_and_flush(req).await.map_err(|e| e.to_string())?;
-            match self.codec.next().await {
-                Some(Ok(response)) => Ok(response),
-                Some(Err(e)) => Err(e.to_string()),
-                None => Err("closed before the response".to_owned()),
+            for _ in 0..=MAX_INTERIM_RESPONSES {
+                let response = match self.codec.next().await {
+                    Some(Ok(response)) => response,
+                    Some(Err(e)) => return Err(e.to_string()),
+                    None => return Err("closed before the response".to_owned()),
+                };
+                match response.status() {
+                    status if is_final_status(status) => return Ok(response),
+                    // The final response follows on the connection.
+                    status if is_interim_status(status) => {}
+                    status => return Err(format!("status {} is not final", status.as_u16())),
+                }
             }
+            Err(format!("more than {MAX_INTERIM_RESPONSES} interim responses"))
         };
         match timeout_at(deadline, exchange).await {
             Ok(Ok(response)) => Ok(response),
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -2,6 +2,7 @@
 //! endpoints.
 
 pub mod client;
+mod final_status;
 pub mod relay;
 pub mod server;
 pub mod sse;
--- a/crates/net/src/http/relay/relay_pool.rs
+++ b/crates/net/src/http/relay/relay_pool.rs
@@ -10,6 +10,7 @@
 
 use super::relay_connection::RelayConnection;
 use super::{ProbeOutcome, RelayBody, RelayCall, RelayError, RelayHead};
+use crate::http::final_status::is_final_status;
 use crate::memory::MemoryAccount;
 
 /// Maximum number of idle connections per endpoint.
@@ -57,6 +58,10 @@
                 Ok(response) => {
                     connection.progress.record_progress();
                     let (head, body) = response.into_parts();
+                    if !is_final_status(head.status) {
+                        let message = format!("status {} is not final", head.status.as_u16());
+                        return Err(RelayError::Broken(addr, message.into()));
+                    }
                     let keep_alive = !is_closing(&head.headers);
                     let head = RelayHead {
                         status: head.status,
