--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -8,7 +8,7 @@
 use crate::Verdict;
 use crate::deployment::Deployment;
 use crate::http::{self, Message};
-use crate::replica::{self, Run, Runs, Work, hash};
+use crate::replica::{self, DEADLY, Run, Runs, Work, hash};
 
 const CONTROLS: u8 = 4;
 const KEY: &str = "9dnn2ctnfzs989anu6ws";
@@ -24,15 +24,11 @@
 const ORDERS: &str = "{\"name\":\"orders\",\"health-path\":\"/healthz\",\"max-connections\":100,\
     \"protocol\":\"h1\",\"tls\":false}";
 
-const STAGE: &str = "{\"name\":\"portal\",\"health-path\":\"/healthz\",\"max-connections\":620,\"protocol\":\"h1\",\
-    \"tls\":false,\"segments\":{\"capacity\":1,\"queue\":2,\"batch\":8,\"call-ms\":150.0,\"item-ms\":16.0,\
-    \"headroom-mb\":36.0,\"handle-ttl-s\":4.0,\"link-mbps\":10000}}";
-
-fn stream_route(phases: &str, max_attempts: u32) -> String {
+fn stream_route(max_attempts: u32) -> String {
     format!(
         "{{\"name\":\"r-stream\",\"hostname\":\"one.example\",\"path-prefix\":\"/draft/\",\"type\":\"streaming\",\
          \"timeout-ms\":8000,\"target-latency-ms\":1900,\"priority\":0,\"service\":\"pool\",\"max-attempts\":{max_attempts},\
-         \"phases\":[{phases}],\"public\":false,\"session-affinity\":true,\"stream-resume\":true,\
+         \"phases\":[],\"public\":false,\"session-affinity\":true,\"stream-resume\":true,\
          \"gap-target-ms\":500}}"
     )
 }
@@ -69,20 +65,6 @@
 }
 
 fn send_stream(
-    deployment: &Deployment,
-    entry: u8,
-    attempt: &str,
-    pieces: Option<&str>,
-) -> Result<Message, String> {
-    let mut headers = Vec::new();
-    if let Some(pieces) = pieces {
-        headers.push(("Chunk-Count", pieces.to_owned()));
-        headers.push(("Chunk-Key", "7c1e07a291bd".to_owned()));
-    }
-    send_stream_with(deployment, entry, attempt, &headers)
-}
-
-fn send_stream_with(
     deployment: &Deployment,
     entry: u8,
     attempt: &str,
@@ -93,8 +75,8 @@
         ("Host", "one.example".to_owned()),
         ("Attempt-Id", attempt.to_owned()),
         ("Model", "m".to_owned()),
-        ("Token-Usage", "1460,80".to_owned()),
-        ("Prefix-Hash", format!("5c1e07a2:800,{:x}:410,{attempt}:250", 0x91bd_0000 + session)),
+        ("Token-Usage", "715,234".to_owned()),
+        ("Prefix-Hash", format!("5c1e07a2:100,{:x}:72,{attempt}:543", 0x91bd_0000 + session)),
         ("Deadline-Ms", "8000".to_owned()),
         ("Api-Key", KEY.to_owned()),
     ];
@@ -117,12 +99,13 @@
     if let Some(key) = key {
         headers.push(("Api-Key", key.to_owned()));
     }
+    let body = if attempt.starts_with('d') { DEADLY } else { "one visit" };
     http::call(
         deployment.entry(entry),
         "POST",
         "/order/2f",
         &headers,
-        b"one visit",
+        body.as_bytes(),
         Duration::from_secs(4),
     )
 }
@@ -136,7 +119,7 @@
 }
 
 fn attempt_id(text: &str) -> String {
-    format!("{:016x}", hash(&format!("{text}/{}", std::process::id())))
+    format!("a{:015x}", hash(&format!("{text}/{}", std::process::id())) >> 4)
 }
 
 /// Sends orders until one is served.
@@ -169,7 +152,7 @@
         replica::start(deployment, number, "pool", Work::Stream { events: 8, lost }, &runs)?;
     }
     let tenants = [tenant("bozi300", KEY)];
-    let routes = [stream_route("", 2)];
+    let routes = [stream_route(2)];
     let content = manifest(7, &routes, &[ENGINE], &tenants);
     deployment.send_manifest(&content, 3, Duration::from_secs(20))?;
     for entry in 1..=ENTRIES {
@@ -202,7 +185,7 @@
                     std::thread::sleep(due.saturating_duration_since(Instant::now()));
                     let attempt = attempt_id(&format!("stream-{n}"));
                     let entry = 1 + (n % u64::from(ENTRIES)) as u8;
-                    let answer = send_stream(shared, entry, &attempt, None);
+                    let answer = send_stream(shared, entry, &attempt, &[]);
                     let text = match &answer {
                         Ok(answer) if answer.is_complete && answer.status() == 200 => {
                             "200, whole".to_owned()
@@ -366,81 +349,6 @@
     Ok(if served == 0 { Verdict::Broken(text) } else { Verdict::Held(text) })
 }
 
-/// One request states many pieces.
-pub fn pieces(deployment: &mut Deployment, with_trouble: bool) -> Result<Verdict, String> {
-    let runs = Runs::default();
-    start_hosts(deployment, 2)?;
-    for number in 1..=2 {
-        replica::start(deployment, number, "pool", Work::Stream { events: 8, lost: 0 }, &runs)?;
-        replica::start(deployment, number + 2, "portal", Work::Stage, &runs)?;
-        replica::start(deployment, number + 4, "orders", Work::Plain, &runs)?;
-    }
-    let phase = "{\"service\":\"portal\",\"after\":[],\"size-bytes\":8000}";
-    let routes = [stream_route(phase, 2), order_route()];
-    let tenants = [tenant("bozi300", KEY)];
-    let content = manifest(7, &routes, &[ENGINE, STAGE, ORDERS], &tenants);
-    deployment.send_manifest(&content, 3, Duration::from_secs(20))?;
-    for entry in 1..=2 {
-        deployment.wait_ready(entry, Duration::from_secs(20))?;
-    }
-    wait_served(deployment, Duration::from_secs(15))?;
-    std::thread::sleep(Duration::from_secs(2));
-    let answer = send_stream(deployment, 1, &attempt_id("few"), Some("2"));
-    deployment.record.line(&format!("request with Chunk-Count: 2: {}", outcome(&answer)));
-    for (name, now, most) in deployment.memory() {
-        deployment.record.line(&format!("memory of {name}: {now} MB, at most {most} MB"));
-    }
-    let count = if with_trouble { "20000000" } else { "10" };
-    let done = std::sync::atomic::AtomicBool::new(false);
-    let mut over: Vec<String> = Vec::new();
-    std::thread::scope(|scope| {
-        let sending = scope.spawn(|| {
-            for n in 0..2 {
-                let answer =
-                    send_stream(deployment, 1, &attempt_id(&format!("many-{n}")), Some(count));
-                deployment
-                    .record
-                    .line(&format!("request with Chunk-Count: {count}: {}", outcome(&answer)));
-            }
-            done.store(true, Ordering::Relaxed);
-        });
-        // The platform ends a process that uses more memory than its machine has, and starts it again.
-        let until = Instant::now() + Duration::from_secs(40);
-        while Instant::now() < until && !(done.load(Ordering::Relaxed) && sending.is_finished()) {
-            for (name, now, _) in deployment.memory() {
-                let limit = if name.starts_with("core") { 256 } else { 260 };
-                if now > limit {
-                    deployment.record.line(&format!("{name} uses {now} MB of {limit} MB"));
-                    over.push(name.clone());
-                    deployment.kill(&name);
-                    let number: u8 =
-                        name.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(1);
-                    std::thread::sleep(Duration::from_millis(200));
-                    let _ = match name.starts_with("core") {
-                        true => deployment.start_control(number, false),
-                        false => deployment.start_entry(number, false),
-                    };
-                }
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-    });
-    let mut served = 0;
-    for n in 0..10_u8 {
-        let answer =
-            send_order(deployment, 1 + n % 2, &attempt_id(&format!("order-{n}")), Some(KEY));
-        served += u32::from(answer.as_ref().is_ok_and(|answer| answer.status() == 200));
-        std::thread::sleep(Duration::from_millis(200));
-    }
-    for (name, now, most) in deployment.memory() {
-        deployment.record.line(&format!("memory of {name}: {now} MB, at most {most} MB"));
-    }
-    let text = format!(
-        "processes that used more memory than their machine has: {over:?}; {served} of 10 orders were served afterwards"
-    );
-    Ok(if over.is_empty() { Verdict::Held(text) } else { Verdict::Broken(text) })
-}
-
 /// Replicas are started again, under the ids that they had, with another version of their software. Their first check-in
 /// arrives late.
 pub fn versions(deployment: &mut Deployment, with_trouble: bool) -> Result<Verdict, String> {
@@ -453,7 +361,7 @@
         .map(|number| replica::start(deployment, number, "pool", WORK, &runs))
         .collect::<Result<_, _>>()?;
     let tenants = [tenant("bozi300", KEY)];
-    let content = manifest(7, &[stream_route("", 1)], &[ENGINE], &tenants);
+    let content = manifest(7, &[stream_route(1)], &[ENGINE], &tenants);
     deployment.send_manifest(&content, 3, Duration::from_secs(20))?;
     for entry in 1..=2 {
         deployment.wait_ready(entry, Duration::from_secs(20))?;
@@ -514,7 +422,7 @@
         }
         // Retries reach other machines.
         let entry = if attempt_number == 0 { 1 } else { 2 };
-        let answer = send_stream_with(deployment, entry, &attempt, &more);
+        let answer = send_stream(deployment, entry, &attempt, &more);
         deployment.record.line(&format!(
             "stream {n}, attempt {attempt} at edge-{entry} after event {}: {}",
             events.len(),
@@ -524,7 +432,7 @@
                 Err(reason) => reason.clone(),
             }
         ));
-        let mut pause = Duration::from_millis(500);
+        let mut pause = Duration::from_millis(300 + 10 * (n as u64 % 60));
         if let Ok(answer) = &answer {
             if answer.status() == 200 {
                 let text = answer.text();
@@ -571,3 +479,55 @@
         .collect();
     parts.join(", ")
 }
+
+/// A request that crashes the replicas that run it comes several times at a moment, at different machines, and again later.
+pub fn copies(deployment: &mut Deployment, with_trouble: bool) -> Result<Verdict, String> {
+    const ENTRIES: u8 = 6;
+    const REPLICAS: u8 = 9;
+    let contact = Duration::from_millis(3_000);
+    let runs = Runs::default();
+    start_hosts(deployment, ENTRIES)?;
+    for number in 1..=REPLICAS {
+        replica::start(deployment, number, "orders", Work::Plain, &runs)?;
+    }
+    let tenants = [tenant("bozi300", KEY)];
+    let content = manifest(7, &[order_route()], &[ORDERS], &tenants);
+    deployment.send_manifest(&content, 3, Duration::from_secs(20))?;
+    for entry in 1..=ENTRIES {
+        deployment.wait_ready(entry, Duration::from_secs(20))?;
+    }
+    wait_served(deployment, Duration::from_secs(15))?;
+    std::thread::sleep(Duration::from_secs(5));
+    let shared: &Deployment = deployment;
+    // Once and again, a while after the replicas are back.
+    for round in 0..4_u64 {
+        let copies = if with_trouble { ENTRIES } else { 1 };
+        std::thread::scope(|scope| {
+            for n in 0..copies {
+                scope.spawn(move || {
+                    let attempt = format!("d{}", &attempt_id(&format!("deadly-{round}-{n}"))[1..]);
+                    let answer = send_order(shared, 1 + n, &attempt, Some(KEY));
+                    shared.record.line(&format!(
+                        "round {round}: deadly request {attempt} at edge-{}: {}",
+                        1 + n,
+                        outcome(&answer)
+                    ));
+                });
+            }
+        });
+        std::thread::sleep(Duration::from_secs(6));
+    }
+    let runs = runs.lock().unwrap();
+    let begun: Vec<_> =
+        runs.iter().filter(|run| run.attempt.starts_with('d')).map(|run| run.begun).collect();
+    let Some(third) = begun.get(2) else {
+        return Ok(Verdict::Held(format!("only {} deadly requests were run", begun.len())));
+    };
+    let late = begun.iter().filter(|at| **at > *third + contact).count();
+    let text = format!(
+        "{late} retries of a request that crashes replicas reached replicas later than 3 s after its third crash (3 are \
+         allowed to); {} runs in all",
+        begun.len()
+    );
+    Ok(if late > 3 { Verdict::Broken(text) } else { Verdict::Held(text) })
+}
--- a/review/stand-ins-3/deployment.rs
+++ b/review/stand-ins-3/deployment.rs
@@ -183,23 +183,6 @@
         ended
     }
 
-    /// Returns the memory in use and the most that was in use, of each running process in MB.
-    pub fn memory(&self) -> Vec<(String, u64, u64)> {
-        let mut all = Vec::new();
-        for (name, child) in self.processes.lock().unwrap().iter_mut() {
-            let Ok(None) = child.try_wait() else { continue };
-            let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
-            let status = status.unwrap_or_default();
-            let field = |key: &str| {
-                let line = status.lines().find(|line| line.starts_with(key))?;
-                line.split_whitespace().nth(1)?.parse::<u64>().ok()
-            };
-            let mb = |key| field(key).unwrap_or(0) / 1024;
-            all.push((name.clone(), mb("VmRSS:"), mb("VmHWM:")));
-        }
-        all
-    }
-
     /// Returns the lines of the log of a host that contain a text.
     pub fn log_lines(&self, name: &str, text: &str) -> Vec<String> {
         let log = std::fs::read_to_string(self.temporary.join(format!("{name}.log")));
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -56,7 +56,7 @@
         "accounts" => cases::accounts(&mut deployment, with_trouble),
         "formation" => cases::formation(&mut deployment, with_trouble),
         "versions" => cases::versions(&mut deployment, with_trouble),
-        "pieces" => cases::pieces(&mut deployment, with_trouble),
+        "copies" => cases::copies(&mut deployment, with_trouble),
         _ => Err(format!("no case is called {case}")),
     };
     deployment::end_all(&deployment.processes);
--- a/review/stand-ins-3/replica.rs
+++ b/review/stand-ins-3/replica.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::deployment::{Deployment, Record};
 use crate::http::{self, Message};
@@ -15,6 +15,7 @@
     pub attempt: String,
     pub replica: String,
     pub tenant: Option<String>,
+    pub begun: Instant,
     /// Whether the whole answer was sent.
     pub is_answered: bool,
 }
@@ -22,6 +23,9 @@
 /// The runs of all replicas, in the order in which they began.
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
+/// What the body of a request holds that ends the replicas that run it.
+pub const DEADLY: &str = "deadly";
+
 /// Whether answers are lost now.
 pub static LOSES_ANSWERS: AtomicBool = AtomicBool::new(false);
 
@@ -33,10 +37,9 @@
     Stream { events: u64, lost: u64 },
     /// A stream of so many events, one each 50 ms, which name the software that wrote them.
     Versioned { events: u64 },
-    /// A short complete answer.
+    /// A short complete answer. A request with `DEADLY` in its body ends the replica soon after it has begun; the replica is
+    /// back after 2 s.
     Plain,
-    /// The calls of a stage service.
-    Stage,
 }
 
 #[derive(Clone)]
@@ -47,6 +50,11 @@
     runs: Runs,
     record: Record,
     version: &'static str,
+    number: u8,
+    service: String,
+    controls: Vec<SocketAddr>,
+    /// The number of this lifetime at the address.
+    lifetime: u32,
     has_ended: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
 }
@@ -72,43 +80,72 @@
     version: &'static str,
     late: Duration,
 ) -> Result<Replica, String> {
-    let address = deployment.replica(number);
-    let id = format!("i-{number:02}{:06x}", std::process::id());
     let replica = Replica {
-        id,
-        address,
+        id: format!("i-{number:02}{:06x}", std::process::id()),
+        address: deployment.replica(number),
         work,
         runs: runs.clone(),
         record: deployment.record.clone(),
         version,
+        number,
+        service: service.to_owned(),
+        controls: (1..=3).map(|n| deployment.control(n)).collect(),
+        lifetime: 0,
         has_ended: Arc::default(),
         connections: Arc::default(),
     };
-    let listener = TcpListener::bind(address).map_err(|e| e.to_string())?;
-    deployment
-        .record
-        .line(&format!("replica {} of {service} started with version {version}", replica.id));
-    let serving = replica.clone();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            if serving.has_ended.load(Ordering::SeqCst) {
-                return;
-            }
-            if let Ok(known) = stream.try_clone() {
-                serving.connections.lock().unwrap().push(known);
-            }
-            let serving = serving.clone();
-            std::thread::spawn(move || serving.serve(stream));
-        }
-    });
-    let controls: Vec<_> = (1..=3).map(|n| deployment.control(n)).collect();
-    let service = service.to_owned();
-    let checking_in = replica.clone();
-    std::thread::spawn(move || checking_in.check_in(&service, &controls, late));
+    replica.launch(late)?;
     Ok(replica)
 }
 
 impl Replica {
+    /// Begins to serve and to check in; the first check-in arrives after `late`.
+    fn launch(&self, late: Duration) -> Result<(), String> {
+        let listener = TcpListener::bind(self.address).map_err(|e| e.to_string())?;
+        self.record.line(&format!(
+            "replica {} of {} started with version {}",
+            self.id, self.service, self.version
+        ));
+        let serving = self.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if serving.has_ended.load(Ordering::SeqCst) {
+                    return;
+                }
+                if let Ok(known) = stream.try_clone() {
+                    serving.connections.lock().unwrap().push(known);
+                }
+                let serving = serving.clone();
+                std::thread::spawn(move || serving.serve(stream));
+            }
+        });
+        let checking_in = self.clone();
+        std::thread::spawn(move || checking_in.check_in(late));
+        Ok(())
+    }
+
+    /// Ends the process as a crash does, and starts it again after 2 s in a new lifetime with a new id.
+    fn crash(&self) {
+        if self.has_ended.load(Ordering::SeqCst) {
+            return;
+        }
+        self.end();
+        let lifetime = self.lifetime + 1;
+        let next = Self {
+            id: format!("i-{:02}{:06x}{lifetime}", self.number, std::process::id()),
+            lifetime,
+            has_ended: Arc::default(),
+            connections: Arc::default(),
+            ..self.clone()
+        };
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_secs(2));
+            if let Err(reason) = next.launch(Duration::ZERO) {
+                next.record.line(&format!("replica {} did not start: {reason}", next.id));
+            }
+        });
+    }
+
     /// Ends the process: its connections break, and nobody listens at its address.
     pub fn end(&self) {
         self.has_ended.store(true, Ordering::SeqCst);
@@ -121,7 +158,8 @@
     }
 
     /// Checks in about every 1.2 s, with the next control host after a failure.
-    fn check_in(&self, service: &str, controls: &[SocketAddr], late: Duration) {
+    fn check_in(&self, late: Duration) {
+        let (service, controls) = (&self.service, &self.controls);
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let mut at = usize::from(self.address.port()) % controls.len();
         std::thread::sleep(late);
@@ -177,14 +215,12 @@
                 format!("HTTP/1.1 200 OK\r\nReplica-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
             return writer.write_all(head.as_bytes()).is_ok();
         }
-        if req.path().starts_with("/v1/stage-") {
-            return self.answer_stage(req, writer);
-        }
         let attempt = req.header("attempt-id").unwrap_or("none").to_owned();
         let run = Run {
             attempt: attempt.clone(),
             replica: self.id.clone(),
             tenant: req.header("tenant").map(str::to_owned),
+            begun: Instant::now(),
             is_answered: false,
         };
         let number = {
@@ -192,6 +228,13 @@
             runs.push(run);
             runs.len() - 1
         };
+        if matches!(self.work, Work::Plain) && req.text().contains(DEADLY) {
+            self.record
+                .line(&format!("replica {} begins to run deadly request {attempt}", self.id));
+            std::thread::sleep(Duration::from_millis(40));
+            self.crash();
+            return false;
+        }
         let is_answered = match self.work {
             Work::Stream { events, lost } => self.stream(req, &attempt, events, lost, 10, writer),
             Work::Versioned { events } => self.stream(req, &attempt, events, 0, 50, writer),
@@ -253,30 +296,6 @@
         }
         writer.write_all(b"0\r\n\r\n").is_ok()
     }
-
-    /// Answers a call of a stage service: 150 ms a call, and a result for each piece.
-    fn answer_stage(&self, req: &Message, writer: &mut TcpStream) -> bool {
-        let body = if req.path() == "/v1/stage-run" {
-            std::thread::sleep(Duration::from_millis(150));
-            let text = req.text();
-            let count = text.matches("\"phase\":").count();
-            self.record.line(&format!("{} ran a stage call of {count} pieces", self.id));
-            let results: Vec<_> = (0..count)
-                .map(|n| {
-                    let draw = hash(&format!("{text}{n}{:?}", std::time::Instant::now()));
-                    format!("{{\"kv-handle\":\"{}/{draw:x}\"}}", self.address)
-                })
-                .collect();
-            format!("{{\"items\":[{}]}}", results.join(","))
-        } else {
-            "{}".to_owned()
-        };
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nReplica-Load: 0,0,1\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        writer.write_all(head.as_bytes()).is_ok()
-    }
 }
 
 /// FNV-1a with a final mix.
